--- /dev/null
+++ b/wigeonrill/base.h
@@ -0,0 +1,31 @@
+#ifndef WIGEONRILL_BASE_H
+#define WIGEONRILL_BASE_H
+
+/// \file
+/// \brief Clock and random interfaces, typed errors, identifiers, stable hashing.
+
+#define WIGEONRILL_BASE_MODULE
+
+#include <array>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <utility>
+
+#include "src/base/assertion.h"
+#include "src/base/clock_source.h"
+#include "src/base/enum_names.h"
+#include "src/base/error.h"
+// Needs error.h.
+#include "src/base/endpoint.h"
+#include "src/base/identifier.h"
+#include "src/base/random_source.h"
+#include "src/base/stable_hash.h"
+// Needs stable_hash.h.
+#include "src/base/rendezvous.h"
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/config/key_owner_set.h
@@ -0,0 +1,20 @@
+#ifndef WIGEONRILL_CONFIG_KEY_OWNER_SET_H
+#define WIGEONRILL_CONFIG_KEY_OWNER_SET_H
+
+#ifndef WIGEONRILL_CONFIG_MODULE
+#error "Include wigeonrill/config.h instead of this file."
+#endif
+
+namespace wigeonrill::config {
+
+/// \brief Nodes that own the idempotency keys made by callers, from a point in time on.
+struct key_owner_set {
+    wall_time effective_from{};   ///< keys created before belong to the previous set
+    std::vector<endpoint> owners; ///< traffic addresses of nodes
+
+    friend bool operator==(const key_owner_set&, const key_owner_set&) = default;
+};
+
+} // namespace wigeonrill::config
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/config/snapshot.h
@@ -0,0 +1,34 @@
+#ifndef WIGEONRILL_CONFIG_SNAPSHOT_H
+#define WIGEONRILL_CONFIG_SNAPSHOT_H
+
+#ifndef WIGEONRILL_CONFIG_MODULE
+#error "Include wigeonrill/config.h instead of this file."
+#endif
+
+namespace wigeonrill::config {
+
+/// \brief One accepted version of inventory and rules. Shared read-only between threads.
+struct snapshot {
+    std::uint64_t version{0};
+    wall_time published{};
+    milliseconds resend_window{600'000};   ///< time in which a caller may send a key again
+    milliseconds owner_lease{21'600'000};  ///< longest time without confirmation for a key owner
+    std::vector<service> services;         ///< sorted by name
+    std::vector<route> routes;             ///< sorted by name
+    std::vector<workspace> workspaces;     ///< sorted by name
+    std::vector<key_owner_set> key_owners; ///< sorted by effective_from, newest last
+    std::vector<vm_record> vms;            ///< the platform's list as known with this version
+
+    friend bool operator==(const snapshot&, const snapshot&) = default;
+};
+
+/// \brief Shared ownership of an immutable snapshot.
+using snapshot_ptr = std::shared_ptr<const snapshot>;
+
+/// \brief Finds a service by binary search.
+/// \returns the service, or null
+[[nodiscard]] const service* find_service(const snapshot& configuration, const service_name& name);
+
+} // namespace wigeonrill::config
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/config/target.h
@@ -0,0 +1,23 @@
+#ifndef WIGEONRILL_CONFIG_TARGET_H
+#define WIGEONRILL_CONFIG_TARGET_H
+
+#ifndef WIGEONRILL_CONFIG_MODULE
+#error "Include wigeonrill/config.h instead of this file."
+#endif
+
+namespace wigeonrill::config {
+
+/// \brief One back-end endpoint of a service.
+struct target {
+    target_id id;
+    endpoint address;
+    domain_name domain;
+    std::uint32_t slots{1};     ///< requests it can run at once
+    milliseconds cold_start{0}; ///< time after a start in which slow answers are normal
+
+    friend bool operator==(const target&, const target&) = default;
+};
+
+} // namespace wigeonrill::config
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/health/answer.h
@@ -0,0 +1,49 @@
+#ifndef WIGEONRILL_HEALTH_ANSWER_H
+#define WIGEONRILL_HEALTH_ANSWER_H
+
+#ifndef WIGEONRILL_HEALTH_MODULE
+#error "Include wigeonrill/health.h instead of this file."
+#endif
+
+namespace wigeonrill::health {
+
+/// \brief How one attempt at a target ended.
+enum class answer_kind : std::uint8_t {
+    ok,              ///< a whole answer below 500
+    server_error,    ///< a whole answer of 500 or above that is not a shed
+    shed,            ///< the target refused the request for lack of capacity
+    connect_failed,  ///< no connection; the target got no byte
+    connection_lost, ///< the connection ended with the request in flight
+    malformed,       ///< bytes that are not a valid or whole answer
+    silent,          ///< no byte within the route's first_byte limit
+    cancelled        ///< the caller left or the proxy gave up; no evidence
+};
+
+/// \brief Names of the answer kinds in logs, metrics and traces.
+inline constexpr enum_name_table<answer_kind, 8> answer_kind_names{{
+    {answer_kind::ok, "ok"},
+    {answer_kind::server_error, "server_error"},
+    {answer_kind::shed, "shed"},
+    {answer_kind::connect_failed, "connect_failed"},
+    {answer_kind::connection_lost, "connection_lost"},
+    {answer_kind::malformed, "malformed"},
+    {answer_kind::silent, "silent"},
+    {answer_kind::cancelled, "cancelled"},
+}};
+
+/// \brief One ended attempt, as the traffic path reports it to the control thread.
+struct answer {
+    service_name service;
+    target_id target;
+    route_name route;
+    instant sent{};  ///< when the first byte of the request was written
+    instant ended{}; ///< when the head of the answer arrived, or the attempt failed
+    answer_kind kind{answer_kind::ok};
+    bool draining{false};           ///< the answer carried Target-Draining: 1
+    std::int32_t reported_load{-1}; ///< the answer's Target-Load (requests in the target), -1: none
+    std::uint64_t fingerprint{0};   ///< request fingerprint, 0: none
+};
+
+} // namespace wigeonrill::health
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/once/crash_mark.h
@@ -0,0 +1,21 @@
+#ifndef WIGEONRILL_ONCE_CRASH_MARK_H
+#define WIGEONRILL_ONCE_CRASH_MARK_H
+
+#ifndef WIGEONRILL_ONCE_MODULE
+#error "Include wigeonrill/once.h instead of this file."
+#endif
+
+namespace wigeonrill::once {
+
+/// \brief Statement that a target died while it ran a request with this fingerprint.
+struct crash_mark {
+    std::uint64_t fingerprint{0};
+    target_id target;
+    wall_time observed{};
+
+    friend bool operator==(const crash_mark&, const crash_mark&) = default;
+};
+
+} // namespace wigeonrill::once
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/routing/view.h
@@ -0,0 +1,35 @@
+#ifndef WIGEONRILL_ROUTING_VIEW_H
+#define WIGEONRILL_ROUTING_VIEW_H
+
+#ifndef WIGEONRILL_ROUTING_MODULE
+#error "Include wigeonrill/routing.h instead of this file."
+#endif
+
+namespace wigeonrill::routing {
+
+/// \brief A target that may get work, with its share.
+struct eligible_target {
+    const config::target* target{nullptr}; ///< owned by the view's snapshot
+    double weight{1.0};                    ///< 1: full share; below 1 while warming or when kept
+                                           ///< in use only to hold the floor
+    std::uint32_t index{0};                ///< position in the service's target list
+};
+
+/// \brief Eligible targets of one service.
+struct service_view {
+    const config::service* service{nullptr}; ///< owned by the view's snapshot
+    std::vector<eligible_target> eligible;
+};
+
+/// \brief What traffic threads need to place requests. Immutable; the control thread replaces it.
+struct view {
+    config::snapshot_ptr configuration;
+    std::vector<service_view> services; ///< same order as the snapshot's services
+};
+
+/// \brief Shared ownership of an immutable view.
+using view_ptr = std::shared_ptr<const view>;
+
+} // namespace wigeonrill::routing
+
+#endif
