--- /dev/null
+++ b/wigeonrill/src/daemon/admin_server.h
@@ -0,0 +1,71 @@
+#ifndef WIGEONRILL_DAEMON_ADMIN_SERVER_H
+#define WIGEONRILL_DAEMON_ADMIN_SERVER_H
+
+#ifndef WIGEONRILL_DAEMON_MODULE
+#error "Include wigeonrill/daemon.h instead of this file."
+#endif
+
+namespace wigeonrill::daemon {
+
+/// \brief Questions that the administration port answers. Thread-safe.
+class admin_queries {
+public:
+    admin_queries() = default;
+    admin_queries(const admin_queries&) = delete;
+    admin_queries& operator=(const admin_queries&) = delete;
+    virtual ~admin_queries() = default;
+
+    /// \returns whether the balancer may send requests to this node
+    [[nodiscard]] virtual bool ready() const = 0;
+    /// \returns metrics in the Prometheus text format
+    [[nodiscard]] virtual std::string metrics() const = 0;
+    /// \returns the state of this node as a JSON object
+    [[nodiscard]] virtual std::string status_json() const = 0;
+    /// \returns the targets with state, weight and reason as a JSON array
+    [[nodiscard]] virtual std::string targets_json() const = 0;
+    /// \returns the configuration in force as a JSON object
+    [[nodiscard]] virtual std::string config_json() const = 0;
+    /// \brief Explains where a request could go now, and why not elsewhere.
+    /// \returns a JSON object, or not_found when no route matches
+    [[nodiscard]] virtual result<std::string> explain_json(const std::string& method,
+                                                           const std::string& host,
+                                                           const std::string& path) const = 0;
+};
+
+/// \brief Commands that the administration port accepts. Thread-safe.
+class admin_commands {
+public:
+    admin_commands() = default;
+    admin_commands(const admin_commands&) = delete;
+    admin_commands& operator=(const admin_commands&) = delete;
+    virtual ~admin_commands() = default;
+
+    /// \brief Begins the graceful shutdown, as SIGTERM does.
+    virtual void begin_shutdown() = 0;
+};
+
+/// \brief HTTP server for the balancer's health checks, metrics and the tool.
+class admin_server {
+public:
+    /// \brief Binds and starts to listen.
+    /// \returns the server, or unavailable when the address can't be bound
+    [[nodiscard]] static result<std::unique_ptr<admin_server>>
+    start(const endpoint& address, const admin_queries& queries, admin_commands& commands);
+
+    admin_server(const admin_server&) = delete;
+    admin_server& operator=(const admin_server&) = delete;
+    ~admin_server();
+
+    /// \returns the bound port, useful when the address asked for port 0
+    [[nodiscard]] std::uint16_t port() const;
+
+private:
+    struct state;
+    explicit admin_server(std::unique_ptr<state> initial);
+
+    std::unique_ptr<state> state_;
+};
+
+} // namespace wigeonrill::daemon
+
+#endif
--- a/wigeonrill/src/tool/text_table.cpp
+++ b/wigeonrill/src/tool/text_table.cpp
@@ -4,7 +4,9 @@
 
 namespace wigeonrill::tool {
 
-text_table::text_table(std::vector<std::string> header) { rows_.push_back(std::move(header)); }
+text_table::text_table(std::vector<std::string> header) {
+    rows_.push_back(std::move(header));
+}
 
 void text_table::add_row(std::vector<std::string> cells) {
     cells.resize(rows_.front().size());
