Add routing, admission queue and the request dispatcher

Cause: the daemon needs an implementation of traffic::dispatcher to be wired up before deduplication of keys is there.

Ruled out: one lock per service (124 to 2,000 requests/s per node don't need it, and two locks per request cost more than one); a placement state machine inside the locking class (it could not be tested without threads).

Change: routing has the route table, three placement policies, the adaptive limit and the load hint. admission has the bounded queue, the retry budget, the wait estimate and the workspace allowance. dispatch has decision_core, a state machine without clock, thread or lock, and request_dispatcher, which adds one mutex and one condition per waiting request.

Conclusion: requests are placed, queued until their deadline and retried. Idempotency keys are not looked at yet; a keyed refusal is always unknown.

--- /dev/null
+++ b/test/dispatch/placement_test.cpp
@@ -0,0 +1,106 @@
+#include "fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using health::answer_kind;
+using traffic::step_kind;
+
+TEST_GROUP(placement) {
+    test::dispatcher_fixture one{test::make_snapshot(1, 1)};
+    test::dispatcher_fixture two{test::make_snapshot(2, 1)};
+};
+
+// Guards against a request that is sent without a decision line, answer event or freed slot.
+TEST(placement, sends_reports_and_frees) {
+    auto& d = *one.dispatcher;
+    const auto request = one.request("GET", "/stock");
+    const auto step = d.first(request);
+    CHECK(step.kind == step_kind::send);
+    STRCMP_EQUAL("t0", step.target.value.c_str());
+    CHECK_TRUE(d.may_send(request));
+    CHECK_EQUAL(1U, d.outstanding().size());
+    CHECK_FALSE(d.ended(request, one.attempt(answer_kind::ok)).has_value());
+    CHECK_EQUAL(0U, d.outstanding().size());
+    d.finished(request, true, nullptr);
+    CHECK_EQUAL(0U, d.active());
+    CHECK_EQUAL(1U, one.sink.answers.size());
+    CHECK_EQUAL(1U, one.sink.decisions.size());
+    STRCMP_EQUAL("read", one.sink.decisions.front().route.value.c_str());
+}
+
+// Guards against a lost wake-up: a request in the queue must get the slot that another one frees.
+TEST(placement, queued_request_gets_the_freed_slot) {
+    auto& d = *one.dispatcher;
+    const auto holder = one.request("GET", "/a");
+    CHECK(d.first(holder).kind == step_kind::send);
+    const auto waiter = one.request("GET", "/b");
+    traffic::step step;
+    std::thread thread([&] { step = d.first(waiter); });
+    while (d.waiting() == 0) {
+        std::this_thread::yield();
+    }
+    d.finished(holder, true, nullptr);
+    thread.join();
+    CHECK(step.kind == step_kind::send);
+    d.finished(waiter, true, nullptr);
+    CHECK_EQUAL(0U, d.active());
+}
+
+// Guards against a request that waits past its deadline, and against an untrue outcome of it.
+TEST(placement, deadline_in_the_queue_is_refused_as_not_run) {
+    auto& d = *one.dispatcher;
+    const auto holder = one.request("GET", "/a");
+    CHECK(d.first(holder).kind == step_kind::send);
+    const auto waiter = one.request("GET", "/b");
+    traffic::step step;
+    std::thread thread([&] { step = d.first(waiter); });
+    while (d.waiting() == 0) {
+        std::this_thread::yield();
+    }
+    one.clock.advance(seconds(10));
+    d.tick();
+    thread.join();
+    CHECK(step.kind == step_kind::refuse);
+    STRCMP_EQUAL("deadline-passed", step.reason.type.c_str());
+    CHECK(step.reason.result == traffic::outcome::not_run);
+}
+
+// Guards against waiting callers that are cut off without an answer at a planned stop.
+TEST(placement, stop_refuses_queued_work_as_not_run) {
+    auto& d = *one.dispatcher;
+    const auto holder = one.request("GET", "/a");
+    CHECK(d.first(holder).kind == step_kind::send);
+    const auto waiter = one.request("GET", "/b");
+    traffic::step step;
+    std::thread thread([&] { step = d.first(waiter); });
+    while (d.waiting() == 0) {
+        std::this_thread::yield();
+    }
+    d.stop();
+    thread.join();
+    STRCMP_EQUAL("stopping", step.reason.type.c_str());
+    CHECK(step.reason.result == traffic::outcome::not_run);
+    // The request in the target goes on.
+    CHECK_TRUE(d.may_send(holder));
+    CHECK_FALSE(d.ended(holder, one.attempt(answer_kind::ok)).has_value());
+}
+
+// Guards against new work for a target that left the view, or that said itself that it leaves.
+TEST(placement, leaving_targets_get_nothing_new) {
+    auto& d = *two.dispatcher;
+    const auto first = two.request("GET", "/a");
+    const auto gone = d.first(first).target;
+    auto answer = two.attempt(answer_kind::ok);
+    answer.draining = true;
+    CHECK_FALSE(d.ended(first, answer).has_value());
+    d.finished(first, true, nullptr);
+    for (int i = 0; i < 20; ++i) {
+        const auto next = two.request("GET", "/a");
+        CHECK(d.first(next).target != gone);
+        d.finished(next, true, nullptr);
+    }
+    d.set_view(test::make_view(two.snapshot, {"t0", "t1"}));
+    const auto late = two.request("GET", "/a");
+    STRCMP_EQUAL("no-target", d.first(late).reason.type.c_str());
+}
--- /dev/null
+++ b/wigeonrill/src/admission/request_budget.cpp
@@ -0,0 +1,29 @@
+#include "wigeonrill/admission.h"
+
+#include <algorithm>
+
+namespace wigeonrill::admission {
+
+void request_budget::refill(instant now) {
+    if (refilled_ && now > *refilled_) {
+        const auto elapsed = std::chrono::duration<double>(now - *refilled_).count();
+        balance_ = std::min(cap_, balance_ + elapsed * constant_rate_);
+    }
+    refilled_ = now;
+}
+
+void request_budget::on_request(instant now) {
+    refill(now);
+    balance_ = std::min(cap_, balance_ + fraction_);
+}
+
+bool request_budget::take(instant now) {
+    refill(now);
+    if (balance_ < 1.0) {
+        return false;
+    }
+    balance_ -= 1.0;
+    return true;
+}
+
+} // namespace wigeonrill::admission
--- /dev/null
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -0,0 +1,268 @@
+#include "wigeonrill/dispatch.h"
+
+#include <algorithm>
+
+namespace wigeonrill::dispatch {
+
+namespace {
+
+// A waiting request may avoid the one target that became free; then the next one gets it.
+constexpr std::size_t drain_depth = 8;
+
+} // namespace
+
+decision_core::decision_core(policy_factory make_policy, random_source& random)
+    : make_policy_(std::move(make_policy)), random_(random) {}
+
+void decision_core::set_view(routing::view_ptr view,
+                             std::shared_ptr<const routing::route_table> table, instant now) {
+    view_ = std::move(view);
+    table_ = std::move(table);
+    ++generation_;
+    // Services without waiting requests take over the view when they are used next.
+    for (auto& [name, service] : services_) {
+        if (service->queue.size() == 0) {
+            continue;
+        }
+        if (service_of(name) == nullptr) {
+            service->clear();
+        }
+        drain(*service, now);
+    }
+}
+
+void decision_core::stop(instant /*now*/) {
+    stopping_ = true;
+    for (auto& [name, service] : services_) {
+        refuse_waiting(*service, refusal_kind::stopping, seconds(1));
+    }
+}
+
+void decision_core::refuse_waiting(service_state& service, refusal_kind kind, seconds retry_after) {
+    for (const auto id : service.queue.oldest(service.queue.size())) {
+        auto& record = record_of(id);
+        service.queue.remove(id);
+        record.queued.reset();
+        refuse(record, kind, outcome_of(record), retry_after);
+        ready_.push_back(id);
+    }
+}
+
+void decision_core::tick(instant now) {
+    for (auto& [name, service] : services_) {
+        drain(*service, now);
+    }
+}
+
+service_state* decision_core::service_of(const service_name& name) {
+    const auto& all = view_->services;
+    const auto it = std::ranges::lower_bound(
+        all, name, {},
+        [](const routing::service_view& one) -> const service_name& { return one.service->name; });
+    if (it == all.end() || it->service->name != name) {
+        return nullptr;
+    }
+    auto& service = services_[name];
+    if (!service) {
+        service = std::make_unique<service_state>(make_policy_());
+    }
+    service->sync(generation_, *it);
+    return service.get();
+}
+
+request_record& decision_core::record_of(std::uint64_t id) {
+    const auto it = records_.find(id);
+    WIGEONRILL_ASSERT(it != records_.end(), "the request was not begun or is finished");
+    return it->second;
+}
+
+void decision_core::begin(const traffic::request_info& info, moment at) {
+    const auto [it, inserted] = records_.try_emplace(info.id);
+    WIGEONRILL_ASSERT(inserted, "the request id is in use");
+    auto& record = it->second;
+    record.info = info;
+    record.deadline = info.deadline;
+    record.fingerprint = request_fingerprint(info);
+    if (find_route(record) && admit(record, at)) {
+        record.service->retries.on_request(at.now);
+        seek_place(record, at);
+    }
+}
+
+bool decision_core::find_route(request_record& record) {
+    const auto result = outcome_of(record);
+    if (stopping_ || !view_) {
+        refuse(record, stopping_ ? refusal_kind::stopping : refusal_kind::not_ready, result,
+               seconds(1));
+        return false;
+    }
+    record.view = view_;
+    const auto match = table_->find(record.info.host, record.info.method, record.info.path);
+    if (match.route == nullptr) {
+        const auto missing =
+            match.path_known ? refusal_kind::method_not_allowed : refusal_kind::no_route;
+        refuse(record, match.path_valid ? missing : refusal_kind::bad_path, result);
+        return false;
+    }
+    record.route = match.route;
+    record.deadline = std::min(record.deadline, record.info.arrived + record.route->limits.total);
+    return true;
+}
+
+bool decision_core::admit(request_record& record, moment at) {
+    // The node that received the request from its caller has counted it already.
+    if (!record.info.from_node &&
+        !allowance_.take(*view_->configuration, record.info.workspace, at.now)) {
+        refuse(record, refusal_kind::workspace_allowance, outcome_of(record), seconds(1));
+        return false;
+    }
+    record.service = service_of(record.route->service);
+    if (record.service == nullptr || !record.service->any_eligible(at.now)) {
+        refuse(record, refusal_kind::no_target, outcome_of(record), seconds(2));
+        return false;
+    }
+    return true;
+}
+
+void decision_core::seek_place(request_record& record, moment at) {
+    if (at.now >= record.deadline) {
+        refuse(record, refusal_kind::deadline_passed, outcome_of(record));
+        return;
+    }
+    // Requests that wait already come first.
+    drain(*record.service, at.now);
+    if (record.service->queue.size() == 0) {
+        auto placed = record.service->place(record.tried, at.now, random_);
+        if (placed.place) {
+            take_place(record, std::move(placed), at.now, at.now);
+            return;
+        }
+    }
+    enqueue(record, at.now);
+}
+
+void decision_core::enqueue(request_record& record, instant now) {
+    auto& service = *record.service;
+    if (now + service.estimator.wait(service.queue.size()) > record.deadline) {
+        refuse(record, refusal_kind::overloaded, outcome_of(record), retry_after(record));
+    } else if (!service.queue.push(record.info.id, record.info.arrived, record.deadline)) {
+        refuse(record, refusal_kind::queue_full, outcome_of(record), retry_after(record));
+    } else {
+        record.queued = now;
+    }
+}
+
+void decision_core::take_place(request_record& record, placement placed, instant now,
+                               instant waited_since) {
+    record.place = std::move(placed.place);
+    ++record.attempts;
+    traffic::step step;
+    step.kind = traffic::step_kind::send;
+    step.address = record.place->address;
+    step.target = record.place->id;
+    step.fresh_connection = at_most_once(record);
+    decision_record decision;
+    decision.candidates = placed.candidates;
+    decision.waited = now - waited_since;
+    decide(record, std::move(step), std::move(decision));
+}
+
+void decision_core::refuse(request_record& record, refusal_kind kind, traffic::outcome result,
+                           std::optional<seconds> retry_after) {
+    traffic::step step;
+    step.kind = traffic::step_kind::refuse;
+    step.reason = make_refusal(kind, result, retry_after);
+    decide(record, std::move(step), {});
+}
+
+void decision_core::decide(request_record& record, traffic::step step, decision_record decision) {
+    decision.request = record.info.id;
+    decision.kind = step.kind;
+    decision.address = step.address;
+    decision.target = step.target;
+    decision.refusal = step.reason.type;
+    decision.result = step.reason.result;
+    decision.reason = record.reason;
+    decision.attempt = record.attempts;
+    if (record.route != nullptr) {
+        decision.route = record.route->name;
+        decision.service = record.route->service;
+        step.route = *record.route;
+    }
+    step.deadline = record.deadline;
+    record.chosen.reset();
+    record.sent.reset();
+    record.ready = std::move(step);
+    events_.emplace_back(std::move(decision));
+}
+
+void decision_core::drain(service_state& service, instant now) {
+    expire(service, now);
+    if (!service.any_eligible(now)) {
+        refuse_waiting(service, refusal_kind::no_target, seconds(2));
+    }
+    for (const auto id : service.queue.oldest(drain_depth)) {
+        auto& record = record_of(id);
+        auto placed = service.place(record.tried, now, random_);
+        if (!placed.place) {
+            continue;
+        }
+        service.queue.remove(id);
+        service.estimator.on_grant(now, service.queue.size() > 0);
+        take_place(record, std::move(placed), now, *record.queued);
+        record.queued.reset();
+        ready_.push_back(id);
+    }
+}
+
+void decision_core::expire(service_state& service, instant now) {
+    for (const auto id : service.queue.expire(now)) {
+        auto& record = record_of(id);
+        record.queued.reset();
+        refuse(record, refusal_kind::deadline_passed, outcome_of(record));
+        ready_.push_back(id);
+    }
+    if (service.queue.size() == 0) {
+        service.estimator.on_empty();
+    }
+}
+
+std::optional<traffic::step> decision_core::poll(std::uint64_t id, moment at) {
+    auto& record = record_of(id);
+    if (!record.ready && record.queued) {
+        drain(*record.service, at.now);
+    }
+    if (!record.ready) {
+        return std::nullopt;
+    }
+    record.chosen = at;
+    return std::exchange(record.ready, std::nullopt);
+}
+
+instant decision_core::wake_at(std::uint64_t id, instant now) const {
+    const auto it = records_.find(id);
+    WIGEONRILL_ASSERT(it != records_.end(), "the request was not begun or is finished");
+    const auto& record = it->second;
+    return record.queued ? record.service->next_hold_end(now, record.deadline) : record.deadline;
+}
+
+std::vector<outstanding_request> decision_core::outstanding() const {
+    std::vector<outstanding_request> found;
+    for (const auto& [id, record] : records_) {
+        if (record.place && record.sent && !record.head_passed) {
+            found.push_back({record.route->service, record.place->id, record.route->name,
+                             *record.sent, record.fingerprint});
+        }
+    }
+    return found;
+}
+
+std::size_t decision_core::waiting() const {
+    std::size_t n = 0;
+    for (const auto& [name, service] : services_) {
+        n += service->queue.size();
+    }
+    return n;
+}
+
+} // namespace wigeonrill::dispatch
--- /dev/null
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -0,0 +1,94 @@
+#ifndef WIGEONRILL_DISPATCH_DECISION_CORE_H
+#define WIGEONRILL_DISPATCH_DECISION_CORE_H
+
+#ifndef WIGEONRILL_DISPATCH_MODULE
+#error "Include wigeonrill/dispatch.h instead of this file."
+#endif
+
+namespace wigeonrill::dispatch {
+
+/// \brief Something to tell the event sink.
+using event = std::variant<health::answer, decision_record, once::crash_mark>;
+
+/// \brief Decisions on requests as a state machine: no thread, lock or clock. Not thread-safe.
+///
+/// A request is begun, then polled until it has a step. A request without a step waits; it is
+/// named by take_ready() when it gets one, and should be polled again at wake_at().
+class decision_core {
+public:
+    /// \brief Makes the placement policy of a service.
+    using policy_factory = std::function<std::unique_ptr<routing::placement_policy>()>;
+
+    decision_core(policy_factory make_policy, random_source& random);
+
+    /// \brief Takes over a view and places waiting requests on new targets.
+    /// \param table routes of the view's snapshot
+    void set_view(routing::view_ptr view, std::shared_ptr<const routing::route_table> table,
+                  instant now);
+    /// \brief Refuses waiting and new requests from now on.
+    void stop(instant now);
+    /// \brief Expires and places waiting requests.
+    void tick(instant now);
+
+    /// \brief Starts a request. Its id must not be in use.
+    void begin(const traffic::request_info& info, moment at);
+    /// \returns the decided step, or nothing while the request waits
+    [[nodiscard]] std::optional<traffic::step> poll(std::uint64_t id, moment at);
+    /// \returns when a waiting request should be polled at the latest
+    [[nodiscard]] instant wake_at(std::uint64_t id, instant now) const;
+    /// \returns true when the request may be written to its target now
+    [[nodiscard]] bool may_send(std::uint64_t id, moment at);
+    /// \brief Takes the result of an attempt.
+    /// \returns true when poll() has or will have a next step, false to pass the answer on
+    [[nodiscard]] bool ended(std::uint64_t id, const traffic::attempt_result& attempt, moment at);
+    /// \brief Ends a request.
+    void finished(std::uint64_t id, moment at);
+
+    /// \returns events since the last call
+    [[nodiscard]] std::vector<event> take_events() { return std::exchange(events_, {}); }
+    /// \returns waiting requests that got a step since the last call
+    [[nodiscard]] std::vector<std::uint64_t> take_ready() { return std::exchange(ready_, {}); }
+
+    /// \returns requests that were sent and have no answer yet
+    [[nodiscard]] std::vector<outstanding_request> outstanding() const;
+    [[nodiscard]] std::size_t active() const { return records_.size(); }
+    [[nodiscard]] std::size_t waiting() const;
+
+private:
+    service_state* service_of(const service_name& name);
+    request_record& record_of(std::uint64_t id);
+
+    bool find_route(request_record& record);
+    bool admit(request_record& record, moment at);
+    void seek_place(request_record& record, moment at);
+    void enqueue(request_record& record, instant now);
+    void take_place(request_record& record, placement placed, instant now, instant waited_since);
+    void refuse(request_record& record, refusal_kind kind, traffic::outcome result,
+                std::optional<seconds> retry_after = std::nullopt);
+    void decide(request_record& record, traffic::step step, decision_record decision);
+    void drain(service_state& service, instant now);
+    void expire(service_state& service, instant now);
+    void refuse_waiting(service_state& service, refusal_kind kind, seconds retry_after);
+
+    void release(request_record& record, const traffic::attempt_result& attempt, instant now);
+    void report(const request_record& record, const traffic::attempt_result& attempt);
+    void after_failure(request_record& record, const traffic::attempt_result& attempt, moment at);
+    [[nodiscard]] std::optional<seconds> retry_after(const request_record& record);
+    [[nodiscard]] traffic::outcome outcome_of(const request_record& record) const;
+
+    policy_factory make_policy_;
+    random_source& random_;
+    routing::view_ptr view_;
+    std::uint64_t generation_{0}; ///< counts the views
+    std::shared_ptr<const routing::route_table> table_;
+    bool stopping_{false};
+    std::unordered_map<service_name, std::unique_ptr<service_state>> services_;
+    std::unordered_map<std::uint64_t, request_record> records_;
+    admission::workspace_allowance allowance_;
+    std::vector<event> events_;
+    std::vector<std::uint64_t> ready_;
+};
+
+} // namespace wigeonrill::dispatch
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -0,0 +1,134 @@
+#include "wigeonrill/dispatch.h"
+
+namespace wigeonrill::dispatch {
+
+namespace {
+
+decision_core::policy_factory or_default(const decision_core::policy_factory& factory) {
+    if (factory) {
+        return factory;
+    }
+    return [] { return std::make_unique<routing::two_random_choices>(); };
+}
+
+} // namespace
+
+request_dispatcher::request_dispatcher(dispatcher_options options, const clock_source& clock,
+                                       random_source& random, event_sink& sink)
+    : options_(std::move(options)), clock_(clock), sink_(sink),
+      core_(or_default(options_.make_policy), random) {}
+
+void request_dispatcher::set_view(routing::view_ptr view) {
+    WIGEONRILL_ASSERT(view != nullptr && view->configuration != nullptr,
+                      "a view needs a configuration");
+    std::shared_ptr<const routing::route_table> table;
+    {
+        const std::lock_guard guard(mutex_);
+        table = table_;
+    }
+    // Building the table of 30,000 routes takes milliseconds, so it happens outside the lock.
+    if (!table || table->configuration() != view->configuration) {
+        table = std::make_shared<const routing::route_table>(view->configuration);
+    }
+    std::unique_lock lock(mutex_);
+    table_ = table;
+    core_.set_view(std::move(view), std::move(table), clock_.now());
+    unlock_and_tell(lock);
+}
+
+void request_dispatcher::stop() {
+    std::unique_lock lock(mutex_);
+    core_.stop(clock_.now());
+    unlock_and_tell(lock);
+}
+
+void request_dispatcher::tick() {
+    std::unique_lock lock(mutex_);
+    core_.tick(clock_.now());
+    unlock_and_tell(lock);
+}
+
+traffic::step request_dispatcher::first(const traffic::request_info& request) {
+    std::unique_lock lock(mutex_);
+    core_.begin(request, read(clock_));
+    return wait_for_step(request.id, lock);
+}
+
+bool request_dispatcher::may_send(const traffic::request_info& request) {
+    const std::lock_guard guard(mutex_);
+    return core_.may_send(request.id, read(clock_));
+}
+
+std::optional<traffic::step> request_dispatcher::ended(const traffic::request_info& request,
+                                                       const traffic::attempt_result& attempt) {
+    std::unique_lock lock(mutex_);
+    if (core_.ended(request.id, attempt, read(clock_))) {
+        return wait_for_step(request.id, lock);
+    }
+    unlock_and_tell(lock);
+    return std::nullopt;
+}
+
+void request_dispatcher::finished(const traffic::request_info& request, bool /*whole*/,
+                                  std::shared_ptr<const traffic::stored_answer> /*answer*/) {
+    std::unique_lock lock(mutex_);
+    core_.finished(request.id, read(clock_));
+    unlock_and_tell(lock);
+}
+
+std::vector<outstanding_request> request_dispatcher::outstanding() const {
+    const std::lock_guard guard(mutex_);
+    return core_.outstanding();
+}
+
+std::size_t request_dispatcher::active() const {
+    const std::lock_guard guard(mutex_);
+    return core_.active();
+}
+
+std::size_t request_dispatcher::waiting() const {
+    const std::lock_guard guard(mutex_);
+    return core_.waiting();
+}
+
+traffic::step request_dispatcher::wait_for_step(std::uint64_t id,
+                                                std::unique_lock<std::mutex>& lock) {
+    std::condition_variable condition;
+    for (;;) {
+        const auto at = read(clock_);
+        if (auto step = core_.poll(id, at)) {
+            waiters_.erase(id);
+            unlock_and_tell(lock);
+            return std::move(*step);
+        }
+        waiters_[id] = &condition;
+        wake();
+
+        condition.wait_for(lock, core_.wake_at(id, at.now) - at.now + milliseconds(1));
+    }
+}
+
+void request_dispatcher::wake() {
+    for (const auto id : core_.take_ready()) {
+        if (const auto it = waiters_.find(id); it != waiters_.end()) {
+            it->second->notify_one();
+        }
+    }
+}
+
+void request_dispatcher::unlock_and_tell(std::unique_lock<std::mutex>& lock) {
+    wake();
+    const auto events = core_.take_events();
+    lock.unlock();
+    for (const auto& it : events) {
+        if (const auto* answer = std::get_if<health::answer>(&it)) {
+            sink_.on_answer(*answer);
+        } else if (const auto* decision = std::get_if<decision_record>(&it)) {
+            sink_.on_decision(*decision);
+        } else {
+            sink_.on_crash_mark(std::get<once::crash_mark>(it));
+        }
+    }
+}
+
+} // namespace wigeonrill::dispatch
--- /dev/null
+++ b/wigeonrill/src/dispatch/request_record.h
@@ -0,0 +1,42 @@
+#ifndef WIGEONRILL_DISPATCH_REQUEST_RECORD_H
+#define WIGEONRILL_DISPATCH_REQUEST_RECORD_H
+
+#ifndef WIGEONRILL_DISPATCH_MODULE
+#error "Include wigeonrill/dispatch.h instead of this file."
+#endif
+
+namespace wigeonrill::dispatch {
+
+/// \brief State of one request between first() and finished().
+struct request_record {
+    traffic::request_info info;
+    routing::view_ptr view; ///< keeps the route alive
+    const config::route* route{nullptr};
+    service_state* service{nullptr};
+    std::uint64_t fingerprint{0};
+    instant deadline{};
+
+    place_ptr place;              ///< held place, null: none
+    std::vector<target_id> tried; ///< targets that shed or failed
+    std::uint32_t attempts{0};    ///< sends to targets
+    std::uint32_t losses{0};      ///< attempts that may have run
+    std::optional<moment> chosen; ///< when the present step was decided
+    std::optional<instant> sent;  ///< when the present attempt was allowed to write
+    bool head_passed{false};      ///< an answer is being passed on
+    std::string reason{"first"};  ///< of the present placement
+
+    std::optional<instant> queued;      ///< since when it waits
+    std::optional<traffic::step> ready; ///< decided, not yet handed over
+};
+
+/// \returns true when the request may run at most once
+[[nodiscard]] inline bool at_most_once(const request_record& record) {
+    return record.route != nullptr && record.route->repeat == config::repeat_policy::at_most_once;
+}
+
+/// \brief Fingerprint of a request: method, path, query, workspace, key and body.
+[[nodiscard]] std::uint64_t request_fingerprint(const traffic::request_info& info);
+
+} // namespace wigeonrill::dispatch
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -0,0 +1,96 @@
+#include "wigeonrill/dispatch.h"
+
+#include <algorithm>
+
+namespace wigeonrill::dispatch {
+
+namespace {
+
+// A weight of 0 would make the target's relative load infinite.
+constexpr double least_weight = 0.001;
+
+bool contains(std::span<const target_id> all, const target_id& one) {
+    return std::ranges::find(all, one) != all.end();
+}
+
+} // namespace
+
+service_state::service_state(std::unique_ptr<routing::placement_policy> policy)
+    : policy_(std::move(policy)) {}
+
+void service_state::sync(std::uint64_t generation, const routing::service_view& view) {
+    if (generation_ == generation) {
+        return;
+    }
+    generation_ = generation;
+    queue.set_limit(view.service->queue_limit);
+    eligible_.clear();
+    for (const auto& it : view.eligible) {
+        auto& place = known_[it.target->id];
+        if (!place) {
+            place = std::make_shared<target_place>();
+            place->id = it.target->id;
+        }
+        place->address = it.target->address;
+        place->slots = it.target->slots;
+        place->limiter.set_slots(it.target->slots);
+        eligible_.push_back({place, std::max(it.weight, least_weight)});
+    }
+    // Places outside the view stay while requests hold them, and for targets that may return.
+    std::erase_if(known_, [&](const auto& one) {
+        return one.second.use_count() == 1 &&
+               std::ranges::none_of(view.service->targets, [&](const config::target& target) {
+                   return target.id == one.first;
+               });
+    });
+}
+
+bool service_state::usable(const share& it, std::span<const target_id> avoid, instant now) const {
+    return now >= it.place->draining_until && it.place->limiter.has_place(now) &&
+           !contains(avoid, it.place->id);
+}
+
+void service_state::collect(std::span<const target_id> avoid, instant now) {
+    candidates_.clear();
+    positions_.clear();
+    for (std::size_t i = 0; i < eligible_.size(); ++i) {
+        const auto& it = eligible_[i];
+        if (usable(it, avoid, now)) {
+            candidates_.push_back({static_cast<double>(it.place->slots) * it.weight,
+                                   it.place->limiter.outstanding(), it.place->hint.at(now)});
+            positions_.push_back(i);
+        }
+    }
+}
+
+placement service_state::place(std::span<const target_id> avoid, instant now,
+                               random_source& random) {
+    const bool all_tried = std::ranges::all_of(eligible_, [&](const share& it) {
+        return now < it.place->draining_until || contains(avoid, it.place->id);
+    });
+    collect(all_tried ? std::span<const target_id>{} : avoid, now);
+    if (candidates_.empty()) {
+        return {};
+    }
+    const auto chosen = positions_[policy_->choose(candidates_, random)];
+    const auto& place = eligible_[chosen].place;
+    place->limiter.acquire();
+    return {place, static_cast<std::uint32_t>(candidates_.size())};
+}
+
+bool service_state::any_eligible(instant now) const {
+    return std::ranges::any_of(eligible_,
+                               [&](const share& it) { return now >= it.place->draining_until; });
+}
+
+instant service_state::next_hold_end(instant now, instant latest) const {
+    for (const auto& it : eligible_) {
+        const auto end = it.place->limiter.held_until();
+        if (end > now && end < latest) {
+            latest = end;
+        }
+    }
+    return latest;
+}
+
+} // namespace wigeonrill::dispatch
--- /dev/null
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -0,0 +1,59 @@
+#ifndef WIGEONRILL_DISPATCH_SERVICE_STATE_H
+#define WIGEONRILL_DISPATCH_SERVICE_STATE_H
+
+#ifndef WIGEONRILL_DISPATCH_MODULE
+#error "Include wigeonrill/dispatch.h instead of this file."
+#endif
+
+namespace wigeonrill::dispatch {
+
+/// \brief Result of an attempt to place a request.
+struct placement {
+    place_ptr place;             ///< null: no free place
+    std::uint32_t candidates{0}; ///< targets with a free place
+};
+
+/// \brief Targets, queue and budgets of one service. Not thread-safe.
+class service_state {
+public:
+    /// \param policy chooses among targets with a free place
+    explicit service_state(std::unique_ptr<routing::placement_policy> policy);
+
+    /// \brief Takes over the eligible targets of a view; limits of known targets stay.
+    /// \param generation number of the view; the same view again costs nothing
+    void sync(std::uint64_t generation, const routing::service_view& view);
+    /// \brief Forgets the eligible targets of a service that is no longer configured.
+    void clear() { eligible_.clear(); }
+    /// \brief Takes a place in a target.
+    /// \param avoid targets that this request already tried; used only if no other one is eligible
+    [[nodiscard]] placement place(std::span<const target_id> avoid, instant now,
+                                  random_source& random);
+
+    /// \returns true when a target may get work, now or later
+    [[nodiscard]] bool any_eligible(instant now) const;
+    /// \returns the next time at which a target's hold ends, or the given time if that is earlier
+    [[nodiscard]] instant next_hold_end(instant now, instant latest) const;
+
+    admission::wait_queue queue{0};
+    admission::wait_estimator estimator;
+    admission::request_budget retries{admission::make_retry_budget()};
+
+private:
+    struct share {
+        place_ptr place;
+        double weight{1.0};
+    };
+    [[nodiscard]] bool usable(const share& it, std::span<const target_id> avoid, instant now) const;
+    void collect(std::span<const target_id> avoid, instant now);
+
+    std::unique_ptr<routing::placement_policy> policy_;
+    std::uint64_t generation_{0};
+    std::vector<share> eligible_;
+    std::unordered_map<target_id, place_ptr> known_;
+    std::vector<routing::placement_candidate> candidates_; ///< reused, to allocate nothing
+    std::vector<std::size_t> positions_;                   ///< of candidates_ in eligible_
+};
+
+} // namespace wigeonrill::dispatch
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/routing/least_outstanding.h
@@ -0,0 +1,19 @@
+#ifndef WIGEONRILL_ROUTING_LEAST_OUTSTANDING_H
+#define WIGEONRILL_ROUTING_LEAST_OUTSTANDING_H
+
+#ifndef WIGEONRILL_ROUTING_MODULE
+#error "Include wigeonrill/routing.h instead of this file."
+#endif
+
+namespace wigeonrill::routing {
+
+/// \brief Takes a candidate with the fewest outstanding requests, at random among equals. Baseline.
+class least_outstanding final : public placement_policy {
+public:
+    [[nodiscard]] std::size_t choose(std::span<const placement_candidate> candidates,
+                                     random_source& random) override;
+};
+
+} // namespace wigeonrill::routing
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/routing/route_table.cpp
@@ -0,0 +1,95 @@
+#include "wigeonrill/routing.h"
+
+#include <algorithm>
+
+namespace wigeonrill::routing {
+
+namespace {
+
+std::string comparable_host(std::string_view host) {
+    if (!host.empty() && host.back() == '.') {
+        host.remove_suffix(1);
+    }
+    std::string lower(host);
+    for (auto& it : lower) {
+        it = it >= 'A' && it <= 'Z' ? static_cast<char>(it - 'A' + 'a') : it;
+    }
+    return lower;
+}
+
+bool allows(const config::route& route, std::string_view method) {
+    return route.methods.empty() || std::ranges::find(route.methods, method) != route.methods.end();
+}
+
+// A line feed occurs in neither host names nor request paths.
+std::string bucket_key(std::string_view host, std::string_view path) {
+    std::string key;
+    key.reserve(host.size() + 1 + path.size());
+    key.append(host).append("\n").append(path);
+    return key;
+}
+
+} // namespace
+
+route_table::route_table(config::snapshot_ptr configuration)
+    : configuration_(std::move(configuration)) {
+    WIGEONRILL_ASSERT(configuration_ != nullptr, "a route table needs a snapshot");
+    buckets_.reserve(configuration_->routes.size());
+    for (const auto& it : configuration_->routes) {
+        if (const auto prefix = comparable_path(it.path_prefix)) {
+            buckets_[bucket_key(comparable_host(it.host), *prefix)].push_back(&it);
+            longest_prefix_ = std::max(longest_prefix_, prefix->size());
+        }
+    }
+    // A route that names the method comes before one for any method.
+    for (auto& [key, routes] : buckets_) {
+        std::stable_partition(routes.begin(), routes.end(),
+                              [](const config::route* route) { return !route->methods.empty(); });
+    }
+}
+
+route_match route_table::find(std::string_view host, std::string_view method,
+                              std::string_view path) const {
+    route_match match;
+    const auto comparable = comparable_path(path);
+    if (!comparable) {
+        match.path_valid = false;
+        return match;
+    }
+    const auto lower = comparable_host(host);
+    if (!lower.empty()) {
+        find_for_host(lower, method, *comparable, match);
+    }
+    if (match.route == nullptr) {
+        find_for_host({}, method, *comparable, match);
+    }
+    return match;
+}
+
+void route_table::find_for_host(std::string_view host, std::string_view method,
+                                std::string_view path, route_match& match) const {
+    const auto key = bucket_key(host, path);
+    const auto shortest = host.size() + 1;
+    auto prefix = std::string_view(key);
+    for (;;) {
+        // Without this bound a path of thousands of segments would be hashed as often.
+        const bool may_match = prefix.size() <= shortest + longest_prefix_;
+        if (const auto it = may_match ? buckets_.find(prefix) : buckets_.end();
+            it != buckets_.end()) {
+            match.path_known = true;
+            const auto& routes = it->second;
+            const auto found = std::ranges::find_if(
+                routes, [&](const config::route* route) { return allows(*route, method); });
+            if (found != routes.end()) {
+                match.route = *found;
+                return;
+            }
+        }
+        if (prefix.size() <= shortest) {
+            return;
+        }
+        prefix = prefix.substr(0, prefix.rfind('/'));
+    }
+}
+
+} // namespace wigeonrill::routing
