Add the health monitor and the ejection policy

Ruled out: judging events as they arrive. A pause of the process is known only at the next tick, so events wait for it. Ruled out for the severity: a value that grows after the ejection, because the target kept for the floor would then swap places with an ejected one for ever.

Change: health::monitor with route baselines, shared conditions, evidence of outstanding requests, evidence pools of aggregators, verdicts, local test, recovery; health::ejection_policy. answer gets the field request, so that evidence of an outstanding request is not counted again.

--- a/wigeonrill/health.h
+++ b/wigeonrill/health.h
@@ -10,6 +10,19 @@
 
 #include "src/health/answer.h"
 #include "src/health/evidence_report.h"
+#include "src/health/operating_point.h"
 #include "src/health/verdict.h"
+// Needs answer.h.
+#include "src/health/likelihood.h"
+// Needs verdict.h.
+#include "src/health/ejection_policy.h"
+// Needs the records above.
+#include "src/health/evidence_pool.h"
+#include "src/health/fleet_nodes.h"
+#include "src/health/latency_baseline.h"
+#include "src/health/recovery.h"
+#include "src/health/shared_condition.h"
+// Needs all of the above.
+#include "src/health/monitor.h"
 
 #endif
--- a/wigeonrill/src/health/answer.h
+++ b/wigeonrill/src/health/answer.h
@@ -42,6 +42,7 @@
     bool draining{false};           ///< the answer carried Target-Draining: 1
     std::int32_t reported_load{-1}; ///< the answer's Target-Load (requests in the target), -1: none
     std::uint64_t fingerprint{0};   ///< request fingerprint, 0: none
+    std::uint64_t request{0};       ///< id given to monitor::on_outstanding, 0: none
 };
 
 } // namespace wigeonrill::health
--- /dev/null
+++ b/wigeonrill/src/health/ejection_policy.cpp
@@ -0,0 +1,70 @@
+#include "wigeonrill/health.h"
+
+#include <algorithm>
+
+namespace wigeonrill::health {
+
+namespace {
+
+bool counts(const target_condition& it) {
+    return it.reachable && (it.state == target_state::healthy || it.state == target_state::sick);
+}
+
+bool is_worse(const target_condition& left, const target_condition& right) {
+    return left.severity != right.severity ? left.severity > right.severity
+                                           : left.index < right.index;
+}
+
+std::vector<target_condition> sick_worst_first(const std::vector<target_condition>& targets) {
+    std::vector<target_condition> sick;
+    for (const auto& it : targets) {
+        if (it.reachable && it.state == target_state::sick) {
+            sick.push_back(it);
+        }
+    }
+    std::sort(sick.begin(), sick.end(), is_worse);
+    return sick;
+}
+
+void use_unreachable(const std::vector<target_condition>& targets, ejection_plan& result) {
+    for (const auto& it : targets) {
+        if (!it.reachable && it.state != target_state::leaving) {
+            result.usable.push_back({it.index, 1.0, false});
+        }
+    }
+}
+
+} // namespace
+
+ejection_plan ejection_policy::plan(const std::vector<target_condition>& targets,
+                                    std::uint32_t floor_slots) const {
+    ejection_plan result;
+    for (const auto& it : targets) {
+        result.slots_in_use += counts(it) ? it.slots : 0;
+        if (it.reachable && it.state == target_state::healthy) {
+            result.healthy_slots += it.slots;
+            result.usable.push_back({it.index, 1.0, false});
+        } else if (it.reachable && it.state == target_state::warming) {
+            result.usable.push_back({it.index, it.weight, false});
+        }
+    }
+    // Without a floor the last target in use still stays: a refusal helps no caller.
+    const auto least = std::max<std::uint32_t>(floor_slots, 1);
+    for (const auto& it : sick_worst_first(targets)) {
+        if (result.slots_in_use >= least + it.slots) {
+            result.slots_in_use -= it.slots;
+            ++result.ejected;
+        } else {
+            result.usable.push_back({it.index, kept_weight, true});
+            ++result.kept;
+        }
+    }
+    if (result.usable.empty()) {
+        use_unreachable(targets, result);
+    }
+    std::sort(result.usable.begin(), result.usable.end(),
+              [](const auto& left, const auto& right) { return left.index < right.index; });
+    return result;
+}
+
+} // namespace wigeonrill::health
--- /dev/null
+++ b/wigeonrill/src/health/fleet_nodes.h
@@ -0,0 +1,43 @@
+#ifndef WIGEONRILL_HEALTH_FLEET_NODES_H
+#define WIGEONRILL_HEALTH_FLEET_NODES_H
+
+#ifndef WIGEONRILL_HEALTH_MODULE
+#error "Include wigeonrill/health.h instead of this file."
+#endif
+
+namespace wigeonrill::health {
+
+/// \brief A live node of the fleet.
+struct fleet_node {
+    node_id id;
+    domain_name domain;
+
+    friend bool operator==(const fleet_node&, const fleet_node&) = default;
+};
+
+/// \brief Live nodes and the choice of each target's aggregators among them.
+class fleet_nodes {
+public:
+    fleet_nodes() = default;
+    explicit fleet_nodes(std::vector<fleet_node> live);
+
+    /// \returns number of live nodes
+    [[nodiscard]] std::size_t size() const { return live_.size(); }
+    /// \returns number of failure domains with live nodes
+    [[nodiscard]] std::size_t domains() const { return domains_; }
+    /// \returns whether the node is live
+    [[nodiscard]] bool contains(const node_id& node) const;
+    /// \brief Chooses the two highest rendezvous scores in different failure domains, or in one
+    /// domain when there is no second.
+    /// \returns at most two nodes, highest score first
+    [[nodiscard]] std::vector<node_id> aggregators(const target_id& target) const;
+
+private:
+    std::vector<fleet_node> live_; ///< sorted by id
+    std::vector<std::uint64_t> hashes_;
+    std::size_t domains_{0};
+};
+
+} // namespace wigeonrill::health
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/health/monitor_config.cpp
@@ -0,0 +1,121 @@
+#include "wigeonrill/src/health/monitor_state.h"
+
+#include <algorithm>
+
+namespace wigeonrill::health {
+
+namespace {
+
+// Longer than any drain, so that a silent leaving target gets no work; shorter than a day, so that
+// a replacement at the same address is used again.
+constexpr seconds leaving_lifetime{600};
+
+bool is_listed_leaving(const config::snapshot& configuration, const endpoint& address) {
+    return std::any_of(configuration.vms.begin(), configuration.vms.end(), [&](const auto& it) {
+        return it.role == config::vm_role::target && it.state == config::vm_state::leaving &&
+               it.address == address;
+    });
+}
+
+target_record make_target(const config::target& from, service_record* old, bool first,
+                          instant now) {
+    if (old != nullptr) {
+        const auto it = old->places.find(from.id);
+        if (it != old->places.end() && old->targets[it->second].address == from.address) {
+            return std::move(old->targets[it->second]);
+        }
+    }
+    target_record made;
+    made.id = from.id;
+    made.address = from.address;
+    // Targets of the first configuration ran before this node did.
+    made.cold_until = first ? now : now + from.cold_start;
+    return made;
+}
+
+} // namespace
+
+void monitor_state::configure(instant now) {
+    auto old_services = std::move(services);
+    const auto old_places = std::move(service_places);
+    services.clear();
+    service_places.clear();
+    const bool first = old_services.empty();
+    for (const auto& from : configuration->services) {
+        const auto known = old_places.find(from.name);
+        auto* old = known == old_places.end() ? nullptr : &old_services[known->second];
+        service_record made;
+        made.name = from.name;
+        made.point = operating_point_of(from.weight);
+        made.floor_slots = from.floor_slots;
+        if (old != nullptr) {
+            made.routes = std::move(old->routes);
+            made.plan = std::move(old->plan);
+        }
+        for (const auto& it : from.targets) {
+            made.places.emplace(it.id, static_cast<std::uint32_t>(made.targets.size()));
+            made.targets.push_back(make_target(it, old, first, now));
+            made.targets.back().listed_leaving = is_listed_leaving(*configuration, it.address);
+            made.targets.back().pending.listed = false;
+        }
+        service_places.emplace(from.name, static_cast<std::uint32_t>(services.size()));
+        services.push_back(std::move(made));
+    }
+    index_targets(now);
+}
+
+void monitor_state::index_targets(instant now) {
+    pending.clear();
+    judging.clear();
+    ejected.clear();
+    suspected.clear();
+    watched.clear();
+    crashes.clear();
+    shared = {};
+    monitor_actions ignored;
+    for (std::uint32_t i = 0; i < services.size(); ++i) {
+        for (std::uint32_t k = 0; k < services[i].targets.size(); ++k) {
+            const target_place place{i, k};
+            auto& it = services[i].targets[k];
+            watched.insert(place);
+            if (it.pending.answers > 0 || it.pending.nats != 0.0) {
+                it.pending.listed = true;
+                pending.push_back(place);
+            }
+            if (it.judged != nullptr) {
+                judging.insert(place);
+                ejected.insert(place);
+            }
+        }
+    }
+    refresh(now, ignored);
+    messages.insert(messages.end(), ignored.log.begin(), ignored.log.end());
+    plans_changed = true;
+}
+
+void monitor_state::mark_leaving(const target_id& target, instant now) {
+    for (std::uint32_t i = 0; i < services.size(); ++i) {
+        const auto it = services[i].places.find(target);
+        if (it != services[i].places.end()) {
+            services[i].targets[it->second].leaving_until = now + leaving_lifetime;
+            watched.insert({i, it->second});
+        }
+    }
+}
+
+bool monitor_state::find(const service_name& service, const target_id& target,
+                         target_place& place) const {
+    const auto known = service_places.find(service);
+    if (known == service_places.end()) {
+        return false;
+    }
+    const auto& places = services[known->second].places;
+    const auto it = places.find(target);
+    if (it == places.end()) {
+        return false;
+    }
+    place = {known->second, it->second};
+    return true;
+}
+
+} // namespace wigeonrill::health
