Read and validate the configuration document

A key owner set carries "announced": a check of effective_from against the publication time alone would refuse each later version published during the lease, and a check against the version before would depend on what a node had in force.

--- /dev/null
+++ b/test/config/sample_document.h
@@ -0,0 +1,49 @@
+#ifndef WIGEONRILL_TEST_CONFIG_SAMPLE_DOCUMENT_H
+#define WIGEONRILL_TEST_CONFIG_SAMPLE_DOCUMENT_H
+
+#include <stdexcept>
+#include <string>
+
+namespace wigeonrill::sample {
+
+// A small valid document with every key.
+inline const std::string document = R"({
+  // comment to the end of the line
+  "format": 1, "version": 7, "published": "2026-03-01T08:30:00Z",
+  "rules": {"resend_window": "10m", "owner_lease": "6h"},
+  /* comment in a block */
+  "services": {
+    "print": {"floor_slots": 7, "weight": "detection", "queue_limit": 32, "targets": {
+      "p1": {"address": "192.0.2.1:8080", "domain": "a", "slots": 6, "cold_start": "20s"},
+      "p2": {"address": "192.0.2.2:8080", "domain": "b", "slots": 6}}},
+    "stock": {"floor_slots": 0, "weight": "precision", "targets": {
+      "s1": {"address": "192.0.2.3:8080", "domain": "a", "slots": 2}}}},
+  "routes": {
+    "charge": {"service": "print", "host": "shop.example", "methods": ["POST"],
+      "path_prefix": "/charge", "repeat": "at_most_once", "key": "optional",
+      "max_body": "64KiB", "limits": {"total": "30s", "first_byte": "250ms", "body_idle": "5s"}},
+    "proof": {"service": "print", "path_prefix": "/proof", "repeat": "idempotent", "hedge": true,
+      "max_body": 1000}},
+  "workspaces": {"lennox": {"requests_per_second": 50}, "macrae": {}},
+  "key_owners": [
+    {"effective_from": "2026-01-01T00:00:00Z", "owners": ["198.51.100.1:8080"]},
+    {"announced": "2026-02-28T00:00:00Z", "effective_from": "2026-03-02T00:00:00Z",
+     "owners": ["198.51.100.1:8080", "198.51.100.2:8080"]}],
+  "vms": [
+    {"address": "198.51.100.1:7000", "domain": "a", "role": "node", "state": "live"},
+    {"address": "192.0.2.1:8080", "domain": "a", "role": "target", "state": "leaving"}]
+})";
+
+// Returns the text with its first occurrence of a part replaced.
+inline std::string with(const std::string& part, const std::string& replacement,
+                        std::string text = document) {
+    const auto at = text.find(part);
+    if (at == std::string::npos) {
+        throw std::logic_error("the sample has no " + part);
+    }
+    return text.replace(at, part.size(), replacement);
+}
+
+} // namespace wigeonrill::sample
+
+#endif
--- a/wigeonrill/config.h
+++ b/wigeonrill/config.h
@@ -6,15 +6,21 @@
 
 #define WIGEONRILL_CONFIG_MODULE
 
+#include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
 #include "base.h"
 
+#include "src/config/shared_list.h"
 #include "src/config/target.h"
+#include "src/config/units.h"
 // Needs target.h.
 #include "src/config/key_owner_set.h"
 #include "src/config/route.h"
@@ -25,6 +31,13 @@
 #include "src/config/change_set.h"
 #include "src/config/snapshot.h"
 // Needs change_set.h and snapshot.h.
+#include "src/config/loader.h"
 #include "src/config/store.h"
+#include "src/config/validator.h"
+// The checked JSON reader, which the daemon's settings use as well.
+#include "src/config/json_document.h"
+#include "src/config/reading_context.h"
+// Needs reading_context.h.
+#include "src/config/checked_object.h"
 
 #endif
--- /dev/null
+++ b/wigeonrill/src/config/checked_object.cpp
@@ -0,0 +1,298 @@
+#include "wigeonrill/config.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <nlohmann/json.hpp>
+
+namespace wigeonrill::config {
+
+namespace {
+
+const nlohmann::json& empty_object() {
+    static const nlohmann::json none = nlohmann::json::object();
+    return none;
+}
+
+bool is_name(const std::string& text) {
+    constexpr std::string_view allowed =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-";
+    constexpr std::size_t longest = 64;
+    return !text.empty() && text.size() <= longest &&
+           text.find_first_not_of(allowed) == std::string::npos;
+}
+
+constexpr const char* name_remedy = "use 1 to 64 letters, digits, '.', '_' or '-'";
+
+// Returns the IP in its canonical spelling, so that two spellings of one address compare equal.
+std::optional<std::string> canonical_ip(const std::string& ip) {
+    const int family = ip.find(':') == std::string::npos ? AF_INET : AF_INET6;
+    std::array<unsigned char, sizeof(in6_addr)> binary{};
+    std::array<char, INET6_ADDRSTRLEN> buf{};
+    if (inet_pton(family, ip.c_str(), binary.data()) != 1 ||
+        inet_ntop(family, binary.data(), buf.data(), buf.size()) == nullptr) {
+        return std::nullopt;
+    }
+    return std::string(buf.data());
+}
+
+std::string range_remedy(const std::string& least, const std::string& most) {
+    return "use a value from " + least + " to " + most;
+}
+
+} // namespace
+
+checked_object::checked_object(const nlohmann::json& value, std::string path,
+                               reading_context& context)
+    : value_(&value), path_(std::move(path)), context_(&context) {
+    if (!value.is_object()) {
+        context_->fail(path_, "is not an object", "write it in braces: { \"key\": value }");
+        value_ = &empty_object();
+    }
+}
+
+std::string checked_object::path_of(std::string_view key) const {
+    if (path_.empty() || key.empty()) {
+        return path_ + std::string(key);
+    }
+    return path_ + "." + std::string(key);
+}
+
+void checked_object::fail(std::string_view key, const std::string& what, std::string remedy) {
+    context_->fail(path_of(key), what, std::move(remedy));
+}
+
+void checked_object::wrong_type(std::string_view key, std::string_view expected) {
+    fail(key, "is not " + std::string(expected), "write " + std::string(expected));
+}
+
+const nlohmann::json* checked_object::find(std::string_view key, bool mandatory) {
+    read_.push_back(key);
+    if (context_->known_keys != nullptr) {
+        context_->known_keys->insert(pattern_.empty() ? std::string(key)
+                                                      : pattern_ + "." + std::string(key));
+    }
+    const auto it = value_->find(key);
+    if (it != value_->end()) {
+        return &*it;
+    }
+    if (mandatory) {
+        fail(key, "the key is missing", "add it; docs/reference/configuration.md describes it");
+    }
+    return nullptr;
+}
+
+bool checked_object::has(std::string_view key) {
+    return find(key, false) != nullptr;
+}
+
+std::string checked_object::text(std::string_view key, const std::optional<std::string>& fallback) {
+    const auto* value = find(key, !fallback);
+    if (value == nullptr) {
+        return fallback.value_or("");
+    }
+    if (!value->is_string()) {
+        wrong_type(key, "a string");
+        return {};
+    }
+    return value->get<std::string>();
+}
+
+bool checked_object::flag(std::string_view key, std::optional<bool> fallback) {
+    const auto* value = find(key, !fallback);
+    if (value == nullptr) {
+        return fallback.value_or(false);
+    }
+    if (!value->is_boolean()) {
+        wrong_type(key, "true or false");
+        return false;
+    }
+    return value->get<bool>();
+}
+
+std::uint64_t checked_object::number(std::string_view key, std::uint64_t least, std::uint64_t most,
+                                     std::optional<std::uint64_t> fallback) {
+    const auto* value = find(key, !fallback);
+    if (value == nullptr) {
+        return fallback.value_or(least);
+    }
+    if (!value->is_number()) {
+        wrong_type(key, "a whole number");
+        return least;
+    }
+    // An integer beyond 64 bits is parsed as a floating-point number.
+    if (!value->is_number_unsigned() || value->get<std::uint64_t>() < least ||
+        value->get<std::uint64_t>() > most) {
+        fail(key, value->dump() + " is not a whole number in the allowed range",
+             range_remedy(std::to_string(least), std::to_string(most)));
+        return least;
+    }
+    return value->get<std::uint64_t>();
+}
+
+milliseconds checked_object::duration(std::string_view key, milliseconds least, milliseconds most,
+                                      std::optional<milliseconds> fallback) {
+    const auto* value = find(key, !fallback);
+    if (value == nullptr) {
+        return fallback.value_or(least);
+    }
+    if (!value->is_string()) {
+        wrong_type(key, "a string with a unit, such as \"250ms\", \"5s\", \"10m\" or \"6h\"");
+        return least;
+    }
+    const auto parsed = parse_duration(value->get_ref<const std::string&>());
+    if (!parsed) {
+        fail(key, parsed.error().message, parsed.error().remedy);
+        return least;
+    }
+    if (*parsed < least || *parsed > most) {
+        fail(key, value->dump() + " is out of range",
+             range_remedy(std::to_string(least.count()) + "ms",
+                          std::to_string(most.count()) + "ms"));
+        return least;
+    }
+    return *parsed;
+}
+
+std::uint64_t checked_object::size(std::string_view key, std::uint64_t most,
+                                   std::optional<std::uint64_t> fallback) {
+    const auto* value = find(key, !fallback);
+    if (value == nullptr || !value->is_string()) {
+        return number(key, 0, most, fallback);
+    }
+    const auto parsed = parse_size(value->get_ref<const std::string&>());
+    if (!parsed) {
+        fail(key, parsed.error().message, parsed.error().remedy);
+        return 0;
+    }
+    if (*parsed > most) {
+        fail(key, value->dump() + " is out of range",
+             range_remedy("0", std::to_string(most) + " bytes"));
+        return 0;
+    }
+    return *parsed;
+}
+
+wall_time checked_object::time(std::string_view key) {
+    const auto written = text(key);
+    const auto parsed = parse_time(written);
+    if (!parsed) {
+        fail(key, parsed.error().message, parsed.error().remedy);
+        return {};
+    }
+    return *parsed;
+}
+
+endpoint checked_object::address(std::string_view key) {
+    return to_endpoint(key, text(key));
+}
+
+std::vector<endpoint> checked_object::addresses(std::string_view key) {
+    std::vector<endpoint> all;
+    for (const auto& written : texts(key)) {
+        all.push_back(to_endpoint(key, written));
+    }
+    return all;
+}
+
+endpoint checked_object::to_endpoint(std::string_view key, const std::string& written) {
+    const auto parsed = parse_endpoint(written);
+    if (!parsed) {
+        fail(key, parsed.error().message, parsed.error().remedy);
+        return {};
+    }
+    const auto ip = canonical_ip(parsed->ip);
+    if (!ip) {
+        fail(key, "\"" + parsed->ip + "\" is not a valid IP address", "correct the address");
+        return {};
+    }
+    return {*ip, parsed->port};
+}
+
+std::vector<std::string> checked_object::texts(std::string_view key, bool mandatory) {
+    std::vector<std::string> all;
+    const auto* value = find(key, mandatory);
+    if (value == nullptr) {
+        return all;
+    }
+    const bool is_list =
+        value->is_array() && std::all_of(value->begin(), value->end(),
+                                         [](const auto& element) { return element.is_string(); });
+    if (!is_list) {
+        wrong_type(key, "a list of strings");
+        return all;
+    }
+    for (const auto& element : *value) {
+        all.push_back(element.get<std::string>());
+    }
+    return all;
+}
+
+std::string checked_object::name(std::string_view key) {
+    auto written = text(key);
+    if (!is_name(written)) {
+        fail(key, "\"" + written + "\" is not a valid name", name_remedy);
+    }
+    return written;
+}
+
+checked_object checked_object::object(std::string_view key, bool mandatory) {
+    const auto* value = find(key, mandatory);
+    checked_object inner(value != nullptr ? *value : empty_object(), path_of(key), *context_);
+    if (context_->known_keys != nullptr) {
+        inner.pattern_ = pattern_.empty() ? std::string(key) : pattern_ + "." + std::string(key);
+    }
+    return inner;
+}
+
+void checked_object::visit_member(const std::string& name, const nlohmann::json& value,
+                                  std::string path, const visitor& visit) {
+    checked_object member(value, std::move(path), *context_);
+    if (context_->known_keys != nullptr) {
+        member.pattern_ = pattern_.empty() ? "*" : pattern_ + ".*";
+    }
+    visit(name, member);
+    member.finish();
+}
+
+void checked_object::each_member(const visitor& visit) {
+    for (const auto& [member_name, value] : value_->items()) {
+        if (!is_name(member_name)) {
+            fail(member_name, "is not a valid name", name_remedy);
+        }
+        visit_member(member_name, value, path_of(member_name), visit);
+    }
+    free_names_ = true;
+}
+
+void checked_object::each_element(std::string_view key,
+                                  const std::function<void(checked_object&)>& visit) {
+    const auto* value = find(key, false);
+    if (value == nullptr) {
+        return;
+    }
+    if (!value->is_array()) {
+        wrong_type(key, "a list of objects");
+        return;
+    }
+    auto list = checked_object(empty_object(), path_of(key), *context_);
+    list.pattern_ = pattern_.empty() ? std::string(key) : pattern_ + "." + std::string(key);
+    for (std::size_t i = 0; i < value->size(); ++i) {
+        list.visit_member(
+            {}, (*value)[i], path_of(key) + "[" + std::to_string(i) + "]",
+            [&visit](const std::string&, checked_object& element) { visit(element); });
+    }
+}
+
+void checked_object::finish() {
+    if (free_names_) {
+        return;
+    }
+    for (const auto& [key, value] : value_->items()) {
+        if (std::find(read_.begin(), read_.end(), key) == read_.end()) {
+            fail(key, "unknown key", "remove it or correct its spelling");
+            return;
+        }
+    }
+}
+
+} // namespace wigeonrill::config
--- a/wigeonrill/src/config/key_owner_set.h
+++ b/wigeonrill/src/config/key_owner_set.h
@@ -11,6 +11,7 @@
 struct key_owner_set {
     wall_time effective_from{};   ///< keys created before belong to the previous set
     std::vector<endpoint> owners; ///< traffic addresses of nodes
+    wall_time announced{};        ///< first publication; owner_lease or more before effective_from
 
     friend bool operator==(const key_owner_set&, const key_owner_set&) = default;
 };
--- /dev/null
+++ b/wigeonrill/src/config/loader.cpp
@@ -0,0 +1,64 @@
+#include "wigeonrill/config.h"
+
+#include "wigeonrill/src/config/section_parsers.h"
+
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace wigeonrill::config {
+
+snapshot parse_sections(checked_object& root) {
+    snapshot it;
+    const auto format = root.number("format", 1, std::numeric_limits<std::int64_t>::max());
+    if (format != format_version) {
+        root.fail("format", std::to_string(format) + " is not a format that this build reads",
+                  "write 1, or upgrade this program");
+    }
+    it.version = root.number("version", 1, std::numeric_limits<std::int64_t>::max());
+    it.published = root.time("published");
+    auto rules = root.object("rules");
+    parse_rules(rules, it);
+    rules.finish();
+    auto services = root.object("services", true);
+    services.each_member([&it](const std::string& name, checked_object& member) {
+        it.services.push_back(parse_service(name, member));
+    });
+    auto routes = root.object("routes");
+    parse_routes(routes, it.routes);
+    auto workspaces = root.object("workspaces");
+    parse_workspaces(workspaces, it.workspaces.own());
+    parse_key_owners(root, it);
+    parse_vms(root, it.vms);
+    root.finish();
+    return it;
+}
+
+result<snapshot> parse_document(std::string_view text, const std::string& source_name) {
+    const auto document = json_document::parse(text, source_name);
+    if (!document) {
+        return tl::unexpected(document.error());
+    }
+    reading_context context{source_name, std::nullopt};
+    checked_object root(document->root(), "", context);
+    auto parsed = parse_sections(root);
+    if (context.failure) {
+        return tl::unexpected(*context.failure);
+    }
+    if (auto valid = validate(parsed); !valid) {
+        auto fault = valid.error();
+        fault.message = source_name + ": " + fault.message;
+        return tl::unexpected(std::move(fault));
+    }
+    return parsed;
+}
+
+result<snapshot> load_file(const std::string& path) {
+    constexpr std::uint64_t largest_file = 256ULL * 1024 * 1024;
+    const auto text = read_file(path, largest_file);
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    return parse_document(*text, path);
+}
+
+} // namespace wigeonrill::config
--- /dev/null
+++ b/wigeonrill/src/config/section_parsers.cpp
@@ -0,0 +1,124 @@
+#include "wigeonrill/config.h"
+
+#include "wigeonrill/src/config/section_parsers.h"
+
+namespace wigeonrill::config {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t most_slots = 65'535;
+constexpr std::uint64_t most_floor = 100'000'000;
+constexpr std::uint64_t most_queued = 1'000'000;
+constexpr std::uint64_t most_requests_per_second = 10'000'000;
+constexpr std::uint64_t largest_body = 1ULL << 40U;
+constexpr milliseconds longest_limit = 24h;
+
+target parse_target(const std::string& name, checked_object& object) {
+    target it;
+    it.id = target_id(name);
+    it.address = object.address("address");
+    it.domain = domain_name(object.name("domain"));
+    it.slots = static_cast<std::uint32_t>(object.number("slots", 1, most_slots));
+    it.cold_start = object.duration("cold_start", 0ms, longest_limit, it.cold_start);
+    return it;
+}
+
+time_limits parse_limits(checked_object object) {
+    time_limits it;
+    it.total = object.duration("total", 1ms, longest_limit, it.total);
+    it.first_byte = object.duration("first_byte", 1ms, longest_limit, it.first_byte);
+    it.body_idle = object.duration("body_idle", 1ms, longest_limit, it.body_idle);
+    object.finish();
+    return it;
+}
+
+void parse_key_policy(checked_object& object, route& into) {
+    const bool written = object.has("key");
+    into.key = object.choice("key", key_policy_names, std::optional(into.key));
+    if (written && into.repeat == repeat_policy::idempotent) {
+        object.fail("key", "has no effect on an idempotent route",
+                    "remove it, or set \"repeat\" to \"at_most_once\"");
+    }
+}
+
+route parse_route(const std::string& name, checked_object& object) {
+    route it;
+    it.name = route_name(name);
+    it.service = service_name(object.name("service"));
+    it.host = object.text("host", "");
+    it.methods = object.texts("methods", false);
+    it.path_prefix = object.text("path_prefix", it.path_prefix);
+    // Mandatory: a forgotten policy must not let a charge run twice.
+    it.repeat = object.choice("repeat", repeat_policy_names);
+    parse_key_policy(object, it);
+    it.hedge = object.flag("hedge", it.hedge);
+    it.max_body_bytes = object.size("max_body", largest_body, it.max_body_bytes);
+    it.limits = parse_limits(object.object("limits"));
+    return it;
+}
+
+vm_record parse_vm(checked_object& object) {
+    vm_record it;
+    it.address = object.address("address");
+    it.domain = domain_name(object.name("domain"));
+    it.role = object.choice("role", vm_role_names);
+    it.state = object.choice("state", vm_state_names, std::optional(it.state));
+    return it;
+}
+
+key_owner_set parse_key_owner_set(checked_object& object) {
+    key_owner_set it;
+    it.effective_from = object.time("effective_from");
+    it.announced = object.has("announced") ? object.time("announced") : wall_time{};
+    it.owners = object.addresses("owners");
+    return it;
+}
+
+} // namespace
+
+void parse_rules(checked_object& object, snapshot& into) {
+    into.resend_window = object.duration("resend_window", 1s, 24h, into.resend_window);
+    into.owner_lease = object.duration("owner_lease", 1min, 7 * 24h, into.owner_lease);
+}
+
+void parse_key_owners(checked_object& parent, snapshot& into) {
+    parent.each_element("key_owners", [&into](checked_object& object) {
+        into.key_owners.push_back(parse_key_owner_set(object));
+    });
+}
+
+service parse_service(const std::string& name, checked_object& object) {
+    service it;
+    it.name = service_name(name);
+    it.floor_slots = static_cast<std::uint32_t>(object.number("floor_slots", 0, most_floor));
+    it.weight = object.choice("weight", health_weight_names);
+    it.queue_limit =
+        static_cast<std::uint32_t>(object.number("queue_limit", 0, most_queued, it.queue_limit));
+    auto targets = object.object("targets", true);
+    targets.each_member([&it](const std::string& id, checked_object& member) {
+        it.targets.push_back(parse_target(id, member));
+    });
+    return it;
+}
+
+void parse_routes(checked_object& object, std::vector<route>& into) {
+    object.each_member([&into](const std::string& name, checked_object& member) {
+        into.push_back(parse_route(name, member));
+    });
+}
+
+void parse_workspaces(checked_object& object, std::vector<workspace>& into) {
+    object.each_member([&into](const std::string& name, checked_object& member) {
+        const auto rate = member.number("requests_per_second", 0, most_requests_per_second, 0);
+        into.push_back({workspace_name(name), static_cast<std::uint32_t>(rate)});
+    });
+}
+
+void parse_vms(checked_object& parent, std::vector<vm_record>& into) {
+    parent.each_element("vms",
+                        [&into](checked_object& object) { into.push_back(parse_vm(object)); });
+}
+
+} // namespace wigeonrill::config
--- a/wigeonrill/src/config/snapshot.h
+++ b/wigeonrill/src/config/snapshot.h
@@ -15,7 +15,7 @@
     milliseconds owner_lease{21'600'000};  ///< longest time without confirmation for a key owner
     std::vector<service> services;         ///< sorted by name
     std::vector<route> routes;             ///< sorted by name
-    std::vector<workspace> workspaces;     ///< sorted by name
+    shared_list<workspace> workspaces;     ///< sorted by name
     std::vector<key_owner_set> key_owners; ///< sorted by effective_from, newest last
     std::vector<vm_record> vms;            ///< the platform's list as known with this version
 
--- /dev/null
+++ b/wigeonrill/src/config/validator.cpp
@@ -0,0 +1,281 @@
+#include "wigeonrill/config.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace wigeonrill::config {
+
+namespace {
+
+using fault = std::optional<error>;
+
+bool includes(section changed, section one) {
+    return (static_cast<unsigned>(changed) & static_cast<unsigned>(one)) != 0;
+}
+
+fault refuse(const std::string& path, const std::string& what, std::string remedy) {
+    return error{error_kind::invalid_input, path + ": " + what, std::move(remedy)};
+}
+
+// Records come sorted by name; equal neighbours are duplicates, for example in two shards.
+template <typename Records>
+fault find_duplicate_name(const std::string& list, const Records& records) {
+    for (std::size_t i = 1; i < records.size(); ++i) {
+        const auto& name = records[i].name.value;
+        if (!(records[i - 1].name < records[i].name)) {
+            return refuse(std::string(list).append(".").append(name), "duplicate or unsorted name",
+                          "give each entry a name of its own");
+        }
+    }
+    return std::nullopt;
+}
+
+fault check_floor(const service& it) {
+    std::uint64_t slots = 0;
+    for (const auto& one : it.targets) {
+        slots += one.slots;
+    }
+    if (it.floor_slots <= slots) {
+        return std::nullopt;
+    }
+    return refuse("services." + it.name.value + ".floor_slots",
+                  std::to_string(it.floor_slots) + " is above the " + std::to_string(slots) +
+                      " slots of the service's targets",
+                  "lower the floor or add targets");
+}
+
+fault check_target_names(const service& it) {
+    std::unordered_set<std::string_view> ids;
+    for (const auto& one : it.targets) {
+        if (!ids.insert(one.id.value).second) {
+            return refuse("services." + it.name.value + ".targets." + one.id.value,
+                          "duplicate name", "give each target a name of its own");
+        }
+    }
+    return std::nullopt;
+}
+
+// Two targets with one address would count its slots twice.
+fault find_duplicate_address(const std::vector<service>& services) {
+    std::unordered_map<std::string, std::string> seen;
+    for (const auto& it : services) {
+        for (const auto& one : it.targets) {
+            const auto path = "services." + it.name.value + ".targets." + one.id.value;
+            const auto [first, added] = seen.emplace(to_string(one.address), path);
+            if (!added) {
+                return refuse(path + ".address",
+                              "\"" + first->first + "\" is also the address of " + first->second,
+                              "give each target an address of its own");
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+fault check_services(const snapshot& all) {
+    if (auto found = find_duplicate_name("services", all.services)) {
+        return found;
+    }
+    for (const auto& it : all.services) {
+        if (auto found = check_floor(it)) {
+            return found;
+        }
+        if (auto found = check_target_names(it)) {
+            return found;
+        }
+    }
+    return find_duplicate_address(all.services);
+}
+
+bool is_method(const std::string& text) {
+    return !text.empty() &&
+           text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZ-") == std::string::npos;
+}
+
+bool is_host(const std::string& text) {
+    return text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789.-") == std::string::npos;
+}
+
+bool is_path(const std::string& text) {
+    return !text.empty() && text.front() == '/' &&
+           std::all_of(text.begin(), text.end(),
+                       [](char it) { return it > ' ' && it < '\x7f' && it != '?' && it != '#'; });
+}
+
+fault check_matching(const std::string& path, const route& it) {
+    if (!is_host(it.host)) {
+        return refuse(path + ".host", "\"" + it.host + "\" is not a lower-case host name",
+                      "write the host in lower case without a port");
+    }
+    if (!is_path(it.path_prefix)) {
+        return refuse(path + ".path_prefix", "\"" + it.path_prefix + "\" is not a path",
+                      "begin with '/' and leave out query, fragment and spaces");
+    }
+    if (!std::all_of(it.methods.begin(), it.methods.end(), is_method)) {
+        return refuse(path + ".methods", "a method is not in upper case",
+                      "write methods such as \"GET\" or \"POST\"");
+    }
+    return std::nullopt;
+}
+
+fault check_policies(const std::string& path, const route& it) {
+    if (it.hedge && it.repeat == repeat_policy::at_most_once) {
+        return refuse(path + ".hedge", "a hedged request runs twice, an at-most-once one must not",
+                      "remove \"hedge\" from this route");
+    }
+    if (it.limits.first_byte > it.limits.total) {
+        return refuse(path + ".limits.first_byte", "is above the total limit",
+                      "lower \"first_byte\" or raise \"total\"");
+    }
+    return std::nullopt;
+}
+
+// Two routes that match the same requests would make the choice, and its policy, arbitrary.
+class match_table {
+public:
+    fault add(const std::string& path, const route& it) {
+        static const std::vector<std::string> any_method{"*"};
+        for (const auto& method : it.methods.empty() ? any_method : it.methods) {
+            const auto key = method + " " + it.host + it.path_prefix;
+            const auto [first, added] = seen_.emplace(key, &it);
+            if (!added) {
+                return refuse(path,
+                              "matches the same requests as routes." + first->second->name.value,
+                              "change the host, methods or path_prefix of one of them");
+            }
+        }
+        return std::nullopt;
+    }
+
+private:
+    std::unordered_map<std::string, const route*> seen_;
+};
+
+fault check_route(const std::string& path, const route& it,
+                  const std::unordered_set<std::string_view>& services) {
+    if (!services.contains(it.service.value)) {
+        return refuse(path + ".service", "there is no service \"" + it.service.value + "\"",
+                      "define the service or correct its name");
+    }
+    if (auto found = check_matching(path, it)) {
+        return found;
+    }
+    return check_policies(path, it);
+}
+
+fault check_routes(const snapshot& all) {
+    if (auto found = find_duplicate_name("routes", all.routes)) {
+        return found;
+    }
+    std::unordered_set<std::string_view> services;
+    for (const auto& it : all.services) {
+        services.insert(it.name.value);
+    }
+    match_table matches;
+    for (const auto& it : all.routes) {
+        const auto path = "routes." + it.name.value;
+        if (auto found = check_route(path, it, services)) {
+            return found;
+        }
+        if (auto found = matches.add(path, it)) {
+            return found;
+        }
+    }
+    return std::nullopt;
+}
+
+fault check_owners(const std::string& path, const key_owner_set& it) {
+    if (it.owners.empty()) {
+        return refuse(path + ".owners", "the list is empty", "name at least one node");
+    }
+    std::set<endpoint> seen;
+    for (const auto& owner : it.owners) {
+        if (!seen.insert(owner).second) {
+            return refuse(path + ".owners", "duplicate address " + to_string(owner),
+                          "name each node once");
+        }
+    }
+    return std::nullopt;
+}
+
+// A set that replaces another must be announced a lease before it takes effect: a node that did
+// not hear of the change refuses by then, so that no key has two owners.
+fault check_announcement(const std::string& path, const snapshot& all, std::size_t index) {
+    const auto& it = all.key_owners[index];
+    if (it.announced > all.published) {
+        return refuse(path + ".announced", "is later than the publication of this version",
+                      "write the time at which the set was first published");
+    }
+    if (index == 0) {
+        return std::nullopt;
+    }
+    if (it.effective_from <= all.key_owners[index - 1].effective_from) {
+        return refuse(path + ".effective_from", "is not later than that of the set before it",
+                      "sort the sets by effective_from, the newest last");
+    }
+    if (it.announced == wall_time{} || it.effective_from - it.announced < all.owner_lease) {
+        return refuse(path + ".effective_from",
+                      "is less than owner_lease after \"announced\" of the set",
+                      "add \"announced\" and let the set take effect owner_lease or more later");
+    }
+    return std::nullopt;
+}
+
+fault check_key_owners(const snapshot& all) {
+    for (std::size_t i = 0; i < all.key_owners.size(); ++i) {
+        const auto path = "key_owners[" + std::to_string(i) + "]";
+        if (auto found = check_owners(path, all.key_owners[i])) {
+            return found;
+        }
+        if (auto found = check_announcement(path, all, i)) {
+            return found;
+        }
+    }
+    return std::nullopt;
+}
+
+fault check_vms(const snapshot& all) {
+    std::unordered_set<std::string> seen;
+    for (std::size_t i = 0; i < all.vms.size(); ++i) {
+        const auto text = to_string(all.vms[i].address);
+        if (!seen.insert(text).second) {
+            return refuse("vms[" + std::to_string(i) + "].address", "duplicate address " + text,
+                          "list each VM once");
+        }
+    }
+    return std::nullopt;
+}
+
+fault find_fault(const snapshot& all, section changed) {
+    if (includes(changed, section::services)) {
+        if (auto found = check_services(all)) {
+            return found;
+        }
+    }
+    if (includes(changed, section::services) || includes(changed, section::routes)) {
+        if (auto found = check_routes(all)) {
+            return found;
+        }
+    }
+    if (includes(changed, section::workspaces)) {
+        if (auto found = find_duplicate_name("workspaces", all.workspaces)) {
+            return found;
+        }
+    }
+    // The rules are few, and depend on the time of publication, which every version changes.
+    if (auto found = check_key_owners(all)) {
+        return found;
+    }
+    return includes(changed, section::vms) ? check_vms(all) : std::nullopt;
+}
+
+} // namespace
+
+result<void> validate(const snapshot& configuration, section changed) {
+    if (auto found = find_fault(configuration, changed)) {
+        return tl::unexpected(std::move(*found));
+    }
+    return {};
+}
+
+} // namespace wigeonrill::config
