--- /dev/null
+++ b/programs/wigeonrilld/main.cpp
@@ -0,0 +1,3 @@
+#include "wigeonrill/daemon.h"
+
+int main(int argc, char** argv) { return wigeonrill::daemon::run(argc, argv); }
--- a/wigeonrill/daemon.h
+++ b/wigeonrill/daemon.h
@@ -6,14 +6,31 @@
 
 #define WIGEONRILL_DAEMON_MODULE
 
+#include <atomic>
 #include <memory>
 #include <mutex>
+#include <thread>
+#include <variant>
 #include <vector>
 
-#include "config.h"
+#include "dispatch.h"
 #include "observe.h"
+#include "peers.h"
+#include "traffic.h"
 
 #include "src/daemon/admin_server.h"
+#include "src/daemon/application.h"
 #include "src/daemon/event_queue.h"
+#include "src/daemon/node_state.h"
+#include "src/daemon/settings.h"
+#include "src/daemon/stop_signal.h"
+// Needs event_queue.h.
+#include "src/daemon/traffic_events.h"
+// Needs node_state.h.
+#include "src/daemon/view_builder.h"
+// Needs traffic_events.h.
+#include "src/daemon/control_loop.h"
+// Needs admin_server.h and control_loop.h.
+#include "src/daemon/node_pages.h"
 
 #endif
--- /dev/null
+++ b/wigeonrill/src/daemon/application.cpp
@@ -0,0 +1,65 @@
+#include "wigeonrill/daemon.h"
+
+#include "wigeonrill/src/daemon/running_node.h"
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+
+namespace wigeonrill::daemon {
+
+namespace {
+
+constexpr milliseconds signal_wait{100};
+
+int to_int(exit_code code) { return static_cast<int>(code); }
+
+// Runs a started node until it has stopped.
+exit_code serve(running_node& node, stop_signal& signals) {
+    while (true) {
+        const auto request = signals.next(signal_wait);
+        if (request == process_request::reload) {
+            node.reload();
+        } else if (request == process_request::stop) {
+            return node.shut_down(signals) ? exit_code::success : exit_code::forced;
+        } else if (node.superseded()) {
+            signals.request_stop();
+        }
+    }
+}
+
+} // namespace
+
+int run(int argc, const char* const* argv) {
+    CLI::App app("Reverse proxy of the wigeonrill fleet.", "wigeonrilld");
+    std::string path;
+    bool check_only = false;
+    app.set_version_flag("--version", WIGEONRILL_VERSION);
+    app.add_option("--settings", path, "Settings file, JSON with comments")->required();
+    app.add_flag("--check", check_only, "Check the settings file and exit");
+    app.footer("Example:\n  wigeonrilld --settings examples/scotland/node.json\n\n"
+               "Exit codes: 0 planned stop, 2 wrong settings, 3 start failed, 4 requests were cut.");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& failure) {
+        return app.exit(failure) == 0 ? 0 : to_int(exit_code::settings);
+    }
+    const auto loaded = load_settings(path);
+    if (!loaded) {
+        std::cerr << "wigeonrilld: " << to_string(loaded.error()) << '\n';
+        return to_int(exit_code::settings);
+    }
+    if (check_only) {
+        std::cout << path << " is valid\n";
+        return to_int(exit_code::success);
+    }
+    stop_signal signals;
+    auto node = running_node::start(*loaded, signals);
+    if (!node) {
+        std::cerr << "wigeonrilld: " << to_string(node.error()) << '\n';
+        return to_int(exit_code::start);
+    }
+    return to_int(serve(**node, signals));
+}
+
+} // namespace wigeonrill::daemon
--- /dev/null
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -0,0 +1,206 @@
+#include "wigeonrill/daemon.h"
+
+namespace wigeonrill::daemon {
+
+namespace {
+
+using observe::log_level;
+using observe::log_line;
+using observe::log_part;
+
+// The administration port shows a state at most this old: 10 ticks of 50 ms.
+constexpr std::uint64_t ticks_between_states = 10;
+
+double to_seconds(nanoseconds duration) {
+    return std::chrono::duration<double>(duration).count();
+}
+
+health::monitor_options options_of(node_id self, domain_name domain, const clock_source& clock) {
+    health::monitor_options options;
+    options.self = std::move(self);
+    options.domain = std::move(domain);
+    options.tick_period = control_loop::tick_period;
+    // The start time in nanoseconds grows from one process to its successor.
+    options.first_sequence =
+        static_cast<std::uint64_t>(clock.wall_now().time_since_epoch() / nanoseconds(1));
+    return options;
+}
+
+} // namespace
+
+control_loop::control_loop(control_parts parts, node_id self, domain_name domain)
+    : parts_(parts), monitor_(options_of(std::move(self), std::move(domain), parts.clock)),
+      state_(std::make_shared<node_state>()) {}
+
+config::apply_outcome control_loop::offer(const config::change_set& changes,
+                                          std::string_view source) {
+    const auto outcome = store_.apply(changes, parts_.clock.wall_now());
+    log_line line("Configuration offered.");
+    line.with("version", static_cast<std::int64_t>(changes.version))
+        .with("source", source)
+        .with("result", enum_name(config::apply_outcome_names, outcome));
+    if (outcome == config::apply_outcome::rejected && store_.last_rejection()) {
+        line.with("reason", to_string(*store_.last_rejection()));
+        write(log_level::error, log_part::config, line);
+        if (parts_.gossip != nullptr) {
+            parts_.gossip->reject_config(changes.version);
+        }
+        return outcome;
+    }
+    if (outcome != config::apply_outcome::not_newer) {
+        write(log_level::info, log_part::config, line);
+    }
+    if (outcome == config::apply_outcome::accepted) {
+        adopt_configuration();
+    }
+    return outcome;
+}
+
+void control_loop::confirm(std::uint64_t version) {
+    const auto now = parts_.clock.wall_now();
+    store_.confirm(version, now);
+    if (parts_.gossip != nullptr && version == store_.version()) {
+        parts_.gossip->confirm_by_platform(now);
+    }
+}
+
+void control_loop::adopt_configuration() {
+    const auto configuration = store_.current();
+    routes_ = std::make_shared<routing::route_table>(configuration);
+    monitor_.configure(configuration, parts_.clock.now());
+    if (parts_.gossip != nullptr) {
+        parts_.gossip->set_vms(configuration->vms);
+        parts_.gossip->set_config(store_.version(), store_.changes_since(store_.version()).digest);
+    }
+    plans_changed_ = true;
+    publish();
+}
+
+config::change_set control_loop::changes_since(std::uint64_t version) const {
+    return store_.changes_since(version);
+}
+
+void control_loop::run_once() {
+    const auto now = parts_.clock.now();
+    take_traffic_events();
+    take_peer_items();
+    for (const auto& it : parts_.dispatcher.outstanding()) {
+        monitor_.on_outstanding(it.service, it.target, it.route, now - it.sent, it.request);
+    }
+    const auto actions = monitor_.tick(now);
+    carry_out(actions);
+    parts_.dispatcher.tick();
+    plans_changed_ = plans_changed_ || actions.plans_changed;
+    if (plans_changed_ || ticks_ % ticks_between_states == 0) {
+        publish();
+    }
+    ++ticks_;
+}
+
+void control_loop::take_traffic_events() {
+    for (const auto& event : parts_.events.take_all()) {
+        std::visit([this](const auto& it) { take(it); }, event);
+    }
+}
+
+void control_loop::take(const health::answer& answer) {
+    monitor_.on_answer(answer);
+    if (answer.draining) {
+        monitor_.on_leaving(answer.target, answer.ended);
+    }
+    parts_.metrics.count("wigeonrill_attempts_total", "Attempts at targets by result.",
+                         {{"service", answer.service.value},
+                          {"result", std::string(enum_name(health::answer_kind_names, answer.kind))}});
+    parts_.metrics.observe("wigeonrill_target_seconds",
+                           "Time from sending a request to the head of its answer.",
+                           {{"service", answer.service.value}}, to_seconds(answer.ended - answer.sent),
+                           parts_.clock.now());
+}
+
+void control_loop::take(const dispatch::decision_record& decision) {
+    const bool refused = decision.kind == traffic::step_kind::refuse;
+    parts_.metrics.count("wigeonrill_decisions_total", "Decisions on requests.",
+                         {{"service", decision.service.value},
+                          {"refusal", refused ? decision.refusal : ""}});
+    parts_.metrics.observe("wigeonrill_queue_seconds", "Time that requests waited for a slot.",
+                           {{"service", decision.service.value}}, to_seconds(decision.waited),
+                           parts_.clock.now());
+}
+
+void control_loop::take(const once::crash_mark& mark) {
+    monitor_.on_crash_mark(mark.fingerprint, mark.target, parts_.clock.now());
+    if (parts_.gossip != nullptr) {
+        parts_.gossip->announce(mark);
+    }
+}
+
+void control_loop::take_peer_items() {
+    if (parts_.gossip == nullptr) {
+        return;
+    }
+    const auto now = parts_.clock.now();
+    std::vector<health::fleet_node> live;
+    for (auto& it : parts_.gossip->live_nodes()) {
+        live.push_back({it.id, it.domain});
+    }
+    monitor_.set_nodes(std::move(live));
+    const auto items = parts_.gossip->take_inbox();
+    for (const auto& it : items.evidence) {
+        monitor_.on_evidence(it, now);
+    }
+    for (const auto& it : items.verdicts) {
+        monitor_.on_verdict(it, now);
+    }
+    for (const auto& it : items.marks) {
+        monitor_.on_crash_mark(it.fingerprint, it.target, now);
+    }
+}
+
+void control_loop::carry_out(const health::monitor_actions& actions) {
+    for (const auto& it : actions.log) {
+        write(log_level::info, log_part::health, log_line(it));
+    }
+    if (parts_.gossip == nullptr) {
+        return;
+    }
+    for (const auto& it : actions.reports) {
+        parts_.gossip->report({it.to}, it.report);
+    }
+    for (const auto& it : actions.verdicts) {
+        parts_.gossip->announce(it.content, it.to);
+    }
+}
+
+void control_loop::publish() {
+    const auto configuration = store_.current();
+    auto next = std::make_shared<node_state>();
+    if (configuration) {
+        if (plans_changed_) {
+            parts_.dispatcher.set_view(build_view(configuration, monitor_));
+            plans_changed_ = false;
+        }
+        next->configuration = configuration;
+        next->routes = routes_;
+        next->targets = list_targets(*configuration, monitor_);
+    }
+    next->confirmed = store_.confirmed();
+    next->rejection = store_.last_rejection();
+    if (parts_.gossip != nullptr) {
+        next->peers = parts_.gossip->status();
+        next->control_bytes_sent = parts_.gossip->counters().bytes_sent;
+        next->control_bytes_received = parts_.gossip->counters().bytes_received;
+    }
+    const std::lock_guard lock(state_mutex_);
+    state_ = std::move(next);
+}
+
+node_state_ptr control_loop::state() const {
+    const std::lock_guard lock(state_mutex_);
+    return state_;
+}
+
+void control_loop::write(log_level level, log_part part, const log_line& line) {
+    parts_.log.write(level, part, line);
+}
+
+} // namespace wigeonrill::daemon
--- /dev/null
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -0,0 +1,65 @@
+#ifndef WIGEONRILL_DAEMON_CONTROL_LOOP_H
+#define WIGEONRILL_DAEMON_CONTROL_LOOP_H
+
+#ifndef WIGEONRILL_DAEMON_MODULE
+#error "Include wigeonrill/daemon.h instead of this file."
+#endif
+
+namespace wigeonrill::daemon {
+
+/// \brief What the control thread works with. All must outlive it.
+struct control_parts {
+    const clock_source& clock;
+    observe::log_sink& log;
+    observe::metric_registry& metrics;
+    traffic_events& events;
+    dispatch::request_dispatcher& dispatcher;
+    peers::gossip_node* gossip{nullptr}; ///< null: the node has no peers
+};
+
+/// \brief The control thread's work: takes events, judges targets, publishes views.
+///
+/// One thread calls it. Only state() may be called by others.
+class control_loop {
+public:
+    static constexpr milliseconds tick_period{50};
+
+    control_loop(control_parts parts, node_id self, domain_name domain);
+
+    /// \brief Offers changes from platform, file or a peer to the configuration store.
+    /// \param source where they come from, for the log
+    config::apply_outcome offer(const config::change_set& changes, std::string_view source);
+    /// \brief Records that the platform or file still has the version in force as its newest.
+    void confirm(std::uint64_t version);
+    /// \brief One tick; to be called every tick_period.
+    void run_once();
+
+    /// \returns the changes that a peer with an older version needs
+    [[nodiscard]] config::change_set changes_since(std::uint64_t version) const;
+    /// \returns the state as of the last tick; callable from any thread
+    [[nodiscard]] node_state_ptr state() const;
+
+private:
+    void take_traffic_events();
+    void take(const health::answer& answer);
+    void take(const dispatch::decision_record& decision);
+    void take(const once::crash_mark& mark);
+    void take_peer_items();
+    void carry_out(const health::monitor_actions& actions);
+    void adopt_configuration();
+    void publish();
+    void write(observe::log_level level, observe::log_part part, const observe::log_line& line);
+
+    control_parts parts_;
+    config::store store_;
+    health::monitor monitor_;
+    std::shared_ptr<const routing::route_table> routes_;
+    bool plans_changed_{true};
+    std::uint64_t ticks_{0};
+    mutable std::mutex state_mutex_;
+    node_state_ptr state_;
+};
+
+} // namespace wigeonrill::daemon
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -0,0 +1,106 @@
+#include "wigeonrill/daemon.h"
+
+#include <future>
+
+namespace wigeonrill::daemon {
+
+namespace {
+
+constexpr std::size_t task_capacity = 1024;
+constexpr seconds answer_limit{2};
+
+} // namespace
+
+control_thread::control_thread(control_loop& loop, peers::peer_link* link,
+                               peers::gossip_node* gossip, const clock_source& clock)
+    : loop_(loop), link_(link), gossip_(gossip), clock_(clock), tasks_(task_capacity) {}
+
+control_thread::~control_thread() {
+    stopping_ = true;
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+    for (auto& it : fetchers_) {
+        it.join();
+    }
+}
+
+void control_thread::start() {
+    thread_ = std::thread([this] { work(); });
+}
+
+void control_thread::post(task work) { tasks_.push(std::move(work)); }
+
+result<config::change_set> control_thread::changes_since(std::uint64_t version) {
+    auto promise = std::make_shared<std::promise<config::change_set>>();
+    auto future = promise->get_future();
+    post([this, promise, version] { promise->set_value(loop_.changes_since(version)); });
+    if (future.wait_for(answer_limit) != std::future_status::ready) {
+        return failed(error_kind::timed_out, "the control thread did not answer within 2 s",
+                      "ask again later or ask another node");
+    }
+    return future.get();
+}
+
+void control_thread::work() {
+    instant next_tick = clock_.now();
+    instant next_gossip = next_tick;
+    while (!stopping_) {
+        run_tasks();
+        loop_.run_once();
+        next_tick += control_loop::tick_period;
+        const auto now = clock_.now();
+        if (next_tick < now) {
+            // After a pause the missed ticks are not made up for.
+            next_tick = now + control_loop::tick_period;
+        }
+        if (link_ != nullptr) {
+            if (now >= next_gossip) {
+                link_->tick();
+                next_gossip = now + peers::gossip_node::tick_interval;
+            }
+            link_->flush();
+            fetch_if_due();
+        }
+        wait_for_datagrams(next_tick);
+    }
+}
+
+void control_thread::run_tasks() {
+    for (const auto& it : tasks_.take_all()) {
+        it();
+    }
+}
+
+void control_thread::wait_for_datagrams(instant until) {
+    for (auto now = clock_.now(); now < until && !stopping_; now = clock_.now()) {
+        const auto rest = std::chrono::ceil<milliseconds>(until - now);
+        if (link_ == nullptr) {
+            std::this_thread::sleep_for(rest);
+        } else {
+            link_->receive(rest);
+        }
+    }
+}
+
+void control_thread::fetch_if_due() {
+    if (const auto request = gossip_->take_fetch()) {
+        // At most two run at once: the scheduler allows no more.
+        std::erase_if(fetchers_, [](std::thread& it) { return !it.joinable(); });
+        fetchers_.emplace_back([this, it = *request] { fetch(it); });
+    }
+}
+
+void control_thread::fetch(const peers::fetch_request& request) {
+    const auto address = parse_endpoint(request.from.value);
+    auto changes = address ? peers::fetch_changes(*address, request.since)
+                           : result<config::change_set>(tl::unexpected<error>(address.error()));
+    post([this, request, answer = std::move(changes)] {
+        gossip_->fetch_finished(request.from, answer.has_value());
+        if (answer && answer->version > request.since) {
+            loop_.offer(*answer, request.from.value);
+        }
+    });
+}
+
+} // namespace wigeonrill::daemon
--- /dev/null
+++ b/wigeonrill/src/daemon/node_pages.cpp
@@ -0,0 +1,114 @@
+#include "wigeonrill/daemon.h"
+
+#include <nlohmann/json.hpp>
+
+namespace wigeonrill::daemon {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+ordered_json row_json(const target_row& row) {
+    ordered_json it;
+    it["service"] = row.service.value;
+    it["target"] = row.target.id.value;
+    it["address"] = to_string(row.target.address);
+    it["domain"] = row.target.domain.value;
+    it["slots"] = row.target.slots;
+    it["state"] = enum_name(health::target_state_names, row.status.state);
+    it["gets_work"] = row.eligible;
+    it["weight"] = row.weight;
+    it["severity"] = row.status.severity;
+    it["reason"] = row.kept_for_floor ? row.status.reason + "; kept in use for the floor"
+                                      : row.status.reason;
+    return it;
+}
+
+std::map<std::string, std::size_t> count_states(const std::vector<peers::member_status>& peers) {
+    std::map<std::string, std::size_t> counts;
+    for (const auto& it : peers) {
+        ++counts[std::string(enum_name(peers::member_state_names, it.state))];
+    }
+    return counts;
+}
+
+} // namespace
+
+node_pages::node_pages(node_identity identity, const control_loop& loop,
+                       const dispatch::request_dispatcher& dispatcher,
+                       const observe::metric_registry& metrics, const clock_source& clock)
+    : identity_(std::move(identity)), loop_(loop), dispatcher_(dispatcher), metrics_(metrics),
+      clock_(clock) {}
+
+bool node_pages::ready() const {
+    return started_ && !draining_ && loop_.state()->configuration != nullptr;
+}
+
+std::string node_pages::metrics() const { return metrics_.prometheus_text(); }
+
+std::string node_pages::status_json() const {
+    const auto state = loop_.state();
+    ordered_json it;
+    it["version"] = WIGEONRILL_VERSION;
+    it["node"] = identity_.name;
+    it["domain"] = identity_.domain.value;
+    it["incarnation"] = identity_.incarnation;
+    it["ready"] = ready();
+    it["draining"] = draining_.load();
+    it["config_version"] = state->configuration ? state->configuration->version : 0;
+    it["uptime_s"] =
+        std::chrono::duration_cast<seconds>(clock_.now() - identity_.started).count();
+    it["requests_active"] = dispatcher_.active();
+    it["requests_waiting"] = dispatcher_.waiting();
+    it["peers"] = count_states(state->peers);
+    it["control_bytes_sent"] = state->control_bytes_sent;
+    it["control_bytes_received"] = state->control_bytes_received;
+    return it.dump();
+}
+
+std::string node_pages::targets_json() const {
+    auto rows = ordered_json::array();
+    const auto state = loop_.state();
+    for (const auto& it : state->targets) {
+        rows.push_back(row_json(it));
+    }
+    return rows.dump();
+}
+
+std::string node_pages::config_json() const {
+    const auto state = loop_.state();
+    ordered_json it;
+    it["config_version"] = state->configuration ? state->configuration->version : 0;
+    it["confirmed"] = config::format_time(state->confirmed);
+    it["rejected"] = state->rejection ? ordered_json(to_string(*state->rejection)) : nullptr;
+    return it.dump();
+}
+
+result<std::string> node_pages::explain_json(const std::string& method, const std::string& host,
+                                             const std::string& path) const {
+    const auto state = loop_.state();
+    if (!state->configuration) {
+        return failed(error_kind::unavailable, "this node has no configuration yet",
+                      "see the log lines that begin with \"config:\"");
+    }
+    const auto match = state->routes->find(host, method, path);
+    if (match.route == nullptr) {
+        return failed(error_kind::not_found,
+                      match.path_known ? "no route for " + path + " allows the method " + method
+                                       : "no route matches " + path,
+                      "compare host, method and path with the routes of the configuration");
+    }
+    ordered_json it;
+    it["route"] = match.route->name.value;
+    it["service"] = match.route->service.value;
+    it["repeat"] = enum_name(config::repeat_policy_names, match.route->repeat);
+    it["targets"] = ordered_json::array();
+    for (const auto& row : state->targets) {
+        if (row.service == match.route->service) {
+            it["targets"].push_back(row_json(row));
+        }
+    }
+    return it.dump();
+}
+
+} // namespace wigeonrill::daemon
--- /dev/null
+++ b/wigeonrill/src/daemon/settings.cpp
@@ -0,0 +1,101 @@
+#include "wigeonrill/daemon.h"
+
+namespace wigeonrill::daemon {
+
+namespace {
+
+constexpr milliseconds shortest{1};
+constexpr milliseconds longest{86'400'000}; // one day
+constexpr std::uint64_t most_connections = 65'536;
+constexpr std::uint64_t most_head_bytes = 1'048'576;
+constexpr std::uint64_t most_body_bytes = std::uint64_t{1} << 40U;
+
+void read_node(config::checked_object node, settings& it) {
+    it.domain = domain_name(node.name("domain"));
+    it.traffic = node.address("traffic");
+    it.admin = node.address("admin");
+    if (node.has("peer")) {
+        it.peer = node.address("peer");
+    }
+    node.finish();
+}
+
+void read_configuration(config::checked_object source, settings& it) {
+    it.configuration_file = source.text("file", std::string{});
+    if (source.has("platform")) {
+        it.platform = source.address("platform");
+    }
+    if (it.configuration_file.empty() != it.platform.has_value()) {
+        source.fail("", "exactly one source of the configuration is needed",
+                    "write either \"file\" or \"platform\"");
+    }
+    source.finish();
+}
+
+void read_peers(config::checked_object peers, settings& it) {
+    if (peers.has("seeds")) {
+        it.seeds = peers.addresses("seeds");
+    }
+    it.secret = peers.text("secret", std::string{});
+    if (!it.seeds.empty() && !it.peer) {
+        peers.fail("seeds", "seeds need a peer address of this node", "add \"peer\" to \"node\"");
+    }
+    peers.finish();
+}
+
+void read_limits(config::checked_object limits, settings& it) {
+    it.max_connections = static_cast<std::uint32_t>(
+        limits.number("connections", 1, most_connections, it.max_connections));
+    it.max_head_bytes =
+        static_cast<std::uint32_t>(limits.size("head", most_head_bytes, it.max_head_bytes));
+    it.max_body_bytes = limits.size("body", most_body_bytes, it.max_body_bytes);
+    it.head_time = limits.duration("head_time", shortest, longest, it.head_time);
+    it.body_idle = limits.duration("body_idle", shortest, longest, it.body_idle);
+    it.idle = limits.duration("idle", shortest, longest, it.idle);
+    limits.finish();
+}
+
+void read_shutdown(config::checked_object shutdown, settings& it) {
+    it.accept_for = shutdown.duration("accept_for", milliseconds(0), longest, it.accept_for);
+    it.finish_within = shutdown.duration("finish_within", shortest, longest, it.finish_within);
+    shutdown.finish();
+}
+
+void read_log(config::checked_object log, settings& it) {
+    it.log_level = log.choice("level", observe::log_level_names,
+                              std::optional<observe::log_level>(it.log_level));
+    log.finish();
+}
+
+result<settings> read_document(const config::json_document& document, const std::string& source) {
+    config::reading_context context{source, std::nullopt};
+    config::checked_object root(document.root(), "", context);
+    settings it;
+    read_node(root.object("node", true), it);
+    read_configuration(root.object("configuration", true), it);
+    read_peers(root.object("peers"), it);
+    read_limits(root.object("limits"), it);
+    read_shutdown(root.object("shutdown"), it);
+    read_log(root.object("log"), it);
+    root.finish();
+    if (context.failure) {
+        return tl::unexpected<error>(*context.failure);
+    }
+    return it;
+}
+
+} // namespace
+
+result<settings> load_settings(const std::string& path) {
+    const auto document = config::json_document::load(path);
+    return document ? read_document(*document, path)
+                    : result<settings>(tl::unexpected<error>(document.error()));
+}
+
+result<settings> parse_settings(std::string_view text, const std::string& source_name) {
+    const auto document = config::json_document::parse(text, source_name);
+    return document ? read_document(*document, source_name)
+                    : result<settings>(tl::unexpected<error>(document.error()));
+}
+
+} // namespace wigeonrill::daemon
--- /dev/null
+++ b/wigeonrill/src/daemon/settings.h
@@ -0,0 +1,47 @@
+#ifndef WIGEONRILL_DAEMON_SETTINGS_H
+#define WIGEONRILL_DAEMON_SETTINGS_H
+
+#ifndef WIGEONRILL_DAEMON_MODULE
+#error "Include wigeonrill/daemon.h instead of this file."
+#endif
+
+namespace wigeonrill::daemon {
+
+/// \brief Settings of one daemon, from its settings file. See docs/reference/settings.md.
+struct settings {
+    domain_name domain;
+    endpoint traffic;                 ///< for callers and for requests forwarded by nodes
+    std::optional<endpoint> peer;     ///< UDP and TCP for other nodes; none: the node is alone
+    endpoint admin;                   ///< health, metrics and the tool
+
+    std::string configuration_file;   ///< empty: the platform's service is used
+    std::optional<endpoint> platform; ///< the platform's configuration service
+
+    std::vector<endpoint> seeds;      ///< peers to talk to before the list of VMs is known
+    std::string secret;               ///< authenticates datagrams between nodes; empty: none
+
+    std::uint32_t max_connections{1024};
+    std::uint32_t max_head_bytes{16'384};
+    std::uint64_t max_body_bytes{std::uint64_t{1} << 30U};
+    milliseconds head_time{10'000};
+    milliseconds body_idle{15'000};
+    milliseconds idle{60'000};
+
+    milliseconds accept_for{5'000};      ///< accepting goes on this long after a stop began
+    milliseconds finish_within{600'000}; ///< requests may take this long to finish after that
+
+    observe::log_level log_level{observe::log_level::info};
+};
+
+/// \brief Reads and checks a settings file (JSON with comments).
+/// \returns the settings, or the first fault with its line or key path
+[[nodiscard]] result<settings> load_settings(const std::string& path);
+
+/// \brief Reads and checks settings from text.
+/// \param source_name origin of the text, for messages
+[[nodiscard]] result<settings> parse_settings(std::string_view text,
+                                              const std::string& source_name);
+
+} // namespace wigeonrill::daemon
+
+#endif
--- /dev/null
+++ b/wigeonrill/src/daemon/view_builder.h
@@ -0,0 +1,20 @@
+#ifndef WIGEONRILL_DAEMON_VIEW_BUILDER_H
+#define WIGEONRILL_DAEMON_VIEW_BUILDER_H
+
+#ifndef WIGEONRILL_DAEMON_MODULE
+#error "Include wigeonrill/daemon.h instead of this file."
+#endif
+
+namespace wigeonrill::daemon {
+
+/// \brief Builds the traffic threads' view from the configuration and the monitor's plans.
+[[nodiscard]] routing::view_ptr build_view(const config::snapshot_ptr& configuration,
+                                           const health::monitor& monitor);
+
+/// \brief Lists all targets with their state and share, for the administration port.
+[[nodiscard]] std::vector<target_row> list_targets(const config::snapshot& configuration,
+                                                   const health::monitor& monitor);
+
+} // namespace wigeonrill::daemon
+
+#endif
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -251,7 +251,7 @@
     for (const auto& [id, record] : records_) {
         if (record.place && record.sent && !record.head_passed) {
             found.push_back({record.route->service, record.place->id, record.route->name,
-                             *record.sent, record.fingerprint});
+                             *record.sent, record.fingerprint, id});
         }
     }
     return found;
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -94,6 +94,7 @@
     answer.sent = record.sent.value_or(attempt.sent);
     answer.ended = attempt.ended;
     answer.kind = attempt.kind;
+    answer.request = record.info.id;
     answer.draining = attempt.draining;
     answer.reported_load = attempt.reported_load;
     answer.fingerprint = record.fingerprint;
--- a/wigeonrill/src/dispatch/outstanding_request.h
+++ b/wigeonrill/src/dispatch/outstanding_request.h
@@ -14,6 +14,7 @@
     route_name route;
     instant sent{}; ///< its age is the difference to the present time
     std::uint64_t fingerprint{0};
+    std::uint64_t request{0}; ///< id of the request
 };
 
 } // namespace wigeonrill::dispatch
