Add the HTTP server for callers and the stand-in target

Cause: the daemon needs a path from callers to targets, and tests need a target whose faults can be set.

Ruled out: - POCO's HTTPRequest::read for received heads: it decodes RFC 2047 words, so X: =?utf-8?q?a=0D=0AX-Evil:1?= was written as two header lines. - A second decoder beside the strict parser: two readers can disagree about the end of a message.

Change: server, caller connection, exchange, target attempt, pool, strict framing check, refusals, standin_target. dispatcher.h: comments only (when ended() is called).

--- /dev/null
+++ b/standins/standin_target/target_handler.cpp
@@ -0,0 +1,157 @@
+#include "target_handler.h"
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/NullStream.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace wigeonrill::standins {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+void send_json(HTTPServerResponse& answer, const nlohmann::json& content) {
+    const auto body = content.dump();
+    answer.setContentType("application/json");
+    answer.sendBuffer(body.data(), body.size());
+}
+
+class control_handler final : public Poco::Net::HTTPRequestHandler {
+public:
+    explicit control_handler(target_behaviour& behaviour) : behaviour_(&behaviour) {}
+
+    void handleRequest(HTTPServerRequest& request, HTTPServerResponse& answer) override {
+        if (request.getURI() == "/standin/counts") {
+            send_json(answer, behaviour_->counts_json());
+            return;
+        }
+        try {
+            if (request.getMethod() == HTTPRequest::HTTP_POST) {
+                behaviour_->change(nlohmann::json::parse(request.stream()));
+            }
+            send_json(answer, behaviour_->settings_json());
+        } catch (const nlohmann::json::exception& failure) {
+            answer.setStatusAndReason(HTTPResponse::HTTP_BAD_REQUEST);
+            send_json(answer, {{"error", failure.what()}});
+        }
+    }
+
+private:
+    target_behaviour* behaviour_;
+};
+
+class work_handler final : public Poco::Net::HTTPRequestHandler {
+public:
+    explicit work_handler(target_behaviour& behaviour) : behaviour_(&behaviour) {}
+
+    void handleRequest(HTTPServerRequest& request, HTTPServerResponse& answer) override {
+        Poco::NullOutputStream waste;
+        Poco::StreamCopier::copyStream(request.stream(), waste);
+        if (!behaviour_->take_slot()) {
+            shed(answer);
+            return;
+        }
+        behaviour_->count_execution(request.get("Idempotency-Key", ""));
+        run(Poco::URI(request.getURI()), request.getMethod() == HTTPRequest::HTTP_HEAD, answer);
+        behaviour_->free_slot();
+    }
+
+private:
+    void shed(HTTPServerResponse& answer) {
+        add_reports(answer);
+        answer.setStatusAndReason(HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+        answer.set("Retry-After", "1");
+        answer.set("Target-Shed", "1");
+        answer.setContentLength(0);
+        answer.send();
+    }
+
+    void add_reports(HTTPServerResponse& answer) {
+        const auto settings = behaviour_->settings();
+        if (settings.report_load) {
+            answer.set("Target-Load", std::to_string(behaviour_->load()));
+        }
+        if (settings.drain) {
+            answer.set("Target-Draining", "1");
+        }
+    }
+
+    void run(const Poco::URI& uri, bool to_head, HTTPServerResponse& answer) {
+        const auto settings = behaviour_->settings();
+        if (!settings.crash_path.empty() && uri.getPath() == settings.crash_path) {
+            constexpr int crash_status = 3;
+            std::_Exit(crash_status);
+        }
+        wait();
+        add_reports(answer);
+        if (behaviour_->draw_error()) {
+            answer.setStatusAndReason(HTTPResponse::HTTP_INTERNAL_SERVER_ERROR);
+        }
+        send_body(body_bytes(uri, settings), settings.truncate, to_head, answer);
+    }
+
+    void wait() {
+        const std::chrono::duration<double, std::milli> latency(behaviour_->draw_latency_ms());
+        if (latency.count() > 0) {
+            std::this_thread::sleep_for(latency);
+        }
+        constexpr std::chrono::milliseconds check_period{20};
+        while (behaviour_->settings().hang) {
+            std::this_thread::sleep_for(check_period);
+        }
+    }
+
+    /// The query body_bytes=N overrides the size for one request.
+    static std::uint64_t body_bytes(const Poco::URI& uri, const target_settings& settings) {
+        for (const auto& [name, value] : uri.getQueryParameters()) {
+            if (name == "body_bytes") {
+                return std::strtoull(value.c_str(), nullptr, 10);
+            }
+        }
+        return settings.body_bytes;
+    }
+
+    static void send_body(std::uint64_t bytes, bool truncate, bool to_head,
+                          HTTPServerResponse& answer) {
+        answer.setContentType("application/octet-stream");
+        answer.setContentLength64(static_cast<Poco::Int64>(bytes));
+        answer.setKeepAlive(answer.getKeepAlive() && !truncate);
+        auto& out = answer.send();
+        if (to_head) {
+            return;
+        }
+        constexpr std::size_t piece_bytes = 16'384;
+        const std::string piece(piece_bytes, 'x');
+        auto left = truncate ? bytes / 2 : bytes;
+        while (left > 0 && out.good()) {
+            const auto n = std::min<std::uint64_t>(left, piece.size());
+            out.write(piece.data(), static_cast<std::streamsize>(n));
+            left -= n;
+        }
+        out.flush();
+    }
+
+    target_behaviour* behaviour_;
+};
+
+} // namespace
+
+Poco::Net::HTTPRequestHandler*
+target_handler_factory::createRequestHandler(const HTTPServerRequest& request) {
+    if (request.getURI().rfind("/standin/", 0) == 0) {
+        return new control_handler(*behaviour_);
+    }
+    return new work_handler(*behaviour_);
+}
+
+} // namespace wigeonrill::standins
--- /dev/null
+++ b/wigeonrill/src/traffic/caller_connection.cpp
@@ -0,0 +1,74 @@
+#include "wigeonrill/traffic.h"
+
+#include "wigeonrill/src/traffic/caller_connection.h"
+
+namespace wigeonrill::traffic::detail {
+
+using status = message_reader::status;
+
+void caller_connection::run() {
+    const int fd = stream_.fd();
+    context_->connections.add(fd);
+    while (wait_for_request() && serve_request()) {
+    }
+    context_->connections.remove(fd);
+}
+
+bool caller_connection::wait_for_request() {
+    const framing_limits limits{context_->options.max_head_bytes, context_->options.max_body_bytes};
+    stream_.reader().begin(make_request_check(limits));
+    const auto deadline = context_->clock->now() + context_->options.idle;
+    return stream_.reader().wait_first_byte(deadline, context_->connections.close_signal()) ==
+           status::ok;
+}
+
+bool caller_connection::serve_request() {
+    const auto deadline = context_->clock->now() + context_->options.head_time;
+    switch (stream_.reader().read_head(deadline)) {
+    case status::ok:
+        break;
+    case status::faulty:
+        return refuse(*stream_.reader().check().fault(), nullptr);
+    case status::timed_out:
+        return refuse({408, "request-timeout", "The header fields did not arrive in time."},
+                      nullptr);
+    default:
+        return false;
+    }
+    if (context_->connections.size() > context_->options.max_connections) {
+        return refuse_for_load();
+    }
+    auto request = make_caller_request(stream_.reader().check(), caller_, *context_);
+    if (!request) {
+        return refuse(request.error(), nullptr);
+    }
+    if (const auto fault = stream_.hold_body(*request)) {
+        return refuse(*fault, &*request);
+    }
+    const bool keep = exchange(*context_, stream_, *request).run();
+    if (!keep) {
+        stream_.end_output();
+    }
+    return keep;
+}
+
+bool caller_connection::refuse(const framing_fault& fault, const caller_request* request) {
+    context_->log("refused a request of " + caller_ + ": " + fault.detail);
+    stream_.send_refusal(refusal_of(fault, outcome::not_run), request, false);
+    stream_.end_output();
+    return false;
+}
+
+bool caller_connection::refuse_for_load() {
+    refusal reason{503,
+                   "too-many-connections",
+                   "The node has too many connections",
+                   "Try again on a new connection.",
+                   outcome::not_run,
+                   seconds{1}};
+    stream_.send_refusal(reason, nullptr, false);
+    stream_.end_output();
+    return false;
+}
+
+} // namespace wigeonrill::traffic::detail
--- /dev/null
+++ b/wigeonrill/src/traffic/caller_request.cpp
@@ -0,0 +1,78 @@
+#include "wigeonrill/traffic.h"
+
+#include "wigeonrill/src/traffic/caller_request.h"
+#include "wigeonrill/src/traffic/request_target.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace wigeonrill::traffic::detail {
+
+namespace {
+
+tl::unexpected<framing_fault> refuse(int status, const char* type, std::string text) {
+    return tl::unexpected<framing_fault>(framing_fault{status, type, std::move(text)});
+}
+
+/// Reads Request-Timeout-Ms; false when it is not a number.
+bool read_timeout(const message_head& head, milliseconds& limit) {
+    const auto text = head.value("Request-Timeout-Ms");
+    if (head.count("Request-Timeout-Ms") == 0) {
+        return true;
+    }
+    std::uint32_t ms = 0;
+    const auto* last = text.data() + text.size();
+    const auto [end, ec] = std::from_chars(text.data(), last, ms);
+    if (ec != std::errc{} || end != last || head.count("Request-Timeout-Ms") != 1) {
+        return false;
+    }
+    limit = std::min(limit, milliseconds{ms});
+    return true;
+}
+
+} // namespace
+
+tl::expected<caller_request, framing_fault> make_caller_request(const framing_check& check,
+                                                                const std::string& caller,
+                                                                server_context& context) {
+    caller_request request;
+    request.head = check.head();
+    auto& head = request.head;
+    auto target = read_request_target(head);
+    if (!target) {
+        return tl::unexpected<framing_fault>(std::move(target.error()));
+    }
+    if (head.count("Idempotency-Key") > 1) {
+        return refuse(400, "bad-key", "Only one Idempotency-Key may be given.");
+    }
+    milliseconds limit = context.options.request_time;
+    if (!read_timeout(head, limit)) {
+        return refuse(400, "bad-timeout", "Request-Timeout-Ms must be one number, once.");
+    }
+    if (head.count("Expect") > 0 && !equal_ignoring_case(head.value("Expect"), "100-continue")) {
+        return refuse(417, "expectation", "The only known expectation is 100-continue.");
+    }
+    request.length = check.content_length();
+    request.chunked = check.chunked();
+    request.body_complete = check.done();
+    request.keep_alive = check.keep_alive();
+    request.waits_for_continue = head.count("Expect") > 0 && head.minor_version > 0;
+    auto& info = request.info;
+    info.id = context.next_id.fetch_add(1);
+    info.method = head.method;
+    info.host = std::move(target->host);
+    info.path = std::move(target->path);
+    info.query = std::move(target->query);
+    info.workspace = head.value("Workspace");
+    info.idempotency_key = head.value("Idempotency-Key");
+    info.caller = caller;
+    info.body_bytes = request.chunked ? 0 : request.length.value_or(0);
+    info.from_node = head.count(from_node_field) > 0 && context.options.is_peer &&
+                     context.options.is_peer(caller);
+    info.arrived = context.clock->now();
+    info.deadline = info.arrived + limit;
+    head.remove(from_node_field);
+    return request;
+}
+
+} // namespace wigeonrill::traffic::detail
--- a/wigeonrill/src/traffic/dispatcher.h
+++ b/wigeonrill/src/traffic/dispatcher.h
@@ -83,6 +83,12 @@
     [[nodiscard]] virtual bool may_send(const request_info& request) = 0;
 
     /// \brief Reports the head of an answer or a failed attempt and asks what to do next.
+    ///
+    /// An answer of at most 64 KB is reported once it was read whole. A larger one is reported at
+    /// its head; when it breaks off later, it is reported a second time with answer_bytes_passed
+    /// set, and the step returned then is ignored. An attempt that may_send() forbade is reported
+    /// as cancelled with no byte sent. When nothing is returned for an attempt without an answer,
+    /// the caller gets a refusal that fits the attempt's kind.
     /// \returns nothing when the answer is to be passed on to the caller; else the next step
     [[nodiscard]] virtual std::optional<step> ended(const request_info& request,
                                                     const attempt_result& attempt) = 0;
--- /dev/null
+++ b/wigeonrill/src/traffic/socket_wait.cpp
@@ -0,0 +1,108 @@
+#include "wigeonrill/traffic.h"
+
+#include "wigeonrill/src/traffic/socket_wait.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace wigeonrill::traffic::detail {
+
+namespace {
+
+/// Milliseconds for poll(2), rounded up so that a wait never ends before the deadline.
+int poll_time(instant deadline, instant now) {
+    if (deadline <= now) {
+        return 0;
+    }
+    constexpr milliseconds longest{60'000};
+    const auto left = std::chrono::ceil<milliseconds>(deadline - now);
+    return static_cast<int>(std::min(left, longest).count());
+}
+
+constexpr short closed_events = POLLRDHUP | POLLHUP | POLLERR | POLLNVAL;
+
+} // namespace
+
+io_status wait_readable(int fd, instant deadline, const clock_source& clock, int watched) {
+    for (;;) {
+        const auto now = clock.now();
+        // poll(2) ignores entries with a negative descriptor.
+        std::array<pollfd, 2> fds{{{fd, POLLIN, 0}, {watched, POLLRDHUP, 0}}};
+        const int n = ::poll(fds.data(), fds.size(), poll_time(deadline, now));
+        if (n < 0 && errno != EINTR) {
+            return io_status::failed;
+        }
+        if (n > 0 && fds[0].revents != 0) {
+            return io_status::ok;
+        }
+        if (n > 0 && (fds[1].revents & closed_events) != 0) {
+            return io_status::watched_left;
+        }
+        if (clock.now() >= deadline) {
+            return io_status::timed_out;
+        }
+    }
+}
+
+io_status receive_some(int fd, char* out, std::size_t room, std::size_t& n) {
+    for (;;) {
+        const auto got = ::recv(fd, out, room, MSG_DONTWAIT);
+        n = got > 0 ? static_cast<std::size_t>(got) : 0;
+        if (got > 0) {
+            return io_status::ok;
+        }
+        if (got == 0) {
+            return io_status::ended;
+        }
+        if (errno == EAGAIN || errno == EWOULDBLOCK) {
+            return io_status::timed_out;
+        }
+        if (errno != EINTR) {
+            return io_status::failed;
+        }
+    }
+}
+
+io_status send_all(int fd, std::string_view bytes, milliseconds idle, const clock_source& clock,
+                   bool stop_on_input, std::size_t& sent) {
+    sent = 0;
+    auto deadline = clock.now() + idle;
+    while (sent < bytes.size()) {
+        const auto n =
+            ::send(fd, bytes.data() + sent, bytes.size() - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (n > 0) {
+            sent += static_cast<std::size_t>(n);
+            deadline = clock.now() + idle;
+            continue;
+        }
+        if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+            return io_status::failed;
+        }
+        const auto now = clock.now();
+        if (now >= deadline) {
+            return io_status::timed_out;
+        }
+        const short events = stop_on_input ? POLLOUT | POLLIN : POLLOUT;
+        pollfd it{fd, events, 0};
+        ::poll(&it, 1, poll_time(deadline, now));
+        if (stop_on_input && (it.revents & POLLIN) != 0) {
+            return io_status::interrupted;
+        }
+    }
+    return io_status::ok;
+}
+
+bool is_quiet(int fd) {
+    char byte = 0;
+    const auto n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool has_input(int fd) {
+    char byte = 0;
+    return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+} // namespace wigeonrill::traffic::detail
--- /dev/null
+++ b/wigeonrill/src/traffic/target_pool.cpp
@@ -0,0 +1,105 @@
+#include "wigeonrill/traffic.h"
+
+#include "wigeonrill/src/traffic/target_pool.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace wigeonrill::traffic::detail {
+
+namespace {
+
+/// A connection that was idle longer may have been dropped on the way without a sign.
+constexpr milliseconds longest_idle_time{5'000};
+
+/// The rest is closed: a burst must not pin its number of connections at a target.
+constexpr std::size_t most_idle_per_address = 64;
+
+} // namespace
+
+target_connection::~target_connection() {
+    ::close(fd_);
+}
+
+connection_ptr target_pool::take(const endpoint& address, milliseconds longest_idle) {
+    idle_list closing; // closed outside the lock
+    for (;;) {
+        connection_ptr candidate;
+        {
+            const std::lock_guard lock(mutex_);
+            collect_old(closing);
+            const auto it = idle_.find(address);
+            if (it == idle_.end() || it->second.empty() ||
+                clock_->now() - it->second.back()->last_used() > longest_idle) {
+                return nullptr;
+            }
+            candidate = std::move(it->second.back());
+            it->second.pop_back();
+        }
+        // Input on an idle connection is an end or an answer that nobody asked for.
+        if (is_quiet(candidate->fd())) {
+            return candidate;
+        }
+    }
+}
+
+void target_pool::put(const endpoint& address, connection_ptr connection) {
+    if (connection->reader().has_surplus() || !is_quiet(connection->fd())) {
+        return;
+    }
+    connection->mark_used(clock_->now());
+    idle_list closing;
+    const std::lock_guard lock(mutex_);
+    collect_old(closing);
+    auto& list = idle_[address];
+    if (list.size() < most_idle_per_address) {
+        list.push_back(std::move(connection));
+    }
+}
+
+void target_pool::forget(const endpoint& address) {
+    idle_list closing;
+    const std::lock_guard lock(mutex_);
+    const auto it = idle_.find(address);
+    if (it != idle_.end()) {
+        closing.swap(it->second);
+        idle_.erase(it);
+    }
+}
+
+void target_pool::collect_old(idle_list& old) {
+    const auto now = clock_->now();
+    if (now < next_sweep_) {
+        return;
+    }
+    next_sweep_ = now + seconds{1};
+    for (auto it = idle_.begin(); it != idle_.end();) {
+        auto& list = it->second;
+        // The list is ordered by last use because connections are added at its end.
+        std::size_t n = 0;
+        while (n < list.size() && now - list[n]->last_used() > longest_idle_time) {
+            old.push_back(std::move(list[n++]));
+        }
+        list.erase(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(n));
+        it = list.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+connection_ptr target_pool::connect(const endpoint& address, milliseconds limit) const {
+    try {
+        Poco::Net::StreamSocket socket;
+        socket.connect(Poco::Net::SocketAddress(address.ip, address.port),
+                       Poco::Timespan(std::chrono::microseconds(limit).count()));
+        socket.setNoDelay(true);
+        // The duplicate outlives the library's socket, which closes its own descriptor.
+        const int fd = ::fcntl(socket.impl()->sockfd(), F_DUPFD_CLOEXEC, 0);
+        return fd < 0 ? nullptr : std::make_unique<target_connection>(fd, *clock_);
+    } catch (const Poco::Exception&) {
+        return nullptr;
+    }
+}
+
+} // namespace wigeonrill::traffic::detail
--- a/wigeonrill/traffic.h
+++ b/wigeonrill/traffic.h
@@ -6,10 +6,18 @@
 
 #define WIGEONRILL_TRAFFIC_MODULE
 
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <unordered_set>
+
 #include "health.h"
 
 #include "src/traffic/refusal.h"
 // Needs refusal.h.
 #include "src/traffic/dispatcher.h"
+// Needs dispatcher.h.
+#include "src/traffic/server.h"
 
 #endif
