peers: add messages, gossip node, transports and the change service

Cause: nodes need membership, news and configuration from each other, and the daemon can only be wired once the interfaces exist.

Ruled out: Thrift structures in the interface (their headers are heavy and their fields carry no types of ours); one datagram per evidence report without adding up (a node over its budget would lose evidence); the sender's id in each datagram (the source address already tells it, 18 of about 100 bytes).

Change: messages.thrift with committed generated code; codec with HMAC; pure gossip_node with member_table, link_state, digest_builder, evidence_queue, fetch_scheduler and token_bucket; UDP transport; TCP service changes_since/status with bounded threads, connections, frames and times; peer_link as glue.

Conclusion: interfaces are ready to be wired into the daemon.

--- /dev/null
+++ b/test/peers/change_service_test.cpp
@@ -0,0 +1,127 @@
+#include "fake_fleet.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <atomic>
+#include <thread>
+
+using namespace wigeonrill;
+using namespace wigeonrill::peers;
+
+namespace {
+
+config::change_set sample(std::uint64_t since) {
+    config::change_set out;
+    out.base_version = since;
+    out.version = 8;
+    out.published = wall_time(milliseconds(1'700'000'000'123));
+    out.digest = "abc";
+    out.changed.push_back({"service/stock", 8, "def", std::string("{\0}", 3)});
+    out.removed = {"service/old"};
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(change_service) {
+    std::atomic<std::size_t> sent{0};
+    std::atomic<bool> admitted{true};
+
+    change_source source() {
+        return {[](std::uint64_t since) -> result<config::change_set> {
+                    if (since > 100) {
+                        return failed(error_kind::not_found, "no such version", "ask since 0");
+                    }
+                    return sample(since);
+                },
+                [] { return std::string("{}"); },
+                [this](const std::string&) { return admitted.load(); },
+                [this](std::size_t bytes) { sent += bytes; }};
+    }
+    std::unique_ptr<change_server> start(change_server_limits limits = {}) {
+        auto out = change_server::start({"127.0.0.1", 0}, source(), limits);
+        CHECK(out.has_value());
+        return std::move(*out);
+    }
+};
+
+// Guards against fields of a change set that are lost between our types and Thrift's.
+TEST(change_service, answers_with_the_changes) {
+    const auto server = start();
+    const auto changes = fetch_changes(server->local(), 5);
+    CHECK(changes.has_value());
+    CHECK(*changes == sample(5));
+    CHECK(fetch_status(server->local()).value_or("") == "{}");
+    UNSIGNED_LONGS_EQUAL(3, sent.load());
+}
+
+// Guards against a refusal that is taken for an empty change set.
+TEST(change_service, passes_on_a_refusal_with_its_remedy) {
+    const auto server = start();
+    const auto changes = fetch_changes(server->local(), 101);
+    CHECK_FALSE(changes.has_value());
+    CHECK(changes.error().message.find("no such version") != std::string::npos);
+    STRCMP_EQUAL("ask since 0", changes.error().remedy.c_str());
+}
+
+// Guards against strangers that read the configuration, and against a refused connection that
+// stops the server.
+TEST(change_service, serves_only_admitted_addresses) {
+    const auto server = start();
+    admitted = false;
+    CHECK_FALSE(fetch_changes(server->local(), 0).has_value());
+    admitted = true;
+    CHECK(fetch_changes(server->local(), 0).has_value());
+}
+
+// Guards against connections that hold the server's threads for good: silent and hostile clients
+// are closed, and a later call is served.
+TEST(change_service, outlives_silent_and_hostile_clients) {
+    const auto server = start({1, 4, milliseconds{50}, 4'096});
+    const Poco::Net::SocketAddress address(server->local().ip, server->local().port);
+    Poco::Net::StreamSocket silent(address);
+    Poco::Net::StreamSocket oversized(address);
+    oversized.sendBytes("\x7f\xff\xff\xff", 4);
+    Poco::Net::StreamSocket garbage(address);
+    garbage.sendBytes("\0\0\0\x04junk", 8);
+    CHECK(fetch_changes(server->local(), 0).has_value());
+}
+
+// Guards against a peer that sends a byte now and then and holds the caller for good, and against
+// an answer above the limit.
+TEST(change_service, bounds_time_and_size_of_an_answer) {
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    std::thread slow([&] {
+        try {
+            auto peer = listener.acceptConnection();
+            const char byte = 1; // the frame's length becomes 0x01010101
+            while (peer.sendBytes(&byte, 1) == 1) {
+                peer.poll(Poco::Timespan(5'000), Poco::Net::Socket::SELECT_ERROR);
+            }
+        } catch (const Poco::Exception&) {
+        }
+    });
+    change_client_limits limits;
+    limits.total = milliseconds{100};
+    const endpoint peer{"127.0.0.1", listener.address().port()};
+    const auto late = fetch_changes(peer, 0, limits);
+    slow.join();
+    CHECK_FALSE(late.has_value());
+    CHECK(late.error().kind == error_kind::timed_out);
+    const auto server = start();
+    limits.total = seconds{10};
+    limits.answer_bytes = 20;
+    const auto large = fetch_changes(server->local(), 0, limits);
+    CHECK_FALSE(large.has_value());
+    listener.close();
+    CHECK(fetch_changes(peer, 0).error().kind == error_kind::unavailable);
+}
+
+// Guards against a start that seems to succeed on a taken port.
+TEST(change_service, names_an_address_that_can_not_be_bound) {
+    const auto server = start();
+    const auto again = change_server::start(server->local(), source());
+    CHECK_FALSE(again.has_value());
+    CHECK(again.error().message.find(to_string(server->local())) != std::string::npos);
+}
--- /dev/null
+++ b/test/peers/codec_test.cpp
@@ -0,0 +1,205 @@
+#include "fake_fleet.h"
+
+#include "messages_types.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+using namespace wigeonrill;
+using namespace wigeonrill::peers;
+
+namespace {
+
+const node_id alice("10.0.0.1:7400");
+const node_id bob("10.0.0.2:7400");
+
+} // namespace
+
+TEST_GROUP(codec) {
+    manual_clock_source clock;
+    codec plain{clock, ""};
+    codec secured{clock, "a shared secret"};
+
+    void setup() override {
+        clock.set_wall(wall_time(seconds(1'700'000'000)));
+    }
+
+    message full() const {
+        message out;
+        out.kind = message_kind::gossip_reply;
+        out.process = {1'699'999'999'000, 77};
+        out.epoch = 3;
+        out.leaving = true;
+        out.config_version = 1'234;
+        out.sequence = 9;
+        out.echo = 8;
+        out.domain = domain_name("rack-1");
+        out.config_digest = 0xfedcba9876543210U;
+        out.confirmed = milliseconds{1'500};
+        out.members.push_back(
+            {bob, domain_name("rack-2"), {1'699'999'998'000, 5}, 2, member_state::suspect});
+        out.verdicts.push_back(make_verdict(alice, "stock-1", 40, clock.now() + seconds(25)));
+        out.marks.push_back({0xffffffffffffffffU, target_id("stock-2"), clock.wall_now()});
+        auto evidence = make_evidence("stock-3", 12);
+        evidence.reporter = alice;
+        out.evidence.push_back(evidence);
+        return out;
+    }
+    drop_reason reason(const codec& receiver, const std::string& bytes) const {
+        const auto out = receiver.decode(bytes, alice, bob);
+        CHECK_FALSE(out.has_value());
+        return out ? drop_reason::duplicate : out.error();
+    }
+    // Encodes a Thrift message that the codec itself would not produce.
+    static std::string raw(const wire::Message& content) {
+        using apache::thrift::protocol::TCompactProtocolT;
+        using apache::thrift::transport::TMemoryBuffer;
+        const auto buffer = std::make_shared<TMemoryBuffer>();
+        TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+        content.write(&protocol);
+        return std::string(1, '\0') + buffer->getBufferAsString();
+    }
+    static wire::Message minimal() {
+        wire::Message out;
+        out.protocol = protocol_number;
+        out.started_ms = 1'699'999'999'000;
+        out.sequence = 1;
+        return out;
+    }
+};
+
+// Guards against fields that are lost or mixed up between our types and Thrift's.
+TEST(codec, returns_what_was_encoded) {
+    for (const auto* it : {&plain, &secured}) {
+        const auto bytes = it->encode(full(), alice, bob);
+        CHECK(bytes.has_value());
+        const auto decoded = it->decode(*bytes, alice, bob);
+        CHECK(decoded.has_value());
+        CHECK(full() == *decoded);
+    }
+}
+
+// Guards against expiry by the sender's clock: a receiver whose clock differs must keep a verdict
+// for the remaining time, not for the difference of the clocks.
+TEST(codec, sends_expiry_as_remaining_time) {
+    const auto bytes = plain.encode(full(), alice, bob);
+    manual_clock_source other;
+    other.advance(seconds(5'000));
+    other.set_wall(wall_time(seconds(1'700'000'900)));
+    const auto decoded = codec(other, "").decode(*bytes, alice, bob);
+    CHECK(decoded.has_value());
+    CHECK(decoded->verdicts.at(0).expires == other.now() + seconds(25));
+    CHECK(decoded->marks.at(0).observed == other.wall_now());
+}
+
+// Guards against injected verdicts: a datagram without the secret, with a changed byte, or copied
+// to or from another address must not pass.
+TEST(codec, drops_unauthentic_datagrams) {
+    const auto bytes = *secured.encode(full(), alice, bob);
+    CHECK(reason(secured, *plain.encode(full(), alice, bob)) == drop_reason::unauthentic);
+    CHECK(reason(plain, bytes) == drop_reason::unauthentic);
+    CHECK(reason(codec(clock, "another secret"), bytes) == drop_reason::unauthentic);
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        auto changed = bytes;
+        changed[i] = static_cast<char>(changed[i] ^ 1);
+        CHECK(reason(secured, changed) == drop_reason::unauthentic);
+    }
+    CHECK_FALSE(secured.decode(bytes, bob, bob).has_value());
+    CHECK_FALSE(secured.decode(bytes, alice, alice).has_value());
+}
+
+// Guards against a wrong HMAC: both sides would agree with each other but not with RFC 2104.
+TEST(codec, authenticates_with_hmac_sha256) {
+    message content;
+    content.process = {1, 1};
+    content.sequence = 1;
+    const auto bytes = *secured.encode(content, alice, bob);
+    // Made with Python's hmac module.
+    static constexpr std::array<unsigned char, 16> expected{0xae, 0xfd, 0x25, 0x41, 0xd6, 0x89,
+                                                            0x25, 0x6e, 0xb4, 0x6c, 0x24, 0x1b,
+                                                            0x6a, 0x01, 0x0e, 0x49};
+    for (std::size_t i = 0; i < expected.size(); ++i) {
+        BYTES_EQUAL(expected.at(i), static_cast<unsigned char>(bytes[bytes.size() - 16 + i]));
+    }
+}
+
+// Guards against crashes and wrong acceptance: every truncated datagram and many random ones are
+// dropped or decoded to bounded values.
+TEST(codec, survives_truncated_and_random_datagrams) {
+    const auto bytes = *plain.encode(full(), alice, bob);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        CHECK(reason(plain, bytes.substr(0, n)) == drop_reason::malformed);
+    }
+    CHECK(reason(plain, bytes + "x") == drop_reason::malformed);
+    CHECK(reason(plain, std::string(max_datagram_bytes + 1, '\0')) == drop_reason::oversized);
+    seeded_random_source random(4);
+    for (int i = 0; i < 20'000; ++i) {
+        auto changed = bytes;
+        for (int k = 0; k < 3; ++k) {
+            changed[1 + random.below(changed.size() - 1)] = static_cast<char>(random.next());
+        }
+        if (const auto out = plain.decode(changed, alice, bob)) {
+            CHECK(out->epoch < 1U << 30U);
+            CHECK(out->members.size() <= 256);
+        }
+    }
+}
+
+// Guards against a peer that poisons a node's identity: a process far in the future or a huge epoch
+// would make every later message of that node look old.
+TEST(codec, drops_processes_of_the_future_and_huge_epochs) {
+    auto content = full();
+    content.process.started_ms += 7'200'000;
+    CHECK(reason(plain, *plain.encode(content, alice, bob)) == drop_reason::malformed);
+    content = full();
+    content.epoch = 1U << 30U;
+    CHECK(reason(plain, *plain.encode(content, alice, bob)) == drop_reason::malformed);
+    content = full();
+    content.members.at(0).process.started_ms += 7'200'000;
+    const auto decoded = plain.decode(*plain.encode(content, alice, bob), alice, bob);
+    CHECK(decoded.has_value());
+    CHECK(decoded->members.empty());
+}
+
+// Guards against a fleet of two versions that can't talk: unknown fields and unknown values of
+// enumerations must not cost the rest of the message, another protocol number must.
+TEST(codec, tolerates_newer_builds) {
+    auto bytes = raw(minimal());
+    CHECK(plain.decode(bytes, alice, bob).has_value());
+    // Field 17, a string, before the stop byte: 0x18 is "field number + 1, binary".
+    bytes.insert(bytes.size() - 1, std::string("\x08\x22\x03new", 6));
+    CHECK(plain.decode(bytes, alice, bob).has_value());
+    auto content = minimal();
+    wire::Member unknown;
+    unknown.id = bob.value;
+    unknown.started_ms = 1;
+    unknown.state = 99;
+    wire::Member known = unknown;
+    known.state = 0;
+    content.__set_members({unknown, known});
+    UNSIGNED_LONGS_EQUAL(1, plain.decode(raw(content), alice, bob)->members.size());
+    content.protocol = protocol_number + 1;
+    CHECK(reason(plain, raw(content)) == drop_reason::wrong_protocol);
+}
+
+// Guards against a digest that fills a datagram by the bounds and then doesn't fit.
+TEST(codec, size_bounds_hold) {
+    auto content = full();
+    content.config_version = content.sequence = content.echo = INT64_MAX;
+    content.config_digest = UINT64_MAX;
+    content.epoch = (1U << 30U) - 1;
+    content.members.at(0).epoch = content.epoch;
+    content.members.at(0).process.nonce = INT32_MAX;
+    content.verdicts.at(0).sequence = INT64_MAX;
+    content.verdicts.at(0).severity = -1e9;
+    content.evidence.at(0).sequence = INT64_MAX;
+    content.evidence.at(0).llr_sum = -1e9;
+    content.evidence.at(0).answers = INT32_MAX;
+    content.marks.at(0).observed = wall_time{};
+    const auto bound = header_size_bound + content.domain.value.size() +
+                       size_bound(content.members.at(0)) + size_bound(content.verdicts.at(0)) +
+                       size_bound(content.marks.at(0)) + size_bound(content.evidence.at(0));
+    CHECK(secured.encode(content, alice, bob)->size() <= bound);
+    content.members.resize(100, content.members.at(0));
+    CHECK_FALSE(plain.encode(content, alice, bob).has_value());
+}
--- /dev/null
+++ b/test/peers/fake_fleet.h
@@ -0,0 +1,258 @@
+#ifndef WIGEONRILL_TEST_PEERS_FAKE_FLEET_H
+#define WIGEONRILL_TEST_PEERS_FAKE_FLEET_H
+
+#include "wigeonrill/peers.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace wigeonrill::peers {
+
+/// \brief In-memory network that can lose, delay, duplicate and reorder datagrams and cut links.
+class fake_network {
+public:
+    explicit fake_network(manual_clock_source& clock) : clock_(clock) {}
+
+    class port final : public transport {
+    public:
+        port(fake_network& network, endpoint address)
+            : network_(network), address_(std::move(address)) {}
+        bool send(const endpoint& to, std::string_view bytes) override {
+            network_.accept(address_, to, std::string(bytes));
+            return true;
+        }
+        std::optional<datagram> receive(milliseconds /*wait*/) override {
+            return network_.pop(address_);
+        }
+
+    private:
+        fake_network& network_;
+        endpoint address_;
+    };
+
+    double loss{0};
+    double duplication{0};
+    milliseconds min_delay{1};
+    milliseconds max_delay{1};                   // above min_delay: datagrams are reordered
+    std::set<std::pair<endpoint, endpoint>> cut; // (from, to): this direction is broken
+    std::function<void(const datagram&)> on_send{};
+
+    void cut_both(const endpoint& a, const endpoint& b) {
+        cut.emplace(a, b);
+        cut.emplace(b, a);
+    }
+    void accept(const endpoint& from, const endpoint& to, const std::string& bytes) {
+        if (on_send) {
+            on_send({from, bytes});
+        }
+        if (cut.contains({from, to}) || random_.uniform() < loss) {
+            return;
+        }
+        const int copies = random_.uniform() < duplication ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            const auto spread = static_cast<std::uint64_t>((max_delay - min_delay).count());
+            const milliseconds delay =
+                min_delay + milliseconds(spread == 0 ? 0 : random_.below(spread));
+            queues_[to].emplace(clock_.now() + delay, datagram{from, bytes});
+        }
+    }
+
+private:
+    std::optional<datagram> pop(const endpoint& at) {
+        auto& queue = queues_[at];
+        if (queue.empty() || queue.begin()->first > clock_.now()) {
+            return std::nullopt;
+        }
+        auto out = queue.begin()->second;
+        queue.erase(queue.begin());
+        return out;
+    }
+
+    manual_clock_source& clock_;
+    seeded_random_source random_{17};
+    std::map<endpoint, std::multimap<instant, datagram>> queues_;
+};
+
+/// \brief One node of the fake fleet.
+struct fake_node {
+    fake_node(fake_network& network, gossip_settings settings, const clock_source& clock,
+              const std::string& secret)
+        : random(stable_hash(to_string(settings.address), settings.process.nonce)),
+          address(settings.address), port(network, settings.address),
+          node(std::move(settings), clock, random), link(node, port, clock, secret) {}
+
+    seeded_random_source random;
+    endpoint address;
+    fake_network::port port;
+    gossip_node node;
+    peer_link link;
+    bool running{true};
+    std::vector<health::verdict> verdicts;
+    std::vector<once::crash_mark> marks;
+    std::vector<health::evidence_report> evidence;
+    std::uint64_t version{0};
+    std::uint64_t fetches{0};
+    std::optional<std::pair<fetch_request, instant>> fetch; // request with the time of its answer
+};
+
+/// \brief Nodes on a fake network with one manual clock.
+struct fake_fleet {
+    manual_clock_source clock;
+    fake_network network{clock};
+    std::string secret{};
+    std::vector<std::unique_ptr<fake_node>> nodes;
+    std::map<std::uint64_t, std::uint64_t> served; // fetches per (node index)
+    int step{0};
+
+    explicit fake_fleet(std::size_t count) {
+        clock.set_wall(wall_time(seconds(1'700'000'000)));
+        for (std::size_t i = 0; i < count; ++i) {
+            nodes.push_back(make(i, 1));
+        }
+    }
+
+    static endpoint address(std::size_t i) {
+        return {"10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1), 7'400};
+    }
+    static node_id id(std::size_t i) { return node_id(to_string(address(i))); }
+
+    gossip_settings settings(std::size_t i, std::uint32_t nonce) const {
+        gossip_settings out;
+        out.address = address(i);
+        out.domain = domain_name("d" + std::to_string(i % 4));
+        const auto started = clock.wall_now().time_since_epoch();
+        out.process = {
+            static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(started).count()),
+            nonce};
+        out.seeds = {address(0), address(1)};
+        return out;
+    }
+    std::unique_ptr<fake_node> make(std::size_t i, std::uint32_t nonce) {
+        return std::make_unique<fake_node>(network, settings(i, nonce), clock, secret);
+    }
+    gossip_node& at(std::size_t i) { return nodes.at(i)->node; }
+
+    std::vector<config::vm_record> list() const {
+        std::vector<config::vm_record> out;
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            out.push_back({address(i), domain_name("d" + std::to_string(i % 4)),
+                           config::vm_role::node, config::vm_state::live});
+        }
+        return out;
+    }
+    void list_all() {
+        for (auto& it : nodes) {
+            it->node.set_vms(list());
+        }
+    }
+
+    void run(milliseconds span) {
+        constexpr milliseconds resolution{10};
+        for (milliseconds done{0}; done < span; done += resolution, ++step) {
+            clock.advance(resolution);
+            for (std::size_t i = 0; i < nodes.size(); ++i) {
+                if (nodes[i]->running) {
+                    run_node(*nodes[i], step % 25 == static_cast<int>(i % 25));
+                }
+            }
+        }
+    }
+    member_state state(std::size_t viewer, std::size_t subject) {
+        for (const auto& it : at(viewer).status()) {
+            if (it.id == id(subject)) {
+                return it.state;
+            }
+        }
+        FAIL("the subject is not a member");
+        return member_state::dead;
+    }
+    bool is_member(std::size_t viewer, std::size_t subject) {
+        const auto all = at(viewer).status();
+        return std::any_of(all.begin(), all.end(),
+                           [&](const auto& it) { return it.id == id(subject); });
+    }
+    /// Number of running viewers other than the subject that hold it in a state.
+    std::size_t viewers(std::size_t subject, member_state wanted) {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            count += i != subject && nodes[i]->running && state(i, subject) == wanted ? 1 : 0;
+        }
+        return count;
+    }
+
+private:
+    void run_node(fake_node& it, bool tick_due) {
+        it.link.receive(milliseconds{0});
+        if (tick_due) {
+            it.link.tick();
+        }
+        auto received = it.node.take_inbox();
+        it.verdicts.insert(it.verdicts.end(), received.verdicts.begin(), received.verdicts.end());
+        it.marks.insert(it.marks.end(), received.marks.begin(), received.marks.end());
+        it.evidence.insert(it.evidence.end(), received.evidence.begin(), received.evidence.end());
+        run_fetch(it);
+    }
+    // A request is answered after 20 ms, unless its peer is stopped or a direction is cut.
+    void run_fetch(fake_node& it) {
+        if (!it.fetch) {
+            if (const auto request = it.node.take_fetch()) {
+                it.fetch = {*request, clock.now() + milliseconds{20}};
+                ++it.fetches;
+            }
+            return;
+        }
+        if (clock.now() < it.fetch->second) {
+            return;
+        }
+        const auto from = it.fetch->first.from;
+        it.fetch.reset();
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            if (id(i) == from) {
+                answer_fetch(it, *nodes[i], i);
+            }
+        }
+    }
+    void answer_fetch(fake_node& it, const fake_node& peer, std::size_t index) {
+        const bool open = !network.cut.contains({it.address, peer.address}) &&
+                          !network.cut.contains({peer.address, it.address});
+        if (peer.running && open) {
+            ++served[index];
+            if (peer.version > it.version) {
+                set_version(it, peer.version);
+            }
+        }
+        it.node.fetch_finished(node_id(to_string(peer.address)), peer.running && open);
+    }
+
+public:
+    static void set_version(fake_node& it, std::uint64_t version) {
+        it.version = version;
+        it.node.set_config(version, "digest-" + std::to_string(version));
+    }
+};
+
+/// \brief A verdict for tests.
+inline health::verdict make_verdict(const node_id& judge, const std::string& target,
+                                    std::uint64_t sequence, instant expires) {
+    return {service_name("stock"),
+            target_id(target),
+            health::target_state::sick,
+            21.5,
+            judge,
+            sequence,
+            expires};
+}
+
+/// \brief An evidence report for tests.
+inline health::evidence_report make_evidence(const std::string& target, std::uint64_t sequence) {
+    health::evidence_report out;
+    out.service = service_name("stock");
+    out.target = target_id(target);
+    out.llr_sum = 1.5;
+    out.answers = 3;
+    out.sequence = sequence;
+    return out;
+}
+
+} // namespace wigeonrill::peers
+
+#endif
--- /dev/null
+++ b/test/peers/udp_transport_test.cpp
@@ -0,0 +1,64 @@
+#include "fake_fleet.h"
+
+using namespace wigeonrill;
+using namespace wigeonrill::peers;
+
+TEST_GROUP(udp_transport){
+    static std::unique_ptr<udp_transport> open(){auto out = udp_transport::open({"127.0.0.1", 0});
+CHECK(out.has_value());
+return std::move(*out);
+}
+}
+;
+
+// Guards against a socket that loses the source address, cuts content, or blocks without traffic.
+TEST(udp_transport, carries_datagrams) {
+    const auto a = open();
+    const auto b = open();
+    CHECK_FALSE(a->receive(milliseconds{0}).has_value());
+    CHECK(a->send(b->local(), "hello"));
+    const auto received = b->receive(seconds{5});
+    CHECK(received.has_value());
+    CHECK(received->from == a->local());
+    STRCMP_EQUAL("hello", received->bytes.c_str());
+}
+
+// Guards against an oversized datagram that is cut to a valid length and then decoded.
+TEST(udp_transport, shows_that_a_datagram_is_too_long) {
+    const auto a = open();
+    const auto b = open();
+    CHECK(a->send(b->local(), std::string(5'000, 'x')));
+    const auto received = b->receive(seconds{5});
+    CHECK(received.has_value());
+    CHECK(received->bytes.size() > max_datagram_bytes);
+}
+
+// Guards against an exception or a silent success when the port is taken.
+TEST(udp_transport, names_an_address_that_can_not_be_bound) {
+    const auto a = open();
+    const auto again = udp_transport::open(a->local());
+    CHECK_FALSE(again.has_value());
+    CHECK(again.error().message.find(to_string(a->local())) != std::string::npos);
+}
+
+// Guards against parts that work alone but not together: two nodes exchange news over sockets.
+TEST(udp_transport, connects_two_nodes) {
+    manual_clock_source clock;
+    clock.set_wall(wall_time(seconds(1'700'000'000)));
+    seeded_random_source random(1);
+    const auto a = open();
+    const auto b = open();
+    gossip_node first({a->local(), domain_name("d1"), {1'000, 1}, {b->local()}}, clock, random);
+    gossip_node second({b->local(), domain_name("d2"), {1'000, 2}, {a->local()}}, clock, random);
+    peer_link first_link(first, *a, clock, "secret");
+    peer_link second_link(second, *b, clock, "secret");
+    first.announce(make_verdict(first.id(), "stock-1", 1, clock.now() + seconds(30)), {});
+    clock.advance(milliseconds{500});
+    first_link.tick();
+    second_link.receive(seconds{5});
+    first_link.receive(seconds{5});
+    UNSIGNED_LONGS_EQUAL(1, second.take_inbox().verdicts.size());
+    CHECK(first.status().at(0).domain == domain_name("d2"));
+    CHECK(first.status().at(0).silence.has_value());
+    CHECK(first.counters().bytes_sent == second.counters().bytes_received);
+}
--- /dev/null
+++ b/wigeonrill/src/peers/change_client.cpp
@@ -0,0 +1,122 @@
+#include "wigeonrill/peers.h"
+
+#include "PeerService.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+namespace wigeonrill::peers {
+
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TFramedTransport;
+using apache::thrift::transport::TSocket;
+using apache::thrift::transport::TTransportException;
+
+// TSocket's timeout restarts with every read, so a peer that sends a byte now and then would hold
+// the caller for good. This socket bounds the whole call.
+class deadline_socket : public TSocket {
+public:
+    deadline_socket(const endpoint& peer, const change_client_limits& limits)
+        : TSocket(peer.ip, peer.port), deadline_(std::chrono::steady_clock::now() + limits.total) {
+        setConnTimeout(static_cast<int>(limits.connect_timeout.count()));
+        setSendTimeout(static_cast<int>(limits.total.count()));
+    }
+
+    std::uint32_t read(std::uint8_t* buf, std::uint32_t len) override {
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(deadline_ - std::chrono::steady_clock::now());
+        if (left.count() <= 0) {
+            throw TTransportException(TTransportException::TIMED_OUT, "the call took too long");
+        }
+        setRecvTimeout(static_cast<int>(left.count()));
+        return TSocket::read(buf, len);
+    }
+
+private:
+    std::chrono::steady_clock::time_point deadline_;
+};
+
+template <typename Call>
+auto call_peer(const endpoint& peer, const change_client_limits& limits, const Call& call)
+    -> result<decltype(call(std::declval<wire::PeerServiceClient&>()))> {
+    detail::silence_thrift();
+    const auto place = "peers: " + to_string(peer);
+    try {
+        const auto most = static_cast<int>(limits.answer_bytes);
+        const auto bounds = std::make_shared<TConfiguration>(most, most);
+        const auto socket = std::make_shared<deadline_socket>(peer, limits);
+        const auto framed = std::make_shared<TFramedTransport>(socket, bounds);
+        wire::PeerServiceClient client(std::make_shared<TCompactProtocol>(framed));
+        framed->open();
+        auto answer = call(client);
+        framed->close();
+        return answer;
+    } catch (const wire::Refusal& refusal) {
+        return failed(error_kind::unavailable, place + " refused: " + refusal.message,
+                      refusal.remedy);
+    } catch (const TTransportException& ex) {
+        const bool late = ex.getType() == TTransportException::TIMED_OUT;
+        return failed(late ? error_kind::timed_out : error_kind::unavailable,
+                      place + " did not answer: " + ex.what(), "ask another peer");
+    } catch (const std::exception& ex) {
+        return failed(error_kind::invalid_input, place + " sent an invalid answer: " + ex.what(),
+                      "ask another peer");
+    }
+}
+
+config::change_set from_wire(wire::ChangeSet&& in) {
+    config::change_set out;
+    out.format = static_cast<std::uint64_t>(in.format);
+    out.base_version = static_cast<std::uint64_t>(in.base_version);
+    out.version = static_cast<std::uint64_t>(in.version);
+    out.published = wall_time(milliseconds(in.published_ms));
+    out.digest = std::move(in.digest);
+    out.changed.reserve(in.changed.size());
+    for (auto& it : in.changed) {
+        out.changed.push_back({std::move(it.name), static_cast<std::uint64_t>(it.version),
+                               std::move(it.digest), std::move(it.content)});
+    }
+    out.removed = std::move(in.removed);
+    return out;
+}
+
+bool valid(const wire::ChangeSet& in) {
+    // About 292 years, the range of the wall clock's type.
+    constexpr std::int64_t latest = std::int64_t{9'000'000'000'000};
+    return in.format >= 0 && in.base_version >= 0 && in.version >= 0 && in.published_ms >= 0 &&
+           in.published_ms < latest;
+}
+
+} // namespace
+
+result<config::change_set> fetch_changes(const endpoint& peer, std::uint64_t since,
+                                         change_client_limits limits) {
+    auto answer = call_peer(peer, limits, [since](wire::PeerServiceClient& client) {
+        wire::ChangeSet changes;
+        client.changes_since(changes, static_cast<std::int64_t>(since), protocol_number);
+        return changes;
+    });
+    if (!answer) {
+        return tl::unexpected<error>(answer.error());
+    }
+    if (!valid(*answer)) {
+        return failed(error_kind::invalid_input,
+                      "peers: " + to_string(peer) + " sent a change set with negative numbers",
+                      "ask another peer");
+    }
+    return from_wire(std::move(*answer));
+}
+
+result<std::string> fetch_status(const endpoint& peer, change_client_limits limits) {
+    return call_peer(peer, limits, [](wire::PeerServiceClient& client) {
+        wire::Status status;
+        client.status(status, protocol_number);
+        return status.json;
+    });
+}
+
+} // namespace wigeonrill::peers
--- /dev/null
+++ b/wigeonrill/src/peers/codec.cpp
@@ -0,0 +1,349 @@
+#include "wigeonrill/peers.h"
+
+#include "messages_types.h"
+
+#include <Poco/HMACEngine.h>
+#include <Poco/SHA2Engine.h>
+#include <cmath>
+#include <limits>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace wigeonrill::peers {
+
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::transport::TMemoryBuffer;
+using compact_protocol = apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
+
+constexpr char plain_frame = 0;
+constexpr char authenticated_frame = 1;
+constexpr std::size_t code_bytes = 16;
+constexpr std::size_t max_name_bytes = 255;
+// More items than the shortest items that fit one datagram.
+constexpr std::int32_t max_items = 256;
+
+// Poco's SHA2Engine lacks the two constants that HMACEngine reads from its engine.
+class sha256_engine : public Poco::SHA2Engine {
+public:
+    enum { BLOCK_SIZE = 64, DIGEST_SIZE = 32 }; // NOLINT(readability-identifier-naming)
+};
+
+std::int32_t to_milli(double value) {
+    constexpr double limit = std::numeric_limits<std::int32_t>::max();
+    return static_cast<std::int32_t>(std::lround(std::clamp(value * 1000, -limit, limit)));
+}
+
+template <typename Duration>
+std::int32_t to_milliseconds(Duration span) {
+    const auto count = std::chrono::duration_cast<milliseconds>(span).count();
+    return static_cast<std::int32_t>(
+        std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::int32_t>::max()));
+}
+
+// Bounds against a faulty peer that would make all later processes or epochs of a node look old.
+constexpr std::int32_t max_epoch = 1 << 30;
+constexpr std::chrono::hours max_clock_error{1};
+
+bool valid_process(std::int64_t started_ms, std::int32_t nonce, std::int32_t epoch,
+                   wall_time wall_now) {
+    const auto latest = wall_now + max_clock_error;
+    return started_ms >= 0 && nonce >= 0 && epoch >= 0 && epoch < max_epoch &&
+           started_ms <=
+               std::chrono::duration_cast<milliseconds>(latest.time_since_epoch()).count();
+}
+
+bool valid_name(const std::string& name) {
+    return !name.empty() && name.size() <= max_name_bytes;
+}
+
+wire::Member to_wire(const member_record& item) {
+    wire::Member out;
+    out.id = item.id.value;
+    out.domain = item.domain.value;
+    out.started_ms = static_cast<std::int64_t>(item.process.started_ms);
+    out.nonce = static_cast<std::int32_t>(item.process.nonce);
+    out.epoch = static_cast<std::int32_t>(item.epoch);
+    out.state = static_cast<std::int8_t>(item.state);
+    return out;
+}
+
+wire::Verdict to_wire(const health::verdict& item, instant now) {
+    wire::Verdict out;
+    out.service_name = item.service.value;
+    out.target_name = item.target.value;
+    out.state = static_cast<std::int8_t>(item.state);
+    out.severity_milli = to_milli(item.severity);
+    out.judge = item.judge.value;
+    out.sequence = static_cast<std::int64_t>(item.sequence);
+    out.remaining_ms = to_milliseconds(item.expires - now);
+    return out;
+}
+
+wire::CrashMark to_wire(const once::crash_mark& item, wall_time now) {
+    wire::CrashMark out;
+    out.fingerprint = static_cast<std::int64_t>(item.fingerprint);
+    out.target_name = item.target.value;
+    out.age_ms = to_milliseconds(now - item.observed);
+    return out;
+}
+
+wire::Evidence to_wire(const health::evidence_report& item) {
+    wire::Evidence out;
+    out.service_name = item.service.value;
+    out.target_name = item.target.value;
+    out.llr_milli = to_milli(item.llr_sum);
+    out.answers = static_cast<std::int32_t>(item.answers);
+    out.sequence = static_cast<std::int64_t>(item.sequence);
+    return out;
+}
+
+void fill_header(wire::Message& out, const message& content) {
+    out.protocol = protocol_number;
+    out.kind = static_cast<std::int8_t>(content.kind);
+    out.started_ms = static_cast<std::int64_t>(content.process.started_ms);
+    out.nonce = static_cast<std::int32_t>(content.process.nonce);
+    out.epoch = static_cast<std::int32_t>(content.epoch);
+    out.config_version = static_cast<std::int64_t>(content.config_version);
+    out.sequence = static_cast<std::int64_t>(content.sequence);
+    out.echo = static_cast<std::int64_t>(content.echo);
+    if (content.leaving) {
+        out.__set_leaving(true);
+    }
+    if (!content.domain.value.empty()) {
+        out.__set_domain(content.domain.value);
+    }
+    if (content.config_digest != 0) {
+        out.__set_config_digest(static_cast<std::int64_t>(content.config_digest));
+    }
+    if (content.confirmed) {
+        out.__set_confirmed_age_ms(content.confirmed->count());
+    }
+}
+
+template <typename Items, typename WireItems, typename Convert>
+bool append(const Items& items, WireItems& out, const Convert& convert) {
+    for (const auto& it : items) {
+        out.push_back(convert(it));
+    }
+    return !out.empty();
+}
+
+wire::Message to_wire(const message& content, instant now, wall_time wall_now) {
+    wire::Message out;
+    fill_header(out, content);
+    out.__isset.members =
+        append(content.members, out.members, [](const auto& it) { return to_wire(it); });
+    out.__isset.verdicts =
+        append(content.verdicts, out.verdicts, [&](const auto& it) { return to_wire(it, now); });
+    out.__isset.crash_marks = append(content.marks, out.crash_marks,
+                                     [&](const auto& it) { return to_wire(it, wall_now); });
+    out.__isset.evidence =
+        append(content.evidence, out.evidence, [](const auto& it) { return to_wire(it); });
+    return out;
+}
+
+std::optional<member_record> from_wire(const wire::Member& item, wall_time wall_now) {
+    const bool known_state = item.state >= 0 &&
+                             item.state <= static_cast<int>(member_state::dead) &&
+                             item.state != static_cast<int>(member_state::one_way);
+    if (!valid_name(item.id) || item.domain.size() > max_name_bytes || !known_state ||
+        !valid_process(item.started_ms, item.nonce, item.epoch, wall_now)) {
+        return std::nullopt;
+    }
+    return member_record{node_id(item.id), domain_name(item.domain),
+                         incarnation{static_cast<std::uint64_t>(item.started_ms),
+                                     static_cast<std::uint32_t>(item.nonce)},
+                         static_cast<std::uint32_t>(item.epoch),
+                         static_cast<member_state>(item.state)};
+}
+
+std::optional<health::verdict> from_wire(const wire::Verdict& item, instant now) {
+    const bool known_state =
+        item.state >= 0 && item.state <= static_cast<int>(health::target_state::leaving);
+    if (!valid_name(item.target_name) || !valid_name(item.service_name) ||
+        !valid_name(item.judge) || !known_state || item.remaining_ms <= 0 || item.sequence < 0) {
+        return std::nullopt;
+    }
+    health::verdict out;
+    out.service = service_name(item.service_name);
+    out.target = target_id(item.target_name);
+    out.state = static_cast<health::target_state>(item.state);
+    out.severity = item.severity_milli / 1000.0;
+    out.judge = node_id(item.judge);
+    out.sequence = static_cast<std::uint64_t>(item.sequence);
+    out.expires = now + milliseconds(item.remaining_ms);
+    return out;
+}
+
+std::optional<once::crash_mark> from_wire(const wire::CrashMark& item, wall_time now) {
+    if (!valid_name(item.target_name) || item.age_ms < 0) {
+        return std::nullopt;
+    }
+    return once::crash_mark{static_cast<std::uint64_t>(item.fingerprint),
+                            target_id(item.target_name), now - milliseconds(item.age_ms)};
+}
+
+std::optional<health::evidence_report> from_wire(const wire::Evidence& item, const node_id& from) {
+    if (!valid_name(item.target_name) || !valid_name(item.service_name) || item.answers < 0 ||
+        item.sequence < 0) {
+        return std::nullopt;
+    }
+    health::evidence_report out;
+    out.reporter = from;
+    out.service = service_name(item.service_name);
+    out.target = target_id(item.target_name);
+    out.llr_sum = item.llr_milli / 1000.0;
+    out.answers = static_cast<std::uint32_t>(item.answers);
+    out.sequence = static_cast<std::uint64_t>(item.sequence);
+    return out;
+}
+
+// Items with values that this build doesn't know are left out; the rest of the message counts.
+template <typename WireItems, typename Items, typename Convert>
+void collect(const WireItems& items, Items& out, const Convert& convert) {
+    for (const auto& it : items) {
+        if (auto item = convert(it)) {
+            out.push_back(std::move(*item));
+        }
+    }
+}
+
+bool valid_header(const wire::Message& in, wall_time wall_now) {
+    return in.kind >= 0 && in.kind <= static_cast<int>(message_kind::verdict) &&
+           in.started_ms > 0 && valid_process(in.started_ms, in.nonce, in.epoch, wall_now) &&
+           in.config_version >= 0 && in.sequence > 0 && in.echo >= 0 &&
+           in.domain.size() <= max_name_bytes && in.confirmed_age_ms >= 0;
+}
+
+message from_wire(const wire::Message& in, const node_id& from, instant now, wall_time wall_now) {
+    message out;
+    out.kind = static_cast<message_kind>(in.kind);
+    out.process = {static_cast<std::uint64_t>(in.started_ms), static_cast<std::uint32_t>(in.nonce)};
+    out.epoch = static_cast<std::uint32_t>(in.epoch);
+    out.leaving = in.__isset.leaving && in.leaving;
+    out.config_version = static_cast<std::uint64_t>(in.config_version);
+    out.sequence = static_cast<std::uint64_t>(in.sequence);
+    out.echo = static_cast<std::uint64_t>(in.echo);
+    out.domain = domain_name(in.domain);
+    out.config_digest = static_cast<std::uint64_t>(in.config_digest);
+    if (in.__isset.confirmed_age_ms) {
+        constexpr std::int64_t longest = 1'000'000'000'000; // 31 years; keeps times in range
+        out.confirmed = milliseconds(std::min(in.confirmed_age_ms, longest));
+    }
+    collect(in.members, out.members, [&](const auto& it) { return from_wire(it, wall_now); });
+    collect(in.verdicts, out.verdicts, [&](const auto& it) { return from_wire(it, now); });
+    collect(in.crash_marks, out.marks, [&](const auto& it) { return from_wire(it, wall_now); });
+    collect(in.evidence, out.evidence, [&](const auto& it) { return from_wire(it, from); });
+    return out;
+}
+
+std::optional<wire::Message> parse(std::string_view payload) {
+    try {
+        std::string copy(payload); // the buffer class wants mutable bytes
+        const auto size = static_cast<std::uint32_t>(copy.size());
+        const auto limits = std::make_shared<TConfiguration>(static_cast<int>(max_datagram_bytes));
+        // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+        auto* bytes = reinterpret_cast<std::uint8_t*>(copy.data());
+        const auto buffer =
+            std::make_shared<TMemoryBuffer>(bytes, size, TMemoryBuffer::OBSERVE, limits);
+        compact_protocol protocol(buffer, static_cast<std::int32_t>(max_datagram_bytes), max_items);
+        wire::Message out;
+        out.read(&protocol);
+        return buffer->available_read() == 0 ? std::optional(std::move(out)) : std::nullopt;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+bool equal_in_constant_time(std::string_view a, std::string_view b) {
+    unsigned difference = a.size() == b.size() ? 0 : 1;
+    for (std::size_t i = 0; i < std::min(a.size(), b.size()); ++i) {
+        difference |= static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
+    }
+    return difference == 0;
+}
+
+} // namespace
+
+codec::codec(const clock_source& clock, std::string secret)
+    : clock_(clock), secret_(std::move(secret)) {}
+
+result<std::string> codec::encode(const message& content, const node_id& from,
+                                  const node_id& to) const {
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    compact_protocol protocol(buffer);
+    to_wire(content, clock_.now(), clock_.wall_now()).write(&protocol);
+    const auto payload = buffer->getBufferAsString();
+    std::string out;
+    out.reserve(payload.size() + 1 + code_bytes);
+    out += secret_.empty() ? plain_frame : authenticated_frame;
+    out += payload;
+    if (!secret_.empty()) {
+        out += authentication_code(payload, from, to);
+    }
+    if (out.size() > max_datagram_bytes) {
+        return failed(error_kind::invalid_input,
+                      "peers: message of " + std::to_string(out.size()) + " bytes for " + to.value,
+                      "put fewer items into one message");
+    }
+    return out;
+}
+
+tl::expected<message, drop_reason> codec::decode(std::string_view datagram, const node_id& from,
+                                                 const node_id& to) const {
+    const auto drop = [](drop_reason reason) { return tl::unexpected<drop_reason>(reason); };
+    if (datagram.size() > max_datagram_bytes) {
+        return drop(drop_reason::oversized);
+    }
+    const auto trailer = secret_.empty() ? 0 : code_bytes;
+    if (datagram.size() <= 1 + trailer) {
+        return drop(drop_reason::malformed);
+    }
+    const char frame = secret_.empty() ? plain_frame : authenticated_frame;
+    const auto payload = datagram.substr(1, datagram.size() - 1 - trailer);
+    if (datagram.front() != frame ||
+        (!secret_.empty() && !equal_in_constant_time(datagram.substr(datagram.size() - trailer),
+                                                     authentication_code(payload, from, to)))) {
+        return drop(drop_reason::unauthentic);
+    }
+    const auto parsed = parse(payload);
+    if (!parsed) {
+        return drop(drop_reason::malformed);
+    }
+    if (parsed->protocol != protocol_number) {
+        return drop(drop_reason::wrong_protocol);
+    }
+    if (!valid_header(*parsed, clock_.wall_now())) {
+        return drop(drop_reason::malformed);
+    }
+    return from_wire(*parsed, from, clock_.now(), clock_.wall_now());
+}
+
+std::string codec::authentication_code(std::string_view payload, const node_id& from,
+                                       const node_id& to) const {
+    Poco::HMACEngine<sha256_engine> engine(secret_);
+    engine.update(from.value + "\n" + to.value + "\n");
+    engine.update(payload.data(), payload.size());
+    const auto& digest = engine.digest();
+    return {digest.begin(), digest.begin() + code_bytes};
+}
+
+std::size_t size_bound(const member_record& item) {
+    return 32 + item.id.value.size() + item.domain.value.size();
+}
+
+std::size_t size_bound(const health::verdict& item) {
+    return 35 + item.service.value.size() + item.target.value.size() + item.judge.value.size();
+}
+
+std::size_t size_bound(const once::crash_mark& item) {
+    return 21 + item.target.value.size();
+}
+
+std::size_t size_bound(const health::evidence_report& item) {
+    return 30 + item.service.value.size() + item.target.value.size();
+}
+
+} // namespace wigeonrill::peers
--- /dev/null
+++ b/wigeonrill/src/peers/member_table.cpp
@@ -0,0 +1,223 @@
+#include "wigeonrill/peers.h"
+
+#include <cmath>
+
+namespace wigeonrill::peers {
+
+namespace {
+
+// An unlisted dead node is remembered so that its old process, waking late, is still known as old.
+constexpr std::chrono::minutes dead_memory{10};
+constexpr milliseconds gossip_round{500};
+constexpr int random_tries = 16;
+
+int badness(member_state state) {
+    switch (state) {
+    case member_state::alive:
+    case member_state::one_way:
+        return 0;
+    case member_state::suspect:
+        return 1;
+    case member_state::leaving:
+        return 2;
+    case member_state::dead:
+        return 3;
+    }
+    return 0;
+}
+
+bool newer(const member_record& a, const member_record& b) {
+    const auto left = std::tie(a.process, a.epoch);
+    const auto right = std::tie(b.process, b.epoch);
+    return left != right ? left > right : badness(a.state) > badness(b.state);
+}
+
+bool older(const member_record& a, const member_record& b) {
+    return std::tie(a.process, a.epoch) < std::tie(b.process, b.epoch);
+}
+
+bool fits(const member& it, bool responsive) {
+    const auto state = it.state();
+    if (state == member_state::leaving) {
+        return false;
+    }
+    return responsive == (state == member_state::alive || state == member_state::suspect);
+}
+
+} // namespace
+
+member_state member::state() const {
+    if (record.state != member_state::alive && record.state != member_state::suspect) {
+        return record.state;
+    }
+    if (list_says_leaving) {
+        return member_state::leaving;
+    }
+    const bool broken = unreachable || link.unechoed();
+    return record.state == member_state::alive && broken ? member_state::one_way : record.state;
+}
+
+void member_table::set_listed(const std::vector<config::vm_record>& nodes, instant now) {
+    for (auto& it : members_) {
+        it.listed = false;
+        it.list_says_leaving = false;
+    }
+    for (const auto& node : nodes) {
+        const node_id id{to_string(node.address)};
+        if (node.role != config::vm_role::node || id == self_) {
+            continue;
+        }
+        auto* it = find(id);
+        if (it == nullptr) {
+            it = add({id, node.domain, {}, 0, member_state::alive});
+        }
+        if (it != nullptr) {
+            it->listed = true;
+            it->list_says_leaving = node.state == config::vm_state::leaving;
+            if (!node.domain.value.empty()) {
+                it->record.domain = node.domain;
+            }
+        }
+    }
+    erase_if_gone(now);
+}
+
+member* member_table::add(const member_record& record) {
+    if (members_.size() >= max_members) {
+        return nullptr;
+    }
+    index_.emplace(record.id, members_.size());
+    members_.emplace_back();
+    members_.back().record = record;
+    return &members_.back();
+}
+
+merge_outcome member_table::merge(const member_record& record, instant now) {
+    auto* it = find(record.id);
+    if (it == nullptr) {
+        const bool gone =
+            record.state == member_state::dead || record.state == member_state::leaving;
+        it = gone || !parse_endpoint(record.id.value) ? nullptr : add(record);
+        if (it == nullptr) {
+            return merge_outcome::refused;
+        }
+        set_state(*it, record.state, now);
+        return merge_outcome::changed;
+    }
+    if (!newer(record, it->record)) {
+        return older(record, it->record) ? merge_outcome::older : merge_outcome::unchanged;
+    }
+    const bool first = it->record.process == incarnation{} && record.state == member_state::alive;
+    if (record.process != it->record.process) {
+        it->link.restart_peer();
+        it->config_version = 0;
+        it->unreachable = false;
+    }
+    it->record.process = record.process;
+    it->record.epoch = record.epoch;
+    if (!record.domain.value.empty()) {
+        it->record.domain = record.domain;
+    }
+    const bool was_alive = it->record.state == member_state::alive;
+    set_state(*it, record.state, now);
+    return first && was_alive ? merge_outcome::first : merge_outcome::changed;
+}
+
+void member_table::set_state(member& it, member_state state, instant now) const {
+    it.record.state = state;
+    if (state == member_state::suspect) {
+        it.deadline = now + suspicion_time();
+    } else if (state == member_state::dead || state == member_state::leaving) {
+        it.deadline = now + dead_memory;
+    }
+}
+
+bool member_table::suspect(const node_id& id, instant now) {
+    auto* it = find(id);
+    if (it == nullptr || it->record.state != member_state::alive || now < it->quiet_until) {
+        return false;
+    }
+    set_state(*it, member_state::suspect, now);
+    return true;
+}
+
+std::vector<node_id> member_table::expire(instant now) {
+    std::vector<node_id> dead;
+    for (auto& it : members_) {
+        if (it.record.state == member_state::suspect && now >= it.deadline) {
+            set_state(it, member_state::dead, now);
+            dead.push_back(it.record.id);
+        }
+    }
+    erase_if_gone(now);
+    return dead;
+}
+
+void member_table::erase_if_gone(instant now) {
+    const auto gone = [&](const member& it) {
+        const bool ended =
+            it.record.state == member_state::dead || it.record.state == member_state::leaving;
+        const bool never_heard = it.record.process == incarnation{};
+        return !it.listed && (ended ? now >= it.deadline : never_heard);
+    };
+    if (std::erase_if(members_, gone) > 0) {
+        index_.clear();
+        for (std::size_t i = 0; i < members_.size(); ++i) {
+            index_.emplace(members_[i].record.id, i);
+        }
+    }
+}
+
+void member_table::excuse(instant::duration pause) {
+    for (auto& it : members_) {
+        it.deadline += pause;
+        it.quiet_until += pause;
+        it.link.excuse(pause);
+    }
+}
+
+member* member_table::find(const node_id& id) {
+    const auto it = index_.find(id);
+    return it == index_.end() ? nullptr : &members_[it->second];
+}
+
+const member* member_table::find(const node_id& id) const {
+    const auto it = index_.find(id);
+    return it == index_.end() ? nullptr : &members_[it->second];
+}
+
+std::optional<node_id> member_table::choose(random_source& random, bool responsive,
+                                            const std::set<node_id>& except) const {
+    if (members_.empty()) {
+        return std::nullopt;
+    }
+    const auto eligible = [&](const member& it) {
+        return fits(it, responsive) && !except.contains(it.record.id);
+    };
+    if (responsive) {
+        // Most members respond, so a few draws find one without a scan.
+        for (int i = 0; i < random_tries; ++i) {
+            const auto& it = members_[random.below(members_.size())];
+            if (eligible(it)) {
+                return it.record.id;
+            }
+        }
+    }
+    std::vector<const member*> candidates;
+    for (const auto& it : members_) {
+        if (eligible(it)) {
+            candidates.push_back(&it);
+        }
+    }
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    return candidates[random.below(candidates.size())]->record.id;
+}
+
+milliseconds member_table::suspicion_time() const {
+    const auto rounds = std::log2(static_cast<double>(members_.size() + 2)) + 2;
+    return milliseconds(static_cast<std::int64_t>(2 * rounds * gossip_round.count()));
+}
+
+} // namespace wigeonrill::peers
--- /dev/null
+++ b/wigeonrill/src/peers/udp_transport.h
@@ -0,0 +1,33 @@
+#ifndef WIGEONRILL_PEERS_UDP_TRANSPORT_H
+#define WIGEONRILL_PEERS_UDP_TRANSPORT_H
+
+#ifndef WIGEONRILL_PEERS_MODULE
+#error "Include wigeonrill/peers.h instead of this file."
+#endif
+
+namespace wigeonrill::peers {
+
+/// \brief Datagrams over a UDP socket.
+class udp_transport final : public transport {
+public:
+    /// \brief Binds a socket.
+    /// \param address to bind, with port 0 for any free port; also the source address of datagrams
+    /// \returns the transport, or an unavailable error that names the address
+    [[nodiscard]] static result<std::unique_ptr<udp_transport>> open(const endpoint& address);
+    ~udp_transport() override;
+
+    bool send(const endpoint& to, std::string_view bytes) override;
+    [[nodiscard]] std::optional<datagram> receive(milliseconds wait) override;
+    /// \returns the bound address
+    [[nodiscard]] endpoint local() const;
+
+private:
+    struct socket;
+    explicit udp_transport(std::unique_ptr<socket> bound);
+
+    std::unique_ptr<socket> socket_;
+};
+
+} // namespace wigeonrill::peers
+
+#endif
