Make the plans of all services when a configuration is taken over

Cause: configure() made plans only for services with a target that is not healthy, so plan() of a healthy service was empty until its first event.

Ruled out: making the plan in plan(); the daemon reads it once per view.

Change: configure() marks every service's plan stale. A new test fails without the change (0 usable targets instead of 10).

Conclusion: the plans are complete after configure().

--- a/test/health/monitor_test.cpp
+++ b/test/health/monitor_test.cpp
@@ -7,6 +7,12 @@
 
 TEST_GROUP(monitor){};
 
+// Guards against a node that has a configuration but no targets to use.
+TEST(monitor, uses_all_targets_after_the_first_configuration) {
+    fleet nodes(1, {});
+    LONGS_EQUAL(10, nodes.node(0).plan(fleet::service()).usable.size());
+}
+
 // Guards against a slow target that stays in use, and against ejecting its healthy neighbours.
 TEST(monitor, ejects_a_target_ten_times_slower_on_every_node) {
     fleet nodes(8, {});
--- a/wigeonrill/src/health/monitor_config.cpp
+++ b/wigeonrill/src/health/monitor_config.cpp
@@ -71,9 +71,11 @@
     suspected.clear();
     watched.clear();
     crashes.clear();
+    stale_plans.clear();
     shared = {};
     monitor_actions ignored;
     for (std::uint32_t i = 0; i < services.size(); ++i) {
+        stale_plans.insert(i);
         for (std::uint32_t k = 0; k < services[i].targets.size(); ++k) {
             const target_place place{i, k};
             auto& it = services[i].targets[k];
