--- a/wigeonrill/daemon.h
+++ b/wigeonrill/daemon.h
@@ -7,6 +7,8 @@
 #define WIGEONRILL_DAEMON_MODULE
 
 #include <atomic>
+#include <functional>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -31,6 +33,7 @@
 // Needs traffic_events.h.
 #include "src/daemon/control_loop.h"
 // Needs admin_server.h and control_loop.h.
+#include "src/daemon/control_thread.h"
 #include "src/daemon/node_pages.h"
 
 #endif
--- a/wigeonrill/src/daemon/application.cpp
+++ b/wigeonrill/src/daemon/application.cpp
@@ -12,7 +12,9 @@
 
 constexpr milliseconds signal_wait{100};
 
-int to_int(exit_code code) { return static_cast<int>(code); }
+int to_int(exit_code code) {
+    return static_cast<int>(code);
+}
 
 // Runs a started node until it has stopped.
 exit_code serve(running_node& node, stop_signal& signals) {
@@ -37,8 +39,9 @@
     app.set_version_flag("--version", WIGEONRILL_VERSION);
     app.add_option("--settings", path, "Settings file, JSON with comments")->required();
     app.add_flag("--check", check_only, "Check the settings file and exit");
-    app.footer("Example:\n  wigeonrilld --settings examples/scotland/node.json\n\n"
-               "Exit codes: 0 planned stop, 2 wrong settings, 3 start failed, 4 requests were cut.");
+    app.footer(
+        "Example:\n  wigeonrilld --settings examples/scotland/node.json\n\n"
+        "Exit codes: 0 planned stop, 2 wrong settings, 3 start failed, 4 requests were cut.");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& failure) {
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -108,20 +108,21 @@
     if (answer.draining) {
         monitor_.on_leaving(answer.target, answer.ended);
     }
-    parts_.metrics.count("wigeonrill_attempts_total", "Attempts at targets by result.",
-                         {{"service", answer.service.value},
-                          {"result", std::string(enum_name(health::answer_kind_names, answer.kind))}});
+    parts_.metrics.count(
+        "wigeonrill_attempts_total", "Attempts at targets by result.",
+        {{"service", answer.service.value},
+         {"result", std::string(enum_name(health::answer_kind_names, answer.kind))}});
     parts_.metrics.observe("wigeonrill_target_seconds",
                            "Time from sending a request to the head of its answer.",
-                           {{"service", answer.service.value}}, to_seconds(answer.ended - answer.sent),
-                           parts_.clock.now());
+                           {{"service", answer.service.value}},
+                           to_seconds(answer.ended - answer.sent), parts_.clock.now());
 }
 
 void control_loop::take(const dispatch::decision_record& decision) {
     const bool refused = decision.kind == traffic::step_kind::refuse;
-    parts_.metrics.count("wigeonrill_decisions_total", "Decisions on requests.",
-                         {{"service", decision.service.value},
-                          {"refusal", refused ? decision.refusal : ""}});
+    parts_.metrics.count(
+        "wigeonrill_decisions_total", "Decisions on requests.",
+        {{"service", decision.service.value}, {"refusal", refused ? decision.refusal : ""}});
     parts_.metrics.observe("wigeonrill_queue_seconds", "Time that requests waited for a slot.",
                            {{"service", decision.service.value}}, to_seconds(decision.waited),
                            parts_.clock.now());
@@ -187,6 +188,7 @@
     next->rejection = store_.last_rejection();
     if (parts_.gossip != nullptr) {
         next->peers = parts_.gossip->status();
+        next->superseded = parts_.gossip->superseded();
         next->control_bytes_sent = parts_.gossip->counters().bytes_sent;
         next->control_bytes_received = parts_.gossip->counters().bytes_received;
     }
--- a/wigeonrill/src/daemon/control_thread.cpp
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -1,7 +1,5 @@
 #include "wigeonrill/daemon.h"
 
-#include <future>
-
 namespace wigeonrill::daemon {
 
 namespace {
@@ -20,8 +18,8 @@
     if (thread_.joinable()) {
         thread_.join();
     }
-    for (auto& it : fetchers_) {
-        it.join();
+    for (const auto& it : fetches_) {
+        it.wait();
     }
 }
 
@@ -29,7 +27,9 @@
     thread_ = std::thread([this] { work(); });
 }
 
-void control_thread::post(task work) { tasks_.push(std::move(work)); }
+void control_thread::post(task work) {
+    tasks_.push(std::move(work));
+}
 
 result<config::change_set> control_thread::changes_since(std::uint64_t version) {
     auto promise = std::make_shared<std::promise<config::change_set>>();
@@ -85,9 +85,11 @@
 
 void control_thread::fetch_if_due() {
     if (const auto request = gossip_->take_fetch()) {
-        // At most two run at once: the scheduler allows no more.
-        std::erase_if(fetchers_, [](std::thread& it) { return !it.joinable(); });
-        fetchers_.emplace_back([this, it = *request] { fetch(it); });
+        // The scheduler lets at most two run at once.
+        std::erase_if(fetches_, [](const std::future<void>& it) {
+            return it.wait_for(seconds(0)) == std::future_status::ready;
+        });
+        fetches_.push_back(std::async(std::launch::async, [this, it = *request] { fetch(it); }));
     }
 }
 
--- a/wigeonrill/src/daemon/control_thread.h
+++ b/wigeonrill/src/daemon/control_thread.h
@@ -46,7 +46,7 @@
     event_queue<task> tasks_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
-    std::vector<std::thread> fetchers_;
+    std::vector<std::future<void>> fetches_; ///< running calls to peers
 };
 
 } // namespace wigeonrill::daemon
--- a/wigeonrill/src/daemon/node_pages.cpp
+++ b/wigeonrill/src/daemon/node_pages.cpp
@@ -19,8 +19,8 @@
     it["gets_work"] = row.eligible;
     it["weight"] = row.weight;
     it["severity"] = row.status.severity;
-    it["reason"] = row.kept_for_floor ? row.status.reason + "; kept in use for the floor"
-                                      : row.status.reason;
+    it["reason"] =
+        row.kept_for_floor ? row.status.reason + "; kept in use for the floor" : row.status.reason;
     return it;
 }
 
@@ -44,7 +44,9 @@
     return started_ && !draining_ && loop_.state()->configuration != nullptr;
 }
 
-std::string node_pages::metrics() const { return metrics_.prometheus_text(); }
+std::string node_pages::metrics() const {
+    return metrics_.prometheus_text();
+}
 
 std::string node_pages::status_json() const {
     const auto state = loop_.state();
@@ -56,8 +58,7 @@
     it["ready"] = ready();
     it["draining"] = draining_.load();
     it["config_version"] = state->configuration ? state->configuration->version : 0;
-    it["uptime_s"] =
-        std::chrono::duration_cast<seconds>(clock_.now() - identity_.started).count();
+    it["uptime_s"] = std::chrono::duration_cast<seconds>(clock_.now() - identity_.started).count();
     it["requests_active"] = dispatcher_.active();
     it["requests_waiting"] = dispatcher_.waiting();
     it["peers"] = count_states(state->peers);
--- a/wigeonrill/src/daemon/node_state.h
+++ b/wigeonrill/src/daemon/node_state.h
@@ -25,6 +25,7 @@
     wall_time confirmed{};           ///< when the version in force was last confirmed
     std::optional<error> rejection;  ///< why the last rejected configuration was rejected
     std::vector<peers::member_status> peers;
+    bool superseded{false}; ///< a newer process runs at this node's peer address
     std::uint64_t control_bytes_sent{0};
     std::uint64_t control_bytes_received{0};
 };
--- a/wigeonrill/src/daemon/settings.h
+++ b/wigeonrill/src/daemon/settings.h
@@ -10,15 +10,15 @@
 /// \brief Settings of one daemon, from its settings file. See docs/reference/settings.md.
 struct settings {
     domain_name domain;
-    endpoint traffic;                 ///< for callers and for requests forwarded by nodes
-    std::optional<endpoint> peer;     ///< UDP and TCP for other nodes; none: the node is alone
-    endpoint admin;                   ///< health, metrics and the tool
+    endpoint traffic;             ///< for callers and for requests forwarded by nodes
+    std::optional<endpoint> peer; ///< UDP and TCP for other nodes; none: the node is alone
+    endpoint admin;               ///< health, metrics and the tool
 
     std::string configuration_file;   ///< empty: the platform's service is used
     std::optional<endpoint> platform; ///< the platform's configuration service
 
-    std::vector<endpoint> seeds;      ///< peers to talk to before the list of VMs is known
-    std::string secret;               ///< authenticates datagrams between nodes; empty: none
+    std::vector<endpoint> seeds; ///< peers to talk to before the list of VMs is known
+    std::string secret;          ///< authenticates datagrams between nodes; empty: none
 
     std::uint32_t max_connections{1024};
     std::uint32_t max_head_bytes{16'384};
--- a/wigeonrill/src/daemon/traffic_events.cpp
+++ b/wigeonrill/src/daemon/traffic_events.cpp
@@ -46,9 +46,13 @@
 
 traffic_events::traffic_events(observe::log_sink& log) : log_(log), queue_(event_capacity) {}
 
-void traffic_events::on_answer(const health::answer& answer) { queue_.push(answer); }
+void traffic_events::on_answer(const health::answer& answer) {
+    queue_.push(answer);
+}
 
-void traffic_events::on_crash_mark(const once::crash_mark& mark) { queue_.push(mark); }
+void traffic_events::on_crash_mark(const once::crash_mark& mark) {
+    queue_.push(mark);
+}
 
 void traffic_events::on_decision(const dispatch::decision_record& decision) {
     if (log_.enabled(observe::log_level::info)) {
--- a/wigeonrill/src/tool/command_line.cpp
+++ b/wigeonrill/src/tool/command_line.cpp
@@ -19,7 +19,9 @@
 
 Exit codes: 0 success, 1 the answer is no, 2 wrong command line, 3 a daemon did not answer.)";
 
-int to_int(exit_code code) { return static_cast<int>(code); }
+int to_int(exit_code code) {
+    return static_cast<int>(code);
+}
 
 struct arguments {
     std::vector<std::string> files;
@@ -44,8 +46,8 @@
     add_remote_options(*app.add_subcommand("targets", "Show targets, their state and why"), given);
     add_remote_options(*app.add_subcommand("config", "Show the version in force on each node"),
                        given);
-    add_remote_options(
-        *app.add_subcommand("drain", "Shut a daemon down without cutting a request"), given);
+    add_remote_options(*app.add_subcommand("drain", "Shut a daemon down without cutting a request"),
+                       given);
     auto* explain = app.add_subcommand("explain", "Show where a request could go now, and why");
     explain->add_option("--method", given.method, "HTTP method")->capture_default_str();
     explain->add_option("--host", given.host, "Host header");
--- a/wigeonrill/src/tool/remote_commands.cpp
+++ b/wigeonrill/src/tool/remote_commands.cpp
@@ -118,9 +118,9 @@
 }
 
 void print_explanation(const json& page) {
-    std::cout << "route: " << cell(page.value("route", json())) << "\nservice: "
-              << cell(page.value("service", json())) << "\nrepeat: "
-              << cell(page.value("repeat", json())) << "\n\n"
+    std::cout << "route: " << cell(page.value("route", json()))
+              << "\nservice: " << cell(page.value("service", json()))
+              << "\nrepeat: " << cell(page.value("repeat", json())) << "\n\n"
               << format_rows(rows_of(page.value("targets", json::array())));
 }
 
