Divide configurations into shards and apply change sets monotonically

Cause: the store was only a header; nodes need versions that never revert and changes that re-send little.

Change: split_document() makes one shard per service, "rules", and parts of routes, workspaces and VMs chosen by the hash of the name. config::store checks digests, parses only shards whose digest differs, validates the sections they touch, and keeps the other lists. An invalid version is remembered by version and digest; damaged bytes are not, because they may be read again. A newer format is kept as received (newer_format()). Duplicate keys are found in a pass of their own.

Ruled out: the JSON parser with a callback. Parts of fixed size in name order: one added record would change all later parts.

--- a/wigeonrill/config.h
+++ b/wigeonrill/config.h
@@ -32,6 +32,7 @@
 #include "src/config/snapshot.h"
 // Needs change_set.h and snapshot.h.
 #include "src/config/loader.h"
+#include "src/config/sharding.h"
 #include "src/config/store.h"
 #include "src/config/validator.h"
 // The checked JSON reader, which the daemon's settings use as well.
--- a/wigeonrill/src/config/change_set.h
+++ b/wigeonrill/src/config/change_set.h
@@ -12,7 +12,7 @@
 
 /// \brief One part of the configuration, stored as one value of the platform's service.
 struct shard {
-    std::string name;         ///< such as "service/stock", "routes/3", "rules", "vms/rack-2"
+    std::string name;         ///< such as "rules", "service/stock", "routes/3-of-16"
     std::uint64_t version{0}; ///< configuration version in which its content last changed
     std::string digest;       ///< SHA-1 of the content, lower-case hexadecimal
     std::string content;      ///< JSON text, at most 1 MB
--- a/wigeonrill/src/config/json_document.cpp
+++ b/wigeonrill/src/config/json_document.cpp
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 // The document's own depth is 6; the limit bounds the work for hostile input.
-constexpr int deepest = 16;
+constexpr std::size_t deepest = 16;
 constexpr std::uint64_t largest_file = 256ULL * 1024 * 1024;
 
 struct structure_fault {
@@ -21,19 +21,34 @@
 };
 
 // Refuses duplicate keys, which the parser would otherwise resolve silently to the last one.
-class structure_check {
+// A pass of its own: the parser with a callback searches the enclosing object again after each
+// inner one, which is quadratic in the number of workspaces.
+class structure_check final : public json::json_sax_t {
 public:
-    bool operator()(int depth, json::parse_event_t event, json& parsed) {
-        if (event == json::parse_event_t::object_start ||
-            event == json::parse_event_t::array_start) {
-            enter(depth, event == json::parse_event_t::object_start);
-        } else if (event == json::parse_event_t::key) {
-            add_key(parsed.get_ref<const std::string&>());
-        } else if (event == json::parse_event_t::object_end ||
-                   event == json::parse_event_t::array_end) {
-            open_.pop_back();
+    std::optional<structure_fault> found;
+
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t&) override { return true; }
+    bool string(string_t&) override { return true; }
+    bool binary(binary_t&) override { return true; }
+    bool start_object(std::size_t) override { return enter(true); }
+    bool start_array(std::size_t) override { return enter(false); }
+    bool end_object() override { return leave(); }
+    bool end_array() override { return leave(); }
+    bool key(string_t& text) override {
+        open_.back().last_key = text;
+        if (open_.back().keys.insert(text).second) {
+            return true;
         }
-        return true;
+        found = {path() + ": duplicate key", "keep one of the two entries"};
+        return false;
+    }
+    // The second pass reports syntax errors.
+    bool parse_error(std::size_t, const std::string&, const json::exception&) override {
+        return false;
     }
 
 private:
@@ -43,19 +58,19 @@
         std::string last_key;
     };
 
-    void enter(int depth, bool object) {
-        if (depth >= deepest) {
-            throw structure_fault{path() + ": values are nested more than 16 deep",
-                                  "remove the nesting; no key of this format needs it"};
+    bool enter(bool object) {
+        if (open_.size() >= deepest) {
+            found = {path() + ": values are nested more than 16 deep",
+                     "remove the nesting; no key of this format needs it"};
+            return false;
         }
         open_.push_back({object, {}, {}});
+        return true;
     }
 
-    void add_key(const std::string& key) {
-        open_.back().last_key = key;
-        if (!open_.back().keys.insert(key).second) {
-            throw structure_fault{path() + ": duplicate key", "keep one of the two entries"};
-        }
+    bool leave() {
+        open_.pop_back();
+        return true;
     }
 
     [[nodiscard]] std::string path() const {
@@ -85,13 +100,13 @@
 result<json_document> json_document::parse(std::string_view text, const std::string& source) {
     try {
         structure_check check;
-        auto callback = [&check](int depth, json::parse_event_t event, json& parsed) {
-            return check(depth, event, parsed);
-        };
-        auto root = std::make_unique<json>(json::parse(text, callback, true, true));
+        json::sax_parse(text, &check, json::input_format_t::json, true, true);
+        if (check.found) {
+            return failed(error_kind::invalid_input, source + ": " + check.found->what,
+                          check.found->remedy);
+        }
+        auto root = std::make_unique<json>(json::parse(text, nullptr, true, true));
         return json_document(std::move(root));
-    } catch (const structure_fault& fault) {
-        return failed(error_kind::invalid_input, source + ": " + fault.what, fault.remedy);
     } catch (const json::parse_error& fault) {
         const auto line = std::to_string(line_of(text, fault.byte));
         return failed(error_kind::invalid_input,
--- a/wigeonrill/src/config/loader.cpp
+++ b/wigeonrill/src/config/loader.cpp
@@ -2,6 +2,7 @@
 
 #include "wigeonrill/src/config/section_parsers.h"
 
+#include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
 
@@ -29,6 +30,7 @@
     parse_workspaces(workspaces, it.workspaces.own());
     parse_key_owners(root, it);
     parse_vms(root, it.vms);
+    std::ranges::sort(it.vms, {}, &vm_record::address);
     root.finish();
     return it;
 }
--- /dev/null
+++ b/wigeonrill/src/config/sharding.h
@@ -0,0 +1,33 @@
+#ifndef WIGEONRILL_CONFIG_SHARDING_H
+#define WIGEONRILL_CONFIG_SHARDING_H
+
+#ifndef WIGEONRILL_CONFIG_MODULE
+#error "Include wigeonrill/config.h instead of this file."
+#endif
+
+namespace wigeonrill::config {
+
+/// \brief Largest content of a shard: the platform's limit for one value.
+inline constexpr std::size_t largest_shard = 1'000'000;
+
+/// \returns the SHA-1 of a text, in lower-case hexadecimal
+[[nodiscard]] std::string digest_of(std::string_view text);
+
+/// \returns the digest of a version: SHA-1 over its "name version digest\n" lines
+/// \param shards all shards of the version, sorted by name
+[[nodiscard]] std::string digest_of(const std::vector<shard>& shards);
+
+/// \brief Divides a document into shards, as the publisher of the configuration does.
+///
+/// There is one shard "rules" and one "service/<name>" per service. Routes, workspaces and VMs are
+/// spread by the hash of their name over parts such as "routes/3-of-16", so that one changed
+/// record changes one shard. The number of parts stays while the mean size of a part is between
+/// 4 and 32 KiB. Only the structure is checked, not the rules of validate().
+/// \param previous the version published before, whose unchanged shards keep their version
+/// \returns a change set from version 0 that holds every shard
+[[nodiscard]] result<change_set> split_document(std::string_view text, const std::string& source,
+                                                const change_set* previous = nullptr);
+
+} // namespace wigeonrill::config
+
+#endif
--- a/wigeonrill/src/config/snapshot.h
+++ b/wigeonrill/src/config/snapshot.h
@@ -17,7 +17,7 @@
     std::vector<route> routes;             ///< sorted by name
     shared_list<workspace> workspaces;     ///< sorted by name
     std::vector<key_owner_set> key_owners; ///< sorted by effective_from, newest last
-    std::vector<vm_record> vms;            ///< the platform's list as known with this version
+    std::vector<vm_record> vms; ///< platform's list as of this version, sorted by address
 
     friend bool operator==(const snapshot&, const snapshot&) = default;
 };
--- a/wigeonrill/src/config/store.h
+++ b/wigeonrill/src/config/store.h
@@ -48,6 +48,9 @@
     /// \param base version that the receiver has
     /// \returns the changes from base to the version in force, or everything if base is unknown
     [[nodiscard]] change_set changes_since(std::uint64_t base) const;
+    /// \returns the newest change set of a format that this build can't read, to be passed on as
+    ///          received; nothing once a version at or above it is in force
+    [[nodiscard]] const std::optional<change_set>& newer_format() const;
     /// \returns why the last rejected version was rejected
     [[nodiscard]] const std::optional<error>& last_rejection() const;
 
--- a/wigeonrill/src/config/validator.cpp
+++ b/wigeonrill/src/config/validator.cpp
@@ -236,11 +236,10 @@
 
 fault check_vms(const snapshot& all) {
     std::unordered_set<std::string> seen;
-    for (std::size_t i = 0; i < all.vms.size(); ++i) {
-        const auto text = to_string(all.vms[i].address);
+    for (const auto& it : all.vms) {
+        const auto text = to_string(it.address);
         if (!seen.insert(text).second) {
-            return refuse("vms[" + std::to_string(i) + "].address", "duplicate address " + text,
-                          "list each VM once");
+            return refuse("vms", "duplicate address " + text, "list each VM once");
         }
     }
     return std::nullopt;
