Test framing, broken answers, reuse, streaming and drain of traffic

Ruled out: measuring the resident memory after the transfer; the peak (VmHWM) is what a burst of large bodies costs.

--- /dev/null
+++ b/test/traffic/broken_answer_test.cpp
@@ -0,0 +1,130 @@
+#include "proxy_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using namespace wigeonrill::test;
+using health::answer_kind;
+
+namespace {
+
+const std::string ok = "HTTP/1.1 200 OK\r\n";
+
+/// Script that answers the first request with broken bytes and the others with "ok".
+scripted_target::script first_answer(std::string bytes, bool close) {
+    return [bytes = std::move(bytes), close](const std::string& request, int number) {
+        return number == 1 ? reaction{bytes, close, false} : answer_ok(request, number);
+    };
+}
+
+struct broken {
+    const char* what;
+    std::string bytes;
+    answer_kind kind;
+};
+
+/// Answers that can be refused because nothing was passed on yet.
+std::vector<broken> small_broken_answers() {
+    const auto malformed = answer_kind::malformed;
+    return {{"7 of 1000 bytes", ok + "Content-Length: 1000\r\n\r\n7 bytes", malformed},
+            {"surplus", ok + "Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n", malformed},
+            {"surplus behind 204", "HTTP/1.1 204 No\r\n\r\nbody", malformed},
+            {"two lengths", ok + "Content-Length: 2\r\nContent-Length: 5\r\n\r\nhello", malformed},
+            {"half a head", "HTTP/1.1 200 OK\r\nContent-Le", malformed},
+            {"not HTTP", "220 mail.example ready\r\n\r\n", malformed},
+            {"upgrade", "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n", malformed},
+            {"nothing", "", answer_kind::connection_lost}};
+}
+
+} // namespace
+
+TEST_GROUP(broken_answer){};
+
+// Guards against a broken answer that reaches the caller as whole, and against using its
+// connection again.
+TEST(broken_answer, is_refused_while_nothing_was_passed) {
+    for (const auto& [what, bytes, kind] : small_broken_answers()) {
+        proxy_fixture it(first_answer(bytes, true));
+        it.decisions.usual = it.send_step(config::repeat_policy::at_most_once);
+        auto caller = it.connect();
+        caller.send(plain_get);
+        const auto refused = caller.receive_answer();
+        STRCMP_CONTAINS_TEXT("HTTP/1.1 502 ", refused.c_str(), what);
+        STRCMP_CONTAINS_TEXT("Wigeonrill-Outcome: unknown\r\n", refused.c_str(), what);
+        caller.send(plain_get);
+        STRCMP_CONTAINS_TEXT("\r\n\r\nok", caller.receive_answer().c_str(), what);
+        it.decisions.wait_finished(2);
+        CHECK_TEXT(kind == it.decisions.attempts.at(0).kind, what);
+        LONGS_EQUAL_TEXT(2, it.target.connections(), what);
+    }
+}
+
+// Guards against a connection with surplus bytes that is left open by the target.
+TEST(broken_answer, leaves_no_surplus_for_the_next_request) {
+    proxy_fixture it(first_answer(
+        ok + "Content-Length: 2\r\n\r\nok" + ok + "Content-Length: 5\r\n\r\nother", false));
+    STRCMP_CONTAINS("HTTP/1.1 502 ", it.ask(plain_get).c_str());
+    STRCMP_CONTAINS("\r\n\r\nok", it.ask(plain_get).c_str());
+    LONGS_EQUAL(2, it.target.connections());
+}
+
+// Guards against a large answer that breaks off and ends like a whole one.
+TEST(broken_answer, resets_the_caller_when_a_part_was_passed) {
+    const std::string part(100'000, 'x');
+    const std::vector<std::string> answers{
+        ok + "Content-Length: 200000\r\n\r\n" + part,
+        ok + "Transfer-Encoding: chunked\r\n\r\n186a0\r\n" + part + "\r\n",
+        ok + "Transfer-Encoding: chunked\r\n\r\n186a0\r\n" + part + "\r\nxyz\r\n",
+        ok + "Content-Length: 100000\r\n\r\n" + part + "surplus"};
+    for (const auto& bytes : answers) {
+        for (const char* version : {"1.0", "1.1"}) {
+            proxy_fixture it(first_answer(bytes, true));
+            auto caller = it.connect();
+            caller.send("GET / HTTP/" + std::string(version) + "\r\nHost: a\r\n\r\n");
+            std::string received;
+            CHECK(caller.ends_by_reset(received));
+            it.decisions.wait_finished(1);
+            CHECK_FALSE(it.decisions.wholes.at(0));
+            LONGS_EQUAL(2, it.decisions.attempts.size());
+            CHECK(it.decisions.attempts.at(1).answer_bytes_passed);
+            CHECK(answer_kind::malformed == it.decisions.attempts.at(1).kind);
+        }
+    }
+}
+
+// Guards against refusing an idempotent request although another attempt can still answer it.
+TEST(broken_answer, can_be_replaced_by_another_attempt) {
+    proxy_fixture it(first_answer(ok + "Content-Length: 1000\r\n\r\n7 bytes", true));
+    it.decisions.add_step(it.send_step());
+    it.decisions.add_step(it.send_step());
+    STRCMP_CONTAINS("\r\n\r\nok", it.ask(plain_get).c_str());
+    LONGS_EQUAL(2, it.target.requests().size());
+}
+
+// Guards against a target that never answers, and against using its other connections.
+TEST(broken_answer, gives_up_on_a_silent_target) {
+    proxy_fixture it([](const std::string& request, int number) {
+        return number == 2 ? reaction{"", false, true} : answer_ok(request, number);
+    });
+    it.decisions.usual.route.limits.first_byte = milliseconds{50};
+    STRCMP_CONTAINS("\r\n\r\nok", it.ask(plain_get).c_str());
+    const auto refused = it.ask(plain_get);
+    STRCMP_CONTAINS("HTTP/1.1 504 ", refused.c_str());
+    STRCMP_CONTAINS("Wigeonrill-Outcome: unknown\r\n", refused.c_str());
+    it.decisions.wait_finished(2);
+    CHECK(answer_kind::silent == it.decisions.attempts.at(1).kind);
+    it.target.wait_closed(1);
+}
+
+// Guards against evidence of silence that is only the end of the caller's own time.
+TEST(broken_answer, tells_the_deadline_from_silence) {
+    proxy_fixture it([](const std::string& /*request*/, int /*number*/) {
+        return reaction{"", false, true};
+    });
+    it.decisions.usual.deadline = instant{};
+    const auto refused = it.ask("GET / HTTP/1.1\r\nHost: a\r\nRequest-Timeout-Ms: 60\r\n\r\n");
+    STRCMP_CONTAINS("HTTP/1.1 504 ", refused.c_str());
+    STRCMP_CONTAINS("/problems/deadline", refused.c_str());
+    it.decisions.wait_finished(1);
+    CHECK(answer_kind::cancelled == it.decisions.attempts.at(0).kind);
+}
--- /dev/null
+++ b/test/traffic/cancellation_test.cpp
@@ -0,0 +1,127 @@
+#include "proxy_fixture.h"
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using namespace wigeonrill::test;
+using health::answer_kind;
+
+namespace {
+
+reaction stay_silent(const std::string& /*request*/, int /*number*/) {
+    return {"", false, true};
+}
+
+/// Target whose first request waits until the test lets it answer.
+class gate {
+public:
+    void open() {
+        const std::lock_guard lock(mutex_);
+        open_ = true;
+        changed_.notify_all();
+    }
+    void pass() {
+        std::unique_lock lock(mutex_);
+        entered_ = true;
+        changed_.notify_all();
+        changed_.wait(lock, [&] { return open_; });
+    }
+    void wait_entered() {
+        std::unique_lock lock(mutex_);
+        changed_.wait(lock, [&] { return entered_; });
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool open_{false};
+    bool entered_{false};
+};
+
+} // namespace
+
+TEST_GROUP(cancellation){};
+
+// Guards against targets that work for callers who left.
+TEST(cancellation, closes_the_target_connection_when_the_caller_leaves) {
+    proxy_fixture it(stay_silent);
+    {
+        auto caller = it.connect();
+        caller.send(plain_get);
+        while (it.target.requests().empty()) {
+            std::this_thread::yield();
+        }
+    }
+    it.target.wait_closed(1);
+    it.decisions.wait_finished(1);
+    CHECK(answer_kind::cancelled == it.decisions.attempts.at(0).kind);
+    CHECK_FALSE(it.decisions.wholes.at(0));
+}
+
+// Guards against an upload that goes on although the target has already answered.
+TEST(cancellation, passes_an_answer_that_comes_before_the_body_ends) {
+    proxy_fixture it(answer_ok);
+    Poco::Net::ServerSocket target(Poco::Net::SocketAddress("127.0.0.1", 0));
+    it.decisions.usual.address.port = target.address().port();
+    std::thread answering([&] {
+        auto socket = target.acceptConnection();
+        std::string buffered;
+        static_cast<void>(read_message(socket, buffered, false));
+        const auto refusal = answer_text(413, "", "no");
+        socket.sendBytes(refusal.data(), static_cast<int>(refusal.size()));
+        std::array<char, 4096> rest{};
+        while (socket.receiveBytes(rest.data(), static_cast<int>(rest.size())) > 0) {
+        }
+    });
+    auto caller = it.connect();
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n");
+    // The proxy looks for an answer after each piece; pieces go on until it has seen one.
+    while (!caller.socket().poll(Poco::Timespan(1'000), Poco::Net::Socket::SELECT_READ)) {
+        caller.send(std::string(1'000, 'x'));
+    }
+    const auto answer = caller.receive_all();
+    answering.join();
+    STRCMP_CONTAINS("HTTP/1.1 413 ", answer.c_str());
+    STRCMP_CONTAINS("Connection: close\r\n", answer.c_str());
+}
+
+// Guards against a planned stop that cuts a request in flight.
+TEST(cancellation, drain_finishes_requests_and_closes) {
+    gate held;
+    proxy_fixture it([&](const std::string& request, int number) {
+        held.pass();
+        return answer_ok(request, number);
+    });
+    auto working = it.connect();
+    working.send(plain_get);
+    held.wait_entered();
+    it.proxy.begin_drain();
+    auto late = it.connect();
+    late.send(plain_get);
+    while (it.proxy.connections() < 2) {
+        std::this_thread::yield();
+    }
+    it.proxy.stop_listening();
+    CHECK_FALSE(it.proxy.wait_idle(it.clock.now()));
+    held.open();
+    for (auto* caller : {&working, &late}) {
+        const auto answer = caller->receive_all();
+        STRCMP_CONTAINS("Connection: close\r\n", answer.c_str());
+        STRCMP_CONTAINS("\r\n\r\nok", answer.c_str());
+    }
+    CHECK(it.proxy.wait_idle(it.clock.now() + seconds{30}));
+}
+
+// Guards against a stop that waits for the idle time of connections without a request.
+TEST(cancellation, stop_closes_idle_connections) {
+    proxy_fixture it(answer_ok);
+    auto idle = it.connect();
+    idle.send(plain_get);
+    STRCMP_CONTAINS("\r\n\r\nok", idle.receive_answer().c_str());
+    it.proxy.begin_drain();
+    it.proxy.stop_listening();
+    STRCMP_EQUAL("", idle.receive_all().c_str());
+    CHECK(it.proxy.wait_idle(it.clock.now() + seconds{30}));
+}
--- /dev/null
+++ b/test/traffic/connection_reuse_test.cpp
@@ -0,0 +1,112 @@
+#include "proxy_fixture.h"
+
+#include "wigeonrill/src/traffic/target_pool.h"
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using namespace wigeonrill::test;
+using config::repeat_policy;
+using health::answer_kind;
+
+namespace {
+
+/// Closes the connection instead of answering the second request.
+reaction close_at_second(const std::string& request, int number) {
+    return number == 2 ? reaction{"", true, false} : answer_ok(request, number);
+}
+
+} // namespace
+
+TEST_GROUP(connection_reuse){};
+
+// Guards against a new connection (1 ms) for each request.
+TEST(connection_reuse, uses_connections_again) {
+    proxy_fixture it(answer_ok);
+    for (int i = 0; i < 3; ++i) {
+        STRCMP_CONTAINS("\r\n\r\nok", it.ask(plain_get).c_str());
+    }
+    LONGS_EQUAL(1, it.target.connections());
+}
+
+// Guards against a print run that is sent twice because a kept connection broke.
+TEST(connection_reuse, never_sends_at_most_once_work_again) {
+    proxy_fixture it(close_at_second);
+    it.decisions.usual = it.send_step(repeat_policy::at_most_once);
+    STRCMP_CONTAINS("\r\n\r\nok", it.ask(plain_get).c_str());
+    const auto refused = it.ask("POST /print HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+    STRCMP_CONTAINS("HTTP/1.1 502 ", refused.c_str());
+    STRCMP_CONTAINS("Wigeonrill-Outcome: unknown\r\n", refused.c_str());
+    it.decisions.wait_finished(2);
+    LONGS_EQUAL(2, it.target.requests().size());
+    CHECK(answer_kind::connection_lost == it.decisions.attempts.at(1).kind);
+    CHECK(it.decisions.attempts.at(1).request_bytes_sent);
+}
+
+// Guards against evidence of sickness from a target that only closed an idle connection.
+TEST(connection_reuse, repeats_idempotent_work_on_a_new_connection) {
+    proxy_fixture it(close_at_second);
+    STRCMP_CONTAINS("\r\n\r\nok", it.ask(plain_get).c_str());
+    STRCMP_CONTAINS("\r\n\r\nok", it.ask(plain_get).c_str());
+    it.decisions.wait_finished(2);
+    LONGS_EQUAL(3, it.target.requests().size());
+    LONGS_EQUAL(2, it.decisions.attempts.size());
+    CHECK(answer_kind::ok == it.decisions.attempts.at(1).kind);
+}
+
+// Guards against using connections whose target said that it closes them.
+TEST(connection_reuse, respects_connection_close) {
+    proxy_fixture it([](const std::string& /*request*/, int /*number*/) {
+        return reaction{answer_text(200, "Connection: close\r\n", "ok"), false, false};
+    });
+    STRCMP_CONTAINS("\r\n\r\nok", it.ask(plain_get).c_str());
+    STRCMP_CONTAINS("\r\n\r\nok", it.ask(plain_get).c_str());
+    LONGS_EQUAL(2, it.target.connections());
+}
+
+TEST_GROUP(target_pool) {
+    manual_clock_source clock;
+    traffic::detail::target_pool pool{clock};
+    Poco::Net::ServerSocket listener{Poco::Net::SocketAddress("127.0.0.1", 0)};
+
+    endpoint address() {
+        return {"127.0.0.1", listener.address().port()};
+    }
+    Poco::Net::StreamSocket put_one() {
+        auto connection = pool.connect(address(), seconds{10});
+        auto other_side = listener.acceptConnection();
+        pool.put(address(), std::move(connection));
+        return other_side;
+    }
+};
+
+// Guards against work on connections that were dropped on the way without a sign.
+TEST(target_pool, gives_out_only_recently_used_connections) {
+    const auto other_side = put_one();
+    clock.advance(milliseconds{1'001});
+    CHECK_FALSE(pool.take(address(), milliseconds{1'000}));
+    auto taken = pool.take(address(), milliseconds{5'000});
+    CHECK(taken != nullptr);
+    pool.put(address(), std::move(taken));
+    clock.advance(milliseconds{5'001});
+    CHECK_FALSE(pool.take(address(), milliseconds{60'000}));
+}
+
+// Guards against an answer that nobody asked for, which would go to the next request.
+TEST(target_pool, does_not_give_out_connections_with_input) {
+    auto other_side = put_one();
+    other_side.sendBytes("x", 1);
+    CHECK_FALSE(pool.take(address(), milliseconds{5'000}));
+    auto closed = put_one();
+    closed.close();
+    CHECK_FALSE(pool.take(address(), milliseconds{5'000}));
+}
+
+// Guards against using the other connections of a target that went silent.
+TEST(target_pool, forgets_the_connections_of_an_address) {
+    const auto other_side = put_one();
+    pool.forget(address());
+    CHECK_FALSE(pool.take(address(), milliseconds{5'000}));
+}
--- /dev/null
+++ b/test/traffic/http_semantics_test.cpp
@@ -0,0 +1,170 @@
+#include "proxy_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using namespace wigeonrill::test;
+
+namespace {
+
+scripted_target::script always(std::string bytes) {
+    return [bytes = std::move(bytes)](const std::string& /*request*/, int /*number*/) {
+        return reaction{bytes, false, false};
+    };
+}
+
+bool contains(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_GROUP(http_semantics){};
+
+// Guards against a caller that waits for a body that HEAD, 204 and 304 answers don't have.
+TEST(http_semantics, passes_answers_without_body) {
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n"},
+        {"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5000\r\n\r\n"},
+        {"GET", "HTTP/1.1 204 No Content\r\n\r\n"}};
+    for (const auto& [method, bytes] : cases) {
+        proxy_fixture it(always(bytes));
+        auto caller = it.connect();
+        for (int i = 0; i < 2; ++i) {
+            caller.send(method + " / HTTP/1.1\r\nHost: a\r\n\r\n");
+            const auto head = caller.receive_answer(false);
+            STRCMP_CONTAINS(bytes.substr(0, 12).c_str(), head.c_str());
+            CHECK_EQUAL(contains(bytes, "5000"), contains(head, "Content-Length: 5000\r\n"));
+        }
+        LONGS_EQUAL(1, it.target.connections());
+    }
+}
+
+// Guards against a body in a refusal of HEAD, which the caller would read as the next answer.
+TEST(http_semantics, refuses_head_without_body) {
+    proxy_fixture it(answer_ok);
+    traffic::step refusing;
+    refusing.reason.status = 404;
+    it.decisions.add_step(refusing);
+    auto caller = it.connect();
+    caller.send("HEAD / HTTP/1.1\r\nHost: a\r\n\r\n" + plain_get);
+    STRCMP_CONTAINS("HTTP/1.1 404 ", caller.receive_answer(false).c_str());
+    STRCMP_CONTAINS("HTTP/1.1 200 ", caller.receive_answer().c_str());
+}
+
+// Guards against interim answers that are taken for the final one, or lost.
+TEST(http_semantics, passes_interim_answers) {
+    proxy_fixture it(always("HTTP/1.1 100 Continue\r\n\r\n"
+                            "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+                            answer_text(200, "", "ok")));
+    auto caller = it.connect();
+    caller.send(plain_get);
+    const auto interim = caller.receive_answer();
+    STRCMP_CONTAINS("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n", interim.c_str());
+    STRCMP_CONTAINS("HTTP/1.1 200 ", caller.receive_answer().c_str());
+    STRCMP_CONTAINS("\r\n\r\nok", it.ask("GET / HTTP/1.0\r\n\r\n").c_str());
+}
+
+// Guards against a caller that waits for 100 before it sends its body.
+TEST(http_semantics, answers_expect_continue) {
+    proxy_fixture it(answer_ok);
+    for (const std::size_t size : {std::size_t{5}, std::size_t{100'000}}) {
+        auto caller = it.connect();
+        caller.send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: " +
+                    std::to_string(size) + "\r\n\r\n");
+        STRCMP_EQUAL("HTTP/1.1 100 Continue\r\n\r\n", caller.receive_answer(false).c_str());
+        caller.send(std::string(size, 'x'));
+        STRCMP_CONTAINS("HTTP/1.1 200 ", caller.receive_answer().c_str());
+        const auto request = it.target.requests().back();
+        CHECK(contains(request, "\r\n\r\n" + std::string(size, 'x')));
+        CHECK_FALSE(contains(request, "Expect"));
+    }
+}
+
+// Guards against answers in another order than the pipelined requests.
+TEST(http_semantics, answers_pipelined_requests_in_order) {
+    proxy_fixture it([](const std::string& request, int /*number*/) {
+        return reaction{answer_text(200, "", request.substr(0, 6)), false, false};
+    });
+    auto caller = it.connect();
+    caller.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+                "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    for (const char* expected : {"GET /1", "GET /2", "POST /", "GET /3"}) {
+        STRCMP_CONTAINS(("\r\n\r\n" + std::string(expected)).c_str(),
+                        caller.receive_answer().c_str());
+    }
+}
+
+// Guards against headers of one connection that reach another, in both directions.
+TEST(http_semantics, removes_hop_by_hop_headers) {
+    proxy_fixture it(always(answer_text(200,
+                                        "Connection: X-Mine\r\nX-Mine: 1\r\nKeep-Alive: 5\r\n"
+                                        "Trailer: T\r\nX-End: 1\r\nWigeonrill-Outcome: not-run\r\n",
+                                        "ok")));
+    const auto answer =
+        it.ask("GET / HTTP/1.1\r\nHost: a\r\nConnection: keep-alive, X-Hop, Idempotency-Key\r\n"
+               "X-Hop: 1\r\nTE: trailers\r\nUpgrade: websocket\r\nProxy-Authorization: x\r\n"
+               "X-End: 1\r\nIdempotency-Key: k\r\nVia: 1.0 other\r\n\r\n");
+    const auto request = it.target.requests().at(0);
+    for (const char* gone : {"Connection", "X-Hop", "TE:", "Upgrade", "Proxy-Authorization"}) {
+        CHECK_FALSE_TEXT(contains(request, gone), gone);
+    }
+    CHECK(contains(request, "X-End: 1\r\n"));
+    CHECK(contains(request, "Idempotency-Key: k\r\n"));
+    CHECK(contains(request, "Via: 1.0 other\r\n"));
+    CHECK(contains(request, "Via: 1.1 wigeonrill\r\n"));
+    for (const char* gone : {"Connection", "X-Mine", "Keep-Alive", "Trailer", "Outcome"}) {
+        CHECK_FALSE_TEXT(contains(answer, gone), gone);
+    }
+    CHECK(contains(answer, "X-End: 1\r\n"));
+}
+
+// Guards against trailers that end up in the body, and against chunks sent to HTTP/1.0.
+TEST(http_semantics, passes_chunked_bodies) {
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n"
+                                "3\r\nabc\r\n2\r\nde\r\n0\r\nX-Sum: 1\r\n\r\n";
+    proxy_fixture it(always("HTTP/1.1 200 OK\r\n" + chunked));
+    auto caller = it.connect();
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\n" + chunked + "GET / HTTP/1.0\r\n\r\n");
+    CHECK(contains(caller.receive_answer(), "abcde"));
+    CHECK(contains(it.target.requests().at(0), "Content-Length: 5\r\n"));
+    CHECK(contains(it.target.requests().at(0), "\r\n\r\nabcde"));
+    const auto old_answer = caller.receive_all();
+    CHECK(contains(old_answer, "abcde"));
+    CHECK_FALSE(contains(old_answer, "chunked"));
+}
+
+// Guards against an answer whose end is the connection's end that leaves the caller waiting.
+TEST(http_semantics, passes_answers_that_end_with_the_connection) {
+    proxy_fixture it([](const std::string& /*request*/, int /*number*/) {
+        return reaction{"HTTP/1.1 200 OK\r\n\r\nuntil the end", true, false};
+    });
+    auto caller = it.connect();
+    caller.send(plain_get);
+    const auto answer = caller.receive_answer();
+    CHECK(contains(answer, "Transfer-Encoding: chunked\r\n"));
+    CHECK(contains(answer, "until the end"));
+    CHECK(contains(it.ask("GET / HTTP/1.0\r\n\r\n"), "200 OK"));
+}
+
+// Guards against losing what a target says about itself.
+TEST(http_semantics, reports_load_draining_and_sheds) {
+    proxy_fixture it([](const std::string& request, int number) {
+        return number == 1 ? reaction{answer_text(503,
+                                                  "Retry-After: 1\r\nTarget-Load: 7\r\n"
+                                                  "Target-Draining: 1\r\n",
+                                                  ""),
+                                      false, false}
+                           : answer_ok(request, number);
+    });
+    it.decisions.add_step(it.send_step(config::repeat_policy::at_most_once));
+    it.decisions.add_step(it.send_step(config::repeat_policy::at_most_once));
+    CHECK(contains(it.ask(plain_get), "\r\n\r\nok"));
+    it.decisions.wait_finished(1);
+    const auto& shed = it.decisions.attempts.at(0);
+    CHECK(health::answer_kind::shed == shed.kind);
+    CHECK(shed.draining);
+    LONGS_EQUAL(7, shed.reported_load);
+    LONGS_EQUAL(-1, it.decisions.attempts.at(1).reported_load);
+}
--- /dev/null
+++ b/test/traffic/node_forwarding_test.cpp
@@ -0,0 +1,112 @@
+#include "proxy_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <cstdlib>
+
+using namespace wigeonrill;
+using namespace wigeonrill::test;
+
+namespace {
+
+const std::string marked_get = "GET /a HTTP/1.1\r\nHost: shop\r\nWigeonrill-From-Node: 1\r\n\r\n";
+
+bool contains(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_GROUP(node_forwarding){};
+
+// Guards against a caller that claims to be a node and so passes by the key's owner.
+TEST(node_forwarding, believes_the_mark_only_from_nodes) {
+    proxy_fixture unknown(answer_ok);
+    static_cast<void>(unknown.ask(marked_get));
+    CHECK_FALSE(unknown.decisions.started.at(0).from_node);
+    CHECK_FALSE(contains(unknown.target.requests().at(0), "From-Node"));
+
+    traffic::server_options options;
+    options.is_peer = [](const std::string& ip) { return ip == "127.0.0.1"; };
+    proxy_fixture known(answer_ok, options);
+    static_cast<void>(known.ask(marked_get));
+    static_cast<void>(known.ask(plain_get));
+    known.decisions.wait_finished(2);
+    CHECK(known.decisions.started.at(0).from_node);
+    CHECK_FALSE(known.decisions.started.at(1).from_node);
+    CHECK_FALSE(contains(known.target.requests().at(0), "From-Node"));
+}
+
+// Guards against a node that takes a forwarded request for a caller's, or hides its refusal.
+TEST(node_forwarding, marks_forwarded_requests_and_passes_the_refusal) {
+    proxy_fixture it([](const std::string& /*request*/, int /*number*/) {
+        return reaction{answer_text(503, "Retry-After: 1\r\nWigeonrill-Outcome: unknown\r\n", ""),
+                        false, false};
+    });
+    it.decisions.usual.kind = traffic::step_kind::forward;
+    const auto answer = it.ask(plain_get);
+    CHECK(contains(it.target.requests().at(0), "Wigeonrill-From-Node: 1\r\n"));
+    CHECK(contains(answer, "Wigeonrill-Outcome: unknown\r\n"));
+    it.decisions.wait_finished(1);
+    CHECK(health::answer_kind::server_error == it.decisions.attempts.at(0).kind);
+}
+
+// Guards against targets that work on after the caller's time has passed.
+TEST(node_forwarding, sends_the_remaining_time) {
+    proxy_fixture it(answer_ok);
+    it.decisions.usual.deadline = instant{};
+    static_cast<void>(it.ask("GET / HTTP/1.1\r\nHost: a\r\nRequest-Timeout-Ms: 20000\r\n\r\n"));
+    const auto request = it.target.requests().at(0);
+    const auto place = request.find("Request-Timeout-Ms: ");
+    CHECK(place != std::string::npos);
+    const auto left = std::atoi(request.c_str() + place + 20);
+    CHECK(left > 0 && left <= 20'000);
+    const auto& info = it.decisions.started.at(0);
+    CHECK(info.deadline - info.arrived == milliseconds{20'000});
+}
+
+// Guards against a lost or partial answer in the deduplication table.
+TEST(node_forwarding, hands_over_whole_small_answers) {
+    const std::string large(65'537, 'x');
+    proxy_fixture it([&](const std::string& request, int /*number*/) {
+        return reaction{
+            answer_text(201, "X-Run: 7\r\n", contains(request, "/large") ? large : "run"), false,
+            false};
+    });
+    it.decisions.usual.store_answer = true;
+    static_cast<void>(it.ask(plain_get));
+    static_cast<void>(it.ask("GET /large HTTP/1.1\r\nHost: a\r\n\r\n"));
+    it.decisions.wait_finished(2);
+    const auto stored = it.decisions.stored.at(0);
+    CHECK(stored != nullptr);
+    LONGS_EQUAL(201, stored->status);
+    STRCMP_EQUAL("run", stored->body.c_str());
+    CHECK_FALSE(it.decisions.stored.at(1));
+
+    traffic::step replaying;
+    replaying.kind = traffic::step_kind::replay;
+    replaying.answer = stored;
+    it.decisions.add_step(replaying);
+    const auto replayed = it.ask(plain_get);
+    CHECK(contains(replayed, "HTTP/1.1 201 "));
+    CHECK(contains(replayed, "X-Run: 7\r\n"));
+    CHECK(contains(replayed, "\r\n\r\nrun"));
+    LONGS_EQUAL(2, it.target.requests().size());
+}
+
+// Guards against a digest or a resend of a body that is not in memory.
+TEST(node_forwarding, holds_only_small_bodies) {
+    proxy_fixture it(answer_ok);
+    for (const std::size_t size : {std::size_t{65'536}, std::size_t{65'537}}) {
+        const std::string body(size, 'x');
+        auto caller = it.connect();
+        caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(size) +
+                    "\r\n\r\n" + body);
+        CHECK(contains(caller.receive_answer(), "200"));
+        CHECK(contains(it.target.requests().back(), "\r\n\r\n" + body));
+    }
+    it.decisions.wait_finished(2);
+    CHECK(it.decisions.started.at(0).body_replayable);
+    CHECK(it.decisions.started.at(0).body_digest == stable_hash(std::string(65'536, 'x')));
+    CHECK_FALSE(it.decisions.started.at(1).body_replayable);
+    CHECK(it.decisions.started.at(1).body_digest == 0);
+}
--- /dev/null
+++ b/test/traffic/refusing_test.cpp
@@ -0,0 +1,153 @@
+#include "proxy_fixture.h"
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using namespace wigeonrill::test;
+
+namespace {
+
+traffic::server_options short_limits() {
+    traffic::server_options options;
+    options.head_time = milliseconds{50};
+    options.body_idle = milliseconds{50};
+    options.idle = milliseconds{50};
+    return options;
+}
+
+std::string status_of(const std::string& answer) {
+    return answer.size() < 12 ? answer : answer.substr(9, 3);
+}
+
+} // namespace
+
+TEST_GROUP(refusing){};
+
+// Guards against a request behind a malformed one: it may be a smuggled part of its body.
+TEST(refusing, closes_after_a_malformed_request) {
+    proxy_fixture it(answer_ok);
+    auto caller = it.connect();
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 40\r\n\r\n" +
+                plain_get);
+    const auto answers = caller.receive_all();
+    STRCMP_EQUAL("400", status_of(answers).c_str());
+    STRCMP_CONTAINS("Connection: close\r\n", answers.c_str());
+    STRCMP_CONTAINS("Wigeonrill-Outcome: not-run\r\n", answers.c_str());
+    CHECK(it.decisions.started.empty());
+    CHECK(it.target.requests().empty());
+}
+
+// Guards against passing on requests that a target could read in another way.
+TEST(refusing, checks_what_the_head_says) {
+    proxy_fixture it(answer_ok);
+    const std::vector<std::pair<std::string, std::string>> requests{
+        {"400", "GET /a/../../b HTTP/1.1\r\nHost: a\r\n\r\n"},
+        {"400", "GET http://b/ HTTP/1.1\r\nHost: a\r\n\r\n"},
+        {"501", "CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n"},
+        {"431", "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n"},
+        {"413", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n"},
+        {"417", "GET / HTTP/1.1\r\nHost: a\r\nExpect: cake\r\n\r\n"},
+        {"400", "GET / HTTP/1.1\r\nHost: a\r\nRequest-Timeout-Ms: -1\r\n\r\n"},
+        {"400", "GET / HTTP/1.1\r\nHost: a\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n"}};
+    for (const auto& [status, request] : requests) {
+        auto caller = it.connect();
+        caller.send(request);
+        STRCMP_EQUAL_TEXT(status.c_str(), status_of(caller.receive_all()).c_str(), request.c_str());
+    }
+    CHECK(it.target.requests().empty());
+}
+
+// Guards against a body beyond the route's limit, which is known only after routing.
+TEST(refusing, enforces_the_body_limit_of_the_route) {
+    proxy_fixture it(answer_ok);
+    it.decisions.usual.route.max_body_bytes = 4;
+    const auto answer = it.ask("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello");
+    STRCMP_EQUAL("413", status_of(answer).c_str());
+    it.decisions.usual.route.max_body_bytes = 100'000;
+    auto caller = it.connect();
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" +
+                std::string(0x20000, 'x') + "\r\n0\r\n\r\n");
+    const auto streamed = caller.receive_all();
+    STRCMP_EQUAL("413", status_of(streamed).c_str());
+    STRCMP_CONTAINS("Wigeonrill-Outcome: unknown\r\n", streamed.c_str());
+}
+
+// Guards against callers that hold a thread with an unfinished head.
+TEST(refusing, limits_the_time_of_a_head) {
+    proxy_fixture it(answer_ok, short_limits());
+    auto caller = it.connect();
+    caller.send("GET / HTTP/1.1\r\nHost: a\r\n");
+    STRCMP_EQUAL("408", status_of(caller.receive_all()).c_str());
+}
+
+// Guards against callers that hold a thread with an unfinished body.
+TEST(refusing, limits_the_time_of_a_body) {
+    proxy_fixture it(answer_ok, short_limits());
+    auto caller = it.connect();
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhell");
+    STRCMP_EQUAL("408", status_of(caller.receive_all()).c_str());
+    CHECK(it.target.requests().empty());
+}
+
+// Guards against idle connections that hold a thread for good.
+TEST(refusing, closes_idle_connections) {
+    proxy_fixture it(answer_ok, short_limits());
+    auto caller = it.connect();
+    caller.send(plain_get);
+    STRCMP_EQUAL("200", status_of(caller.receive_answer()).c_str());
+    STRCMP_EQUAL("", caller.receive_all().c_str());
+}
+
+// Guards against unlimited threads, and against a newcomer that costs the others their connection.
+TEST(refusing, limits_connections) {
+    traffic::server_options options;
+    options.max_connections = 1;
+    proxy_fixture it(answer_ok, options);
+    auto first = it.connect();
+    first.send(plain_get);
+    STRCMP_EQUAL("200", status_of(first.receive_answer()).c_str());
+    auto second = it.connect();
+    second.send(plain_get);
+    const auto refused = second.receive_all();
+    STRCMP_EQUAL("503", status_of(refused).c_str());
+    STRCMP_CONTAINS("Retry-After: 1\r\n", refused.c_str());
+    first.send(plain_get);
+    STRCMP_EQUAL("200", status_of(first.receive_answer()).c_str());
+}
+
+// Guards against work that is sent after its deadline passed in a pause of the process.
+TEST(refusing, does_not_send_what_may_not_be_sent) {
+    proxy_fixture it(answer_ok);
+    it.decisions.sending_allowed = false;
+    const auto answer = it.ask(plain_get);
+    STRCMP_EQUAL("504", status_of(answer).c_str());
+    STRCMP_CONTAINS("Wigeonrill-Outcome: not-run\r\n", answer.c_str());
+    it.decisions.wait_finished(1);
+    CHECK(health::answer_kind::cancelled == it.decisions.attempts.at(0).kind);
+    CHECK_FALSE(it.decisions.attempts.at(0).request_bytes_sent);
+    CHECK(it.target.requests().empty());
+}
+
+// Guards against a request that is sent although its caller gave it no time.
+TEST(refusing, respects_a_timeout_of_zero) {
+    proxy_fixture it(answer_ok);
+    it.decisions.usual.deadline = instant{};
+    const auto answer = it.ask("GET / HTTP/1.1\r\nHost: a\r\nRequest-Timeout-Ms: 0\r\n\r\n");
+    STRCMP_EQUAL("504", status_of(answer).c_str());
+    CHECK(it.target.requests().empty());
+}
+
+// Guards against a target that can't be reached being taken for one that may have run the request.
+TEST(refusing, says_not_run_when_no_target_was_reached) {
+    proxy_fixture it(answer_ok);
+    Poco::Net::ServerSocket unused(Poco::Net::SocketAddress("127.0.0.1", 0));
+    it.decisions.usual.address.port = unused.address().port();
+    unused.close();
+    const auto answer = it.ask(plain_get);
+    STRCMP_EQUAL("503", status_of(answer).c_str());
+    STRCMP_CONTAINS("Wigeonrill-Outcome: not-run\r\n", answer.c_str());
+    it.decisions.wait_finished(1);
+    CHECK(health::answer_kind::connect_failed == it.decisions.attempts.at(0).kind);
+}
--- a/wigeonrill/src/traffic/caller_connection.cpp
+++ b/wigeonrill/src/traffic/caller_connection.cpp
@@ -8,7 +8,7 @@
 
 void caller_connection::run() {
     const int fd = stream_.fd();
-    context_->connections.add(fd);
+    beyond_limit_ = context_->connections.add(fd) > context_->options.max_connections;
     while (wait_for_request() && serve_request()) {
     }
     context_->connections.remove(fd);
@@ -35,7 +35,7 @@
     default:
         return false;
     }
-    if (context_->connections.size() > context_->options.max_connections) {
+    if (beyond_limit_) {
         return refuse_for_load();
     }
     auto request = make_caller_request(stream_.reader().check(), caller_, *context_);
--- a/wigeonrill/src/traffic/caller_connection.h
+++ b/wigeonrill/src/traffic/caller_connection.h
@@ -30,6 +30,7 @@
     server_context* context_;
     std::string caller_;
     caller_stream stream_;
+    bool beyond_limit_{false}; ///< opened when the server already had all its connections
 };
 
 } // namespace wigeonrill::traffic::detail
--- a/wigeonrill/src/traffic/caller_stream.cpp
+++ b/wigeonrill/src/traffic/caller_stream.cpp
@@ -47,7 +47,7 @@
         while (!request.body_complete && request.held.size() < held_body_bytes) {
             std::size_t n = 0;
             const auto room = std::min(piece.size(), held_body_bytes - request.held.size());
-            const auto deadline = context_->clock->now() + context_->options.body_idle;
+            const auto deadline = piece_deadline(request);
             if (auto fault = fault_of(reader_.read_body(piece.data(), room, n, deadline))) {
                 return fault;
             }
@@ -66,7 +66,7 @@
 std::optional<framing_fault> caller_stream::read_piece(caller_request& request, char* out,
                                                        std::size_t room, std::size_t& n) {
     send_continue(request);
-    const auto deadline = context_->clock->now() + context_->options.body_idle;
+    const auto deadline = piece_deadline(request);
     const auto status = reader_.read_body(out, room, n, deadline);
     request.body_streamed = true;
     if (auto fault = fault_of(status)) {
@@ -76,6 +76,11 @@
     return std::nullopt;
 }
 
+instant caller_stream::piece_deadline(const caller_request& request) const {
+    // The request's deadline bounds callers that send a byte now and then.
+    return std::min(context_->clock->now() + context_->options.body_idle, request.info.deadline);
+}
+
 void caller_stream::send_continue(caller_request& request) {
     if (request.waits_for_continue) {
         request.waits_for_continue = false;
--- a/wigeonrill/src/traffic/caller_stream.h
+++ b/wigeonrill/src/traffic/caller_stream.h
@@ -46,6 +46,7 @@
 
 private:
     [[nodiscard]] std::optional<framing_fault> fault_of(message_reader::status status) const;
+    [[nodiscard]] instant piece_deadline(const caller_request& request) const;
     void send_continue(caller_request& request);
 
     int fd_;
--- a/wigeonrill/src/traffic/connection_registry.cpp
+++ b/wigeonrill/src/traffic/connection_registry.cpp
@@ -22,9 +22,10 @@
     ::close(signal_out_);
 }
 
-void connection_registry::add(int fd) {
+std::size_t connection_registry::add(int fd) {
     const std::lock_guard lock(mutex_);
     live_.insert(fd);
+    return live_.size();
 }
 
 void connection_registry::remove(int fd) {
--- a/wigeonrill/src/traffic/connection_registry.h
+++ b/wigeonrill/src/traffic/connection_registry.h
@@ -16,7 +16,8 @@
     ~connection_registry();
 
     /// \brief Adds a connection.
-    void add(int fd);
+    /// \returns the number of connections, with this one
+    std::size_t add(int fd);
     /// \brief Removes a connection before its descriptor is closed.
     void remove(int fd);
     /// \returns a descriptor that hangs up when waiting connections are to close
--- a/wigeonrill/src/traffic/exchange.cpp
+++ b/wigeonrill/src/traffic/exchange.cpp
@@ -3,7 +3,6 @@
 #include "wigeonrill/src/traffic/exchange.h"
 
 #include <array>
-#include <charconv>
 
 namespace wigeonrill::traffic::detail {
 
@@ -28,14 +27,6 @@
     return stored;
 }
 
-std::string chunk(std::string_view body) {
-    std::array<char, 16> digits{};
-    const auto [end, ec] =
-        std::to_chars(digits.data(), digits.data() + digits.size(), body.size(), 16);
-    std::string text(digits.data(), end);
-    return text.append("\r\n").append(body).append("\r\n");
-}
-
 } // namespace
 
 refusal refusal_of(const framing_fault& fault, outcome result) {
@@ -79,7 +70,9 @@
     }
     if (request_->body_streamed) {
         // A part of the body is gone, so no target can get the whole request any more.
-        refuse(failure_of({}));
+        refuse({503, "body-not-repeatable", "The request can't be sent to another target",
+                "The body was too large to be held in memory. Send the request again.",
+                may_have_run_ ? outcome::unknown : outcome::not_run, seconds{1}});
         return std::nullopt;
     }
     target_attempt trial(*context_, *caller_, *request_, plan);
@@ -209,10 +202,12 @@
         } else if (n > 0) {
             stored_.reset();
         }
-        if (chunked_) {
-            pending += n > 0 ? chunk(body) : "0\r\n\r\n";
-        } else {
+        if (!chunked_) {
             pending += body;
+        } else if (n > 0) {
+            append_chunk(pending, body);
+        } else {
+            pending += "0\r\n\r\n";
         }
         if (!caller_->send(pending, plan.route.limits.body_idle)) {
             stored_.reset();
--- a/wigeonrill/src/traffic/framing_check.cpp
+++ b/wigeonrill/src/traffic/framing_check.cpp
@@ -49,9 +49,7 @@
         head_->method.assign(name.data(), name.size());
         head_->target.assign(target.data(), target.size());
         note_version(version);
-        if (version != http_1_0 && version != http_1_1) {
-            refuse(505, "http-version", "Only HTTP/1.0 and HTTP/1.1 are served.", ec);
-        } else if (method == http::verb::connect) {
+        if (method == http::verb::connect) {
             refuse(501, "connect", "CONNECT is not served.", ec);
         }
     }
@@ -60,7 +58,7 @@
         head_->status = code;
         head_->reason.assign(reason.data(), reason.size());
         note_version(version);
-        if (code < 100 || code > 599 || (version != http_1_0 && version != http_1_1)) {
+        if (code < 100 || code > 599) {
             refuse(502, "bad-answer", "The status line is invalid.", ec);
         }
     }
@@ -199,11 +197,14 @@
         const auto pending = unread + (head_done() ? 0 : raw_head_bytes());
         if (parser_.fault()) {
             set_fault(parser_.fault()->status, parser_.fault()->type, parser_.fault()->detail);
-        } else if (ec == http::error::header_limit ||
+        } else if (ec == http::error::header_limit || raw_head_bytes() > head_limit_ ||
                    (ec == http::error::need_more && pending >= head_limit_)) {
+            // Beast's own limit starts again behind each field that it could read.
             set_fault(431, "head-too-large", "The header fields exceed the limit.");
         } else if (ec == http::error::body_limit) {
             set_fault(413, "body-too-large", "The body exceeds the limit.");
+        } else if (ec == http::error::bad_version) {
+            set_fault(505, "http-version", "Only HTTP/1.0 and HTTP/1.1 are served.");
         } else if (ec && ec != http::error::need_more) {
             set_fault(400, "bad-framing", "The message is malformed: " + ec.message() + ".");
         }
--- a/wigeonrill/src/traffic/message_head.cpp
+++ b/wigeonrill/src/traffic/message_head.cpp
@@ -3,6 +3,7 @@
 #include "wigeonrill/src/traffic/message_head.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace wigeonrill::traffic::detail {
 
@@ -128,9 +129,17 @@
 }
 
 std::string answer_text(const message_head& head) {
-    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
+    std::string text = "HTTP/1.1 ";
+    text.append(std::to_string(head.status)).append(" ").append(head.reason).append("\r\n");
     append_fields(text, head);
     return text;
 }
 
+void append_chunk(std::string& text, std::string_view body) {
+    std::array<char, 16> digits{};
+    const auto [end, ec] =
+        std::to_chars(digits.data(), digits.data() + digits.size(), body.size(), 16);
+    text.append(digits.data(), end).append("\r\n").append(body).append("\r\n");
+}
+
 } // namespace wigeonrill::traffic::detail
--- a/wigeonrill/src/traffic/message_head.h
+++ b/wigeonrill/src/traffic/message_head.h
@@ -44,6 +44,9 @@
 /// \returns the status line and fields with the empty line
 [[nodiscard]] std::string answer_text(const message_head& head);
 
+/// \brief Appends the body as one chunk of the chunked transfer coding.
+void append_chunk(std::string& text, std::string_view body);
+
 } // namespace wigeonrill::traffic::detail
 
 #endif
--- a/wigeonrill/src/traffic/request_target.cpp
+++ b/wigeonrill/src/traffic/request_target.cpp
@@ -100,7 +100,7 @@
     request_target result{lower_case(without_port(host)), std::string(target.substr(0, question)),
                           std::string(target.substr(std::min(question + 1, target.size())))};
     if (result.path.empty() && head.target.find("://") != std::string::npos) {
-        result.path = "/";
+        result.path.push_back('/');
     }
     const bool asterisk = result.path == "*" && head.method == "OPTIONS" && result.query.empty();
     if (!asterisk && (result.path.empty() || result.path.front() != '/')) {
--- a/wigeonrill/src/traffic/server.cpp
+++ b/wigeonrill/src/traffic/server.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/TCPServerConnection.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
+#include <sys/socket.h>
 
 namespace wigeonrill::traffic {
 
@@ -70,6 +71,7 @@
           threads(2, static_cast<int>(context.options.max_connections + 2 * refusing_threads)) {}
 
     [[nodiscard]] result<void> start();
+    void wake_listener() const;
     void stop();
 
     detail::server_context context;
@@ -100,6 +102,13 @@
     }
 }
 
+void server::implementation::wake_listener() const {
+    // The accepting thread looks for its end only every 250 ms unless its socket has an event.
+    if (listener) {
+        ::shutdown(listener->socket().impl()->sockfd(), SHUT_RD);
+    }
+}
+
 void server::implementation::stop() {
     if (listener) {
         listener->stop();
@@ -113,6 +122,7 @@
     : impl_(std::make_unique<implementation>(std::move(options), decisions, clock)) {}
 
 server::~server() {
+    impl_->wake_listener();
     impl_->stop();
     impl_->context.connections.abort_all();
     impl_->threads.joinAll();
