Run keyed at-most-once requests through their owner and its table

Cause: a request with an idempotency key could run on every node that got it.

Ruled out: a scope by caller address for UUIDs and issued keys (a caller that changes its address would run twice); an issued key with a plain counter (its age would be unknown once its entry is dropped); "not-run" from a node that does not hold the key (an earlier send may have run).

Change: once has key parsing, the issuer, the owner rules, the deduplication table, crash containment and the send guard. dispatch::key_gate puts owner rules and table together; decision_core forwards, waits, replays and refuses.

--- /dev/null
+++ b/test/dispatch/at_most_once_test.cpp
@@ -0,0 +1,160 @@
+#include "fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using health::answer_kind;
+using traffic::outcome;
+using traffic::step_kind;
+
+namespace {
+
+std::shared_ptr<const traffic::stored_answer> answer_text(const char* body) {
+    return std::make_shared<const traffic::stored_answer>(
+        traffic::stored_answer{201, {{"Content-Type", "text/plain"}}, body});
+}
+
+} // namespace
+
+TEST_GROUP(at_most_once) {
+    test::dispatcher_fixture node{test::make_snapshot(3, 2)};
+    dispatch::request_dispatcher& d = *node.dispatcher;
+
+    void check_refused(const traffic::step& step, const char* type, outcome result) {
+        CHECK(step.kind == step_kind::refuse);
+        STRCMP_EQUAL(type, step.reason.type.c_str());
+        CHECK(step.reason.result == result);
+    }
+    void run_whole(const char* key) {
+        const auto request = node.request("POST", "/runs", key);
+        CHECK(d.first(request).kind == step_kind::send);
+        CHECK_TRUE(d.may_send(request));
+        CHECK_FALSE(d.ended(request, node.attempt(answer_kind::ok)).has_value());
+        d.finished(request, true, answer_text("printed"));
+    }
+};
+
+// Guards against a second run for the same key sent again to the same node.
+TEST(at_most_once, same_key_again_gets_the_stored_answer) {
+    run_whole("k");
+    const auto again = node.request("POST", "/runs", "\"k\"");
+    const auto step = d.first(again);
+    CHECK(step.kind == step_kind::replay);
+    STRCMP_EQUAL("printed", step.answer->body.c_str());
+    d.finished(again, true, nullptr);
+    CHECK_EQUAL(1U, d.keys());
+}
+
+// Guards against a second run while the first is still in the target, and a waiter left behind.
+TEST(at_most_once, same_key_waits_while_the_first_runs) {
+    const auto first = node.request("POST", "/runs", "k");
+    CHECK(d.first(first).kind == step_kind::send);
+    CHECK_TRUE(d.may_send(first));
+    const auto second = node.request("POST", "/runs", "k");
+    traffic::step step;
+    std::thread thread([&] { step = d.first(second); });
+    while (d.active() < 2) {
+        std::this_thread::yield();
+    }
+    CHECK_FALSE(d.ended(first, node.attempt(answer_kind::ok)).has_value());
+    d.finished(first, true, answer_text("printed"));
+    thread.join();
+    CHECK(step.kind == step_kind::replay);
+}
+
+// Guards against an answer for another body, and against two workspaces that share a key.
+TEST(at_most_once, other_body_and_other_workspace) {
+    run_whole("k");
+    auto other_body = node.request("POST", "/runs", "k");
+    other_body.body_digest = 99;
+    check_refused(d.first(other_body), "key-reused", outcome::unknown);
+    auto other_workspace = node.request("POST", "/runs", "k");
+    other_workspace.workspace = "w2";
+    CHECK(d.first(other_workspace).kind == step_kind::send);
+}
+
+// Guards against running a request without a key on a route that needs one.
+TEST(at_most_once, missing_and_bad_keys_are_refused) {
+    const auto missing = d.first(node.request("POST", "/runs"));
+    check_refused(missing, "key-required", outcome::not_run);
+    CHECK_EQUAL(428, missing.reason.status);
+    check_refused(d.first(node.request("POST", "/runs", "a b")), "key-invalid", outcome::not_run);
+    check_refused(d.first(node.request("POST", "/runs", "wr1-10.1.0.1-80-7-5")), "key-never-issued",
+                  outcome::not_run);
+}
+
+// Guards against a retry of a request that a target may have run, and against "not-run" for it now
+// or when the key comes again.
+TEST(at_most_once, lost_connection_is_unknown) {
+    const auto request = node.request("POST", "/runs", "k");
+    CHECK(d.first(request).kind == step_kind::send);
+    CHECK_TRUE(d.may_send(request));
+    const auto next = d.ended(request, node.attempt(answer_kind::connection_lost));
+    check_refused(*next, "target-lost", outcome::unknown);
+    d.finished(request, true, nullptr);
+    check_refused(d.first(node.request("POST", "/runs", "k")), "key-unknown", outcome::unknown);
+    CHECK_EQUAL(1U, node.sink.marks.size());
+}
+
+// Guards against giving up a request that no target got: a reset before the first byte.
+TEST(at_most_once, refused_connection_goes_to_another_target) {
+    const auto request = node.request("POST", "/runs", "k");
+    const auto first = d.first(request);
+    CHECK_TRUE(d.may_send(request));
+    const auto next = d.ended(request, node.attempt(answer_kind::connect_failed, false));
+    CHECK(next->kind == step_kind::send);
+    CHECK(next->target != first.target);
+    CHECK_TRUE(next->fresh_connection);
+}
+
+// Guards against a caller that loses an answer which was whole: the connection broke after the last
+// byte, and the answer must still be there for the key.
+TEST(at_most_once, caller_lost_after_the_answer_finds_it) {
+    const auto request = node.request("POST", "/runs", "k");
+    CHECK(d.first(request).kind == step_kind::send);
+    CHECK_TRUE(d.may_send(request));
+    CHECK_FALSE(d.ended(request, node.attempt(answer_kind::ok)).has_value());
+    d.finished(request, false, answer_text("printed"));
+    CHECK(d.first(node.request("POST", "/runs", "k")).kind == step_kind::replay);
+}
+
+// Guards against refusing shed at-most-once work although it was not run, and against more sheds
+// than the retry rules allow.
+TEST(at_most_once, shed_goes_to_another_target_and_ends_as_not_run) {
+    const auto request = node.request("POST", "/runs", "k");
+    auto step = d.first(request);
+    std::vector<target_id> seen;
+    for (int i = 0; i < 3; ++i) {
+        CHECK(step.kind == step_kind::send);
+        CHECK(std::find(seen.begin(), seen.end(), step.target) == seen.end());
+        seen.push_back(step.target);
+        CHECK_TRUE(d.may_send(request));
+        auto attempt = node.attempt(answer_kind::shed);
+        node.clock.advance(milliseconds(i == 2 ? 10'000 : 1));
+        step = *d.ended(request, attempt);
+    }
+    check_refused(step, "shed", outcome::not_run);
+    CHECK_TRUE(step.reason.retry_after.has_value());
+    d.finished(request, true, nullptr);
+    CHECK(d.first(node.request("POST", "/runs", "k")).kind == step_kind::send);
+}
+
+// Guards against a pause between choosing and sending: nothing may be sent after the deadline.
+TEST(at_most_once, pause_before_sending_ends_as_not_run) {
+    const auto request = node.request("POST", "/runs", "k");
+    CHECK(d.first(request).kind == step_kind::send);
+    node.clock.advance(seconds(11));
+    CHECK_FALSE(d.may_send(request));
+    const auto next = d.ended(request, node.attempt(answer_kind::cancelled, false));
+    check_refused(*next, "deadline-passed", outcome::not_run);
+}
+
+// Guards against "not-run" from a node that doesn't know whether an earlier send of the key ran.
+TEST(at_most_once, refusal_without_the_key_is_unknown) {
+    node.snapshot->workspaces = {{workspace_name("w1"), 1}};
+    run_whole("k");
+    check_refused(d.first(node.request("POST", "/runs", "k")), "workspace-allowance",
+                  outcome::unknown);
+    d.stop();
+    check_refused(d.first(node.request("POST", "/runs", "k")), "stopping", outcome::unknown);
+}
--- a/test/dispatch/fixture.h
+++ b/test/dispatch/fixture.h
@@ -61,6 +61,7 @@
     for (int i = 0; i < targets; ++i) {
         service.targets.push_back(make_target(i, slots));
     }
+    snapshot->key_owners = {{wall_time{}, {{"10.1.0.1", 80}}}};
     snapshot->routes = {make_route("read", "/", config::repeat_policy::idempotent),
                         make_route("run", "/runs", config::repeat_policy::at_most_once)};
     return snapshot;
@@ -92,6 +93,9 @@
         clock.advance(seconds(100));
         dispatcher = std::make_unique<dispatch::request_dispatcher>(options, clock, random, sink);
         dispatcher->set_view(make_view(snapshot));
+        // The owner rules for keys without a creation time need an uptime above the window.
+        clock.advance(std::chrono::minutes(20));
+        dispatcher->set_confirmed(clock.wall_now());
     }
 
     traffic::request_info request(const char* method, const char* path, std::string key = {}) {
--- /dev/null
+++ b/test/dispatch/key_owner_test.cpp
@@ -0,0 +1,92 @@
+#include "fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using health::answer_kind;
+using traffic::outcome;
+using traffic::step_kind;
+
+namespace {
+
+std::shared_ptr<config::snapshot> owned_by(const char* ip) {
+    auto snapshot = test::make_snapshot(2, 2);
+    snapshot->key_owners = {{wall_time{}, {{ip, 80}}}};
+    return snapshot;
+}
+
+} // namespace
+
+TEST_GROUP(key_owner) {
+    test::dispatcher_fixture owner{owned_by("10.1.0.1")};
+    test::dispatcher_fixture other{owned_by("10.1.0.9")};
+
+    void check_refused(const traffic::step& step, const char* type, outcome result) {
+        CHECK(step.kind == step_kind::refuse);
+        STRCMP_EQUAL(type, step.reason.type.c_str());
+        CHECK(step.reason.result == result);
+    }
+};
+
+// Guards against a run on a node that doesn't own the key, and against a loop between two nodes.
+TEST(key_owner, key_of_another_node_is_forwarded_once) {
+    auto& d = *other.dispatcher;
+    const auto request = other.request("POST", "/runs", "k");
+    const auto step = d.first(request);
+    CHECK(step.kind == step_kind::forward);
+    STRCMP_EQUAL("10.1.0.9:80", to_string(step.address).c_str());
+    auto forwarded = other.request("POST", "/runs", "k");
+    forwarded.from_node = true;
+    check_refused(d.first(forwarded), "key-owner-disputed", outcome::unknown);
+}
+
+// Guards against taking the owner's refusal for a shed, and against judging a node as a target.
+TEST(key_owner, refusal_of_the_owner_is_passed_on) {
+    auto& d = *other.dispatcher;
+    const auto request = other.request("POST", "/runs", "k");
+    CHECK(d.first(request).kind == step_kind::forward);
+    CHECK_TRUE(d.may_send(request));
+    CHECK_FALSE(d.ended(request, other.attempt(answer_kind::shed)).has_value());
+    d.finished(request, true, nullptr);
+    CHECK(other.sink.answers.empty());
+    CHECK_EQUAL(0U, d.active());
+}
+
+// Guards against "not-run" while the owner can't be asked, and against endless attempts at it.
+TEST(key_owner, unreachable_owner_is_unknown) {
+    auto& d = *other.dispatcher;
+    const auto request = other.request("POST", "/runs", "k");
+    CHECK(d.first(request).kind == step_kind::forward);
+    const auto failure = other.attempt(answer_kind::connect_failed, false);
+    CHECK(d.ended(request, failure)->kind == step_kind::forward);
+    check_refused(*d.ended(request, failure), "key-owner-unreachable", outcome::unknown);
+}
+
+// Guards against running a key again after the process that may have run it was replaced.
+TEST(key_owner, restarted_owner_does_not_run_old_keys) {
+    const auto issued = owner.dispatcher->issue_key();
+    CHECK(owner.dispatcher->first(owner.request("POST", "/runs", issued)).kind == step_kind::send);
+    test::dispatcher_fixture restarted(owned_by("10.1.0.1"));
+    dispatch::request_dispatcher second({{"10.1.0.1", 80}, 8, {}}, restarted.clock,
+                                        restarted.random, restarted.sink);
+    second.set_view(test::make_view(restarted.snapshot));
+    second.set_confirmed(restarted.clock.wall_now());
+    check_refused(second.first(restarted.request("POST", "/runs", issued)), "key-process-gone",
+                  outcome::unknown);
+    check_refused(second.first(restarted.request("POST", "/runs", "k")), "key-before-start",
+                  outcome::unknown);
+}
+
+// Guards against an owner that runs keys although its owner list may have been replaced.
+TEST(key_owner, owner_without_confirmation_is_unknown_but_replays) {
+    auto& d = *owner.dispatcher;
+    const auto request = owner.request("POST", "/runs", "k");
+    CHECK(d.first(request).kind == step_kind::send);
+    CHECK_TRUE(d.may_send(request));
+    CHECK_FALSE(d.ended(request, owner.attempt(answer_kind::ok)).has_value());
+    d.finished(request, true, std::make_shared<const traffic::stored_answer>());
+    owner.snapshot->owner_lease = milliseconds(0);
+    check_refused(d.first(owner.request("POST", "/runs", "l")), "key-owner-unconfirmed",
+                  outcome::unknown);
+    CHECK(d.first(owner.request("POST", "/runs", "k")).kind == step_kind::replay);
+}
--- /dev/null
+++ b/test/dispatch/retry_test.cpp
@@ -0,0 +1,109 @@
+#include "fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using health::answer_kind;
+using traffic::outcome;
+using traffic::step_kind;
+
+TEST_GROUP(retry) {
+    test::dispatcher_fixture node{test::make_snapshot(3, 2)};
+    dispatch::request_dispatcher& d = *node.dispatcher;
+
+    std::optional<traffic::step> lose(const traffic::request_info& request, bool passed = false) {
+        CHECK_TRUE(d.may_send(request));
+        auto attempt = node.attempt(answer_kind::connection_lost);
+        attempt.answer_bytes_passed = passed;
+        return d.ended(request, attempt);
+    }
+};
+
+// Guards against giving up an idempotent request after one lost connection, and against more than
+// 2 attempts.
+TEST(retry, lost_idempotent_request_is_sent_twice) {
+    const auto request = node.request("GET", "/stock");
+    const auto first = d.first(request);
+    const auto second = lose(request);
+    CHECK(second->kind == step_kind::send);
+    CHECK(second->target != first.target);
+    const auto third = lose(request);
+    CHECK(third->kind == step_kind::refuse);
+    CHECK(third->reason.result == outcome::unknown);
+}
+
+// Guards against a second answer behind a part of the first, and against sending half a body.
+TEST(retry, no_retry_after_answer_bytes_or_without_the_body) {
+    const auto passed = node.request("GET", "/stock");
+    CHECK(d.first(passed).kind == step_kind::send);
+    CHECK(lose(passed, true)->kind == step_kind::refuse);
+    auto streamed = node.request("PUT", "/stock");
+    streamed.body_replayable = false;
+    CHECK(d.first(streamed).kind == step_kind::send);
+    CHECK(lose(streamed)->kind == step_kind::refuse);
+}
+
+// Guards against retries that keep a failing service busy.
+TEST(retry, budget_ends_the_retries) {
+    int retries = 0;
+    for (int i = 0; i < 100; ++i) {
+        auto request = node.request("GET", ("/" + std::to_string(i)).c_str());
+        CHECK(d.first(request).kind == step_kind::send);
+        CHECK_TRUE(d.may_send(request));
+        const auto next = d.ended(request, node.attempt(answer_kind::malformed));
+        retries += next->kind == step_kind::send ? 1 : 0;
+        d.finished(request, true, nullptr);
+    }
+    // 10 saved up and 10% of 100.
+    CHECK(retries >= 18 && retries <= 20);
+}
+
+// Guards against a request that kills target after target, and against a mark that peers don't get.
+TEST(retry, request_that_kills_two_targets_is_held_back) {
+    const auto poison = node.request("GET", "/poison");
+    CHECK(d.first(poison).kind == step_kind::send);
+    CHECK(lose(poison)->kind == step_kind::send);
+    CHECK(lose(poison)->kind == step_kind::refuse);
+    d.finished(poison, true, nullptr);
+    CHECK_EQUAL(2U, node.sink.marks.size());
+    STRCMP_EQUAL("contained", d.first(node.request("GET", "/poison")).reason.type.c_str());
+    CHECK(d.first(node.request("GET", "/other")).kind == step_kind::send);
+    node.clock.advance(std::chrono::minutes(10));
+    CHECK(d.first(node.request("GET", "/poison")).kind == step_kind::send);
+}
+
+// Guards against a node that lets a request through which killed targets at other nodes.
+TEST(retry, marks_of_peers_count) {
+    const auto poison = node.request("GET", "/poison");
+    const auto fingerprint = dispatch::request_fingerprint(poison, {});
+    d.add_crash_mark({fingerprint, target_id("t0"), node.clock.wall_now()});
+    d.add_crash_mark({fingerprint, target_id("t1"), node.clock.wall_now()});
+    STRCMP_EQUAL("contained", d.first(poison).reason.type.c_str());
+}
+
+// Guards against a busy node that makes callers wait for what can't be served in time, and against
+// an unbounded queue.
+TEST(retry, full_queue_refuses_the_newest_at_once) {
+    test::dispatcher_fixture one{test::make_snapshot(1, 1)};
+    auto& busy = *one.dispatcher;
+    CHECK(busy.first(one.request("GET", "/a")).kind == step_kind::send);
+    std::vector<std::thread> threads;
+    threads.reserve(2);
+    std::atomic<int> refused{0};
+    for (int i = 0; i < 2; ++i) {
+        threads.emplace_back([&busy, &refused, request = one.request("GET", "/a")] {
+            refused += busy.first(request).kind == step_kind::refuse ? 1 : 0;
+        });
+    }
+    while (busy.waiting() < 2) {
+        std::this_thread::yield();
+    }
+    const auto step = busy.first(one.request("GET", "/a"));
+    STRCMP_EQUAL("queue-full", step.reason.type.c_str());
+    CHECK_TRUE(step.reason.retry_after.has_value());
+    busy.stop();
+    for (auto& it : threads) {
+        it.join();
+    }
+    CHECK_EQUAL(2, refused.load());
+}
--- a/wigeonrill/dispatch.h
+++ b/wigeonrill/dispatch.h
@@ -23,6 +23,8 @@
 #include "src/dispatch/target_place.h"
 // Needs target_place.h.
 #include "src/dispatch/service_state.h"
+// Needs refusals.h and moment.h.
+#include "src/dispatch/key_gate.h"
 // Needs decision_record.h.
 #include "src/dispatch/event_sink.h"
 // Needs service_state.h.
--- a/wigeonrill/once.h
+++ b/wigeonrill/once.h
@@ -6,8 +6,21 @@
 
 #define WIGEONRILL_ONCE_MODULE
 
+#include <deque>
+
 #include "config.h"
 
+#include "src/once/clock_error.h"
 #include "src/once/crash_mark.h"
+#include "src/once/idempotency_key.h"
+#include "src/once/send_guard.h"
+#include "src/once/stored_answer.h"
+// Needs crash_mark.h.
+#include "src/once/crash_containment.h"
+// Needs idempotency_key.h.
+#include "src/once/key_issuer.h"
+#include "src/once/key_owner_policy.h"
+// Needs stored_answer.h.
+#include "src/once/dedup_table.h"
 
 #endif
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -11,8 +11,10 @@
 
 } // namespace
 
-decision_core::decision_core(policy_factory make_policy, random_source& random)
-    : make_policy_(std::move(make_policy)), random_(random) {}
+decision_core::decision_core(endpoint own, std::uint64_t incarnation, moment started,
+                             policy_factory make_policy, random_source& random)
+    : make_policy_(std::move(make_policy)), random_(random),
+      gate_(std::move(own), incarnation, started) {}
 
 void decision_core::set_view(routing::view_ptr view,
                              std::shared_ptr<const routing::route_table> table, instant now) {
@@ -31,19 +33,19 @@
     }
 }
 
-void decision_core::stop(instant /*now*/) {
+void decision_core::stop(instant now) {
     stopping_ = true;
     for (auto& [name, service] : services_) {
-        refuse_waiting(*service, refusal_kind::stopping, seconds(1));
+        refuse_waiting(*service, refusal_kind::stopping, now);
     }
 }
 
-void decision_core::refuse_waiting(service_state& service, refusal_kind kind, seconds retry_after) {
+void decision_core::refuse_waiting(service_state& service, refusal_kind kind, instant now) {
     for (const auto id : service.queue.oldest(service.queue.size())) {
         auto& record = record_of(id);
         service.queue.remove(id);
         record.queued.reset();
-        refuse(record, kind, outcome_of(record), retry_after);
+        refuse(record, kind, outcome_of(record), now, seconds(1));
         ready_.push_back(id);
     }
 }
@@ -52,6 +54,9 @@
     for (auto& [name, service] : services_) {
         drain(*service, now);
     }
+    for (const auto id : gate_.waiters()) {
+        expire_key_waiter(record_of(id), now);
+    }
 }
 
 service_state* decision_core::service_of(const service_name& name) {
@@ -82,17 +87,18 @@
     auto& record = it->second;
     record.info = info;
     record.deadline = info.deadline;
-    record.fingerprint = request_fingerprint(info);
-    if (find_route(record) && admit(record, at)) {
+    record.fingerprint = request_fingerprint(info, info.idempotency_key);
+    if (find_route(record, at.now) && admit(record, at) && pass_key(record, at) &&
+        find_service(record, at)) {
         record.service->retries.on_request(at.now);
         seek_place(record, at);
     }
 }
 
-bool decision_core::find_route(request_record& record) {
+bool decision_core::find_route(request_record& record, instant now) {
     const auto result = outcome_of(record);
     if (stopping_ || !view_) {
-        refuse(record, stopping_ ? refusal_kind::stopping : refusal_kind::not_ready, result,
+        refuse(record, stopping_ ? refusal_kind::stopping : refusal_kind::not_ready, result, now,
                seconds(1));
         return false;
     }
@@ -101,7 +107,7 @@
     if (match.route == nullptr) {
         const auto missing =
             match.path_known ? refusal_kind::method_not_allowed : refusal_kind::no_route;
-        refuse(record, match.path_valid ? missing : refusal_kind::bad_path, result);
+        refuse(record, match.path_valid ? missing : refusal_kind::bad_path, result, now);
         return false;
     }
     record.route = match.route;
@@ -110,15 +116,23 @@
 }
 
 bool decision_core::admit(request_record& record, moment at) {
+    if (containment_.refused(record.fingerprint, at.wall)) {
+        refuse(record, refusal_kind::contained, outcome_of(record), at.now);
+        return false;
+    }
     // The node that received the request from its caller has counted it already.
     if (!record.info.from_node &&
         !allowance_.take(*view_->configuration, record.info.workspace, at.now)) {
-        refuse(record, refusal_kind::workspace_allowance, outcome_of(record), seconds(1));
+        refuse(record, refusal_kind::workspace_allowance, outcome_of(record), at.now, seconds(1));
         return false;
     }
+    return true;
+}
+
+bool decision_core::find_service(request_record& record, moment at) {
     record.service = service_of(record.route->service);
     if (record.service == nullptr || !record.service->any_eligible(at.now)) {
-        refuse(record, refusal_kind::no_target, outcome_of(record), seconds(2));
+        refuse(record, refusal_kind::no_target, outcome_of(record), at.now, seconds(2));
         return false;
     }
     return true;
@@ -126,7 +140,7 @@
 
 void decision_core::seek_place(request_record& record, moment at) {
     if (at.now >= record.deadline) {
-        refuse(record, refusal_kind::deadline_passed, outcome_of(record));
+        refuse(record, refusal_kind::deadline_passed, outcome_of(record), at.now);
         return;
     }
     // Requests that wait already come first.
@@ -144,9 +158,9 @@
 void decision_core::enqueue(request_record& record, instant now) {
     auto& service = *record.service;
     if (now + service.estimator.wait(service.queue.size()) > record.deadline) {
-        refuse(record, refusal_kind::overloaded, outcome_of(record), retry_after(record));
+        refuse(record, refusal_kind::overloaded, outcome_of(record), now, retry_after(record));
     } else if (!service.queue.push(record.info.id, record.info.arrived, record.deadline)) {
-        refuse(record, refusal_kind::queue_full, outcome_of(record), retry_after(record));
+        refuse(record, refusal_kind::queue_full, outcome_of(record), now, retry_after(record));
     } else {
         record.queued = now;
     }
@@ -161,6 +175,7 @@
     step.address = record.place->address;
     step.target = record.place->id;
     step.fresh_connection = at_most_once(record);
+    step.store_answer = record.holds_key;
     decision_record decision;
     decision.candidates = placed.candidates;
     decision.waited = now - waited_since;
@@ -168,7 +183,13 @@
 }
 
 void decision_core::refuse(request_record& record, refusal_kind kind, traffic::outcome result,
-                           std::optional<seconds> retry_after) {
+                           instant now, std::optional<seconds> retry_after) {
+    if (record.holds_key) {
+        end_key(record,
+                result == traffic::outcome::not_run ? once::key_state::not_run
+                                                    : once::key_state::unknown,
+                nullptr, now);
+    }
     traffic::step step;
     step.kind = traffic::step_kind::refuse;
     step.reason = make_refusal(kind, result, retry_after);
@@ -199,7 +220,7 @@
 void decision_core::drain(service_state& service, instant now) {
     expire(service, now);
     if (!service.any_eligible(now)) {
-        refuse_waiting(service, refusal_kind::no_target, seconds(2));
+        refuse_waiting(service, refusal_kind::no_target, now);
     }
     for (const auto id : service.queue.oldest(drain_depth)) {
         auto& record = record_of(id);
@@ -219,7 +240,7 @@
     for (const auto id : service.queue.expire(now)) {
         auto& record = record_of(id);
         record.queued.reset();
-        refuse(record, refusal_kind::deadline_passed, outcome_of(record));
+        refuse(record, refusal_kind::deadline_passed, outcome_of(record), now);
         ready_.push_back(id);
     }
     if (service.queue.size() == 0) {
@@ -232,6 +253,9 @@
     if (!record.ready && record.queued) {
         drain(*record.service, at.now);
     }
+    if (!record.ready && record.waits_for_key) {
+        expire_key_waiter(record, at.now);
+    }
     if (!record.ready) {
         return std::nullopt;
     }
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -19,7 +19,11 @@
     /// \brief Makes the placement policy of a service.
     using policy_factory = std::function<std::unique_ptr<routing::placement_policy>()>;
 
-    decision_core(policy_factory make_policy, random_source& random);
+    /// \param own traffic address of this process
+    /// \param incarnation number that no other process of this address ever has
+    /// \param started reading of the clocks at the start
+    decision_core(endpoint own, std::uint64_t incarnation, moment started,
+                  policy_factory make_policy, random_source& random);
 
     /// \brief Takes over a view and places waiting requests on new targets.
     /// \param table routes of the view's snapshot
@@ -42,7 +46,19 @@
     /// \returns true when poll() has or will have a next step, false to pass the answer on
     [[nodiscard]] bool ended(std::uint64_t id, const traffic::attempt_result& attempt, moment at);
     /// \brief Ends a request.
-    void finished(std::uint64_t id, moment at);
+    /// \param whole true when the caller was sent a complete answer
+    /// \param answer answer to keep for its key, or null
+    void finished(std::uint64_t id, bool whole,
+                  std::shared_ptr<const traffic::stored_answer> answer, moment at);
+
+    /// \returns a new idempotency key that only this process may run
+    [[nodiscard]] std::string issue_key(instant now) { return gate_.issue(now); }
+    /// \brief Records that platform or a peer confirmed the configuration in force.
+    void set_confirmed(wall_time when) { gate_.set_confirmed(when); }
+    /// \brief Takes a crash mark from a peer.
+    void add_crash_mark(const once::crash_mark& mark, wall_time now) {
+        containment_.add(mark, now);
+    }
 
     /// \returns events since the last call
     [[nodiscard]] std::vector<event> take_events() { return std::exchange(events_, {}); }
@@ -53,26 +69,40 @@
     [[nodiscard]] std::vector<outstanding_request> outstanding() const;
     [[nodiscard]] std::size_t active() const { return records_.size(); }
     [[nodiscard]] std::size_t waiting() const;
+    /// \returns keys in the deduplication table
+    [[nodiscard]] std::size_t keys() const { return gate_.keys(); }
 
 private:
     service_state* service_of(const service_name& name);
     request_record& record_of(std::uint64_t id);
 
-    bool find_route(request_record& record);
+    bool find_route(request_record& record, instant now);
     bool admit(request_record& record, moment at);
+    bool pass_key(request_record& record, moment at);
+    bool find_service(request_record& record, moment at);
     void seek_place(request_record& record, moment at);
     void enqueue(request_record& record, instant now);
     void take_place(request_record& record, placement placed, instant now, instant waited_since);
-    void refuse(request_record& record, refusal_kind kind, traffic::outcome result,
+    void refuse(request_record& record, refusal_kind kind, traffic::outcome result, instant now,
                 std::optional<seconds> retry_after = std::nullopt);
+    void forward(request_record& record, std::string reason);
+    void replay(request_record& record, std::shared_ptr<const traffic::stored_answer> answer);
+    void end_key(request_record& record, once::key_state state,
+                 std::shared_ptr<const traffic::stored_answer> answer, instant now);
+    void answer_waiter(request_record& record, once::key_state state, instant now);
+    void expire_key_waiter(request_record& record, instant now);
     void decide(request_record& record, traffic::step step, decision_record decision);
     void drain(service_state& service, instant now);
     void expire(service_state& service, instant now);
-    void refuse_waiting(service_state& service, refusal_kind kind, seconds retry_after);
+    void refuse_waiting(service_state& service, refusal_kind kind, instant now);
 
     void release(request_record& record, const traffic::attempt_result& attempt, instant now);
     void report(const request_record& record, const traffic::attempt_result& attempt);
     void after_failure(request_record& record, const traffic::attempt_result& attempt, moment at);
+    void after_forward(request_record& record, const traffic::attempt_result& attempt, instant now);
+    [[nodiscard]] bool may_retry(const request_record& record,
+                                 const traffic::attempt_result& attempt, moment at) const;
+    void mark_crash(const request_record& record, const target_id& target, wall_time wall);
     [[nodiscard]] std::optional<seconds> retry_after(const request_record& record);
     [[nodiscard]] traffic::outcome outcome_of(const request_record& record) const;
 
@@ -85,6 +115,8 @@
     std::unordered_map<service_name, std::unique_ptr<service_state>> services_;
     std::unordered_map<std::uint64_t, request_record> records_;
     admission::workspace_allowance allowance_;
+    key_gate gate_;
+    once::crash_containment containment_;
     std::vector<event> events_;
     std::vector<std::uint64_t> ready_;
 };
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -10,9 +10,6 @@
 constexpr std::uint32_t most_losses = 2;
 // Sends of one request in all; sheds and refused connections beyond it are refused to the caller.
 constexpr std::uint32_t most_attempts = 4;
-// The wall clock runs on while a VM is suspended, unlike the monotonic clock. The tolerance covers
-// steps of time synchronization.
-constexpr seconds clock_step_tolerance{1};
 // Time for which a target that says it is leaving gets nothing, until a view leaves it out.
 constexpr seconds draining_time{30};
 
@@ -24,18 +21,24 @@
     return kind == health::answer_kind::shed;
 }
 
-refusal_kind kind_of_failure(health::answer_kind kind) {
-    switch (kind) {
-    case health::answer_kind::shed:
+bool was_not_run(const traffic::attempt_result& attempt) {
+    return is_shed(attempt.kind) || !attempt.request_bytes_sent;
+}
+
+refusal_kind refusal_of(const traffic::attempt_result& attempt) {
+    if (is_shed(attempt.kind)) {
         return refusal_kind::shed;
+    }
+    if (!attempt.request_bytes_sent) {
+        return attempt.kind == health::answer_kind::cancelled ? refusal_kind::deadline_passed
+                                                              : refusal_kind::unreachable;
+    }
+    switch (attempt.kind) {
     case health::answer_kind::silent:
+    case health::answer_kind::cancelled:
         return refusal_kind::target_silent;
     case health::answer_kind::malformed:
         return refusal_kind::bad_answer;
-    case health::answer_kind::connect_failed:
-        return refusal_kind::unreachable;
-    case health::answer_kind::cancelled:
-        return refusal_kind::deadline_passed;
     default:
         return refusal_kind::target_lost;
     }
@@ -44,38 +47,51 @@
 } // namespace
 
 traffic::outcome decision_core::outcome_of(const request_record& record) const {
-    // Another node may have run the key, so only what is known to be new is called not run.
-    const bool foreign_key =
+    // Only the holder of a key knows that no other request with it was sent: an earlier send of the
+    // same key may have run, here or through another node.
+    const bool keyed =
         !record.info.idempotency_key.empty() && (record.route == nullptr || at_most_once(record));
-    return record.losses > 0 || foreign_key ? traffic::outcome::unknown : traffic::outcome::not_run;
+    const bool provable = record.losses == 0 && (!keyed || record.holds_key);
+    return provable ? traffic::outcome::not_run : traffic::outcome::unknown;
 }
 
 bool decision_core::may_send(std::uint64_t id, moment at) {
     auto& record = record_of(id);
-    if (!record.chosen || at.now >= record.deadline) {
+    if (!record.chosen) {
         return false;
     }
-    const auto left = record.deadline - record.chosen->now;
-    const auto wall_elapsed = at.wall - record.chosen->wall;
-    if (wall_elapsed > left + clock_step_tolerance) {
+    const once::send_guard guard{record.chosen->now, record.chosen->wall, record.deadline};
+    if (!guard.may_send(at.now, at.wall)) {
         return false;
     }
+    if (record.holds_key) {
+        gate_.on_send(*record.key);
+    }
     record.sent = at.now;
     return true;
 }
 
 bool decision_core::ended(std::uint64_t id, const traffic::attempt_result& attempt, moment at) {
     auto& record = record_of(id);
-    if (record.place) {
-        report(record, attempt);
+    if (record.forwarding) {
+        // A shed of the owner node is its refusal, with the outcome that it knows.
+        if (is_answer(attempt.kind) || is_shed(attempt.kind)) {
+            return false;
+        }
+        after_forward(record, attempt, at.now);
+        return true;
     }
+    WIGEONRILL_ASSERT(record.place != nullptr, "ended() needs an attempt at a target");
+    report(record, attempt);
     if (is_answer(attempt.kind)) {
-        if (record.place) {
-            record.place->limiter.on_answer();
-        }
+        record.place->limiter.on_answer();
+        containment_.on_success(record.fingerprint, at.wall);
         record.head_passed = true;
         return false;
     }
+    if (attempt.kind == health::answer_kind::connection_lost && attempt.request_bytes_sent) {
+        mark_crash(record, record.place->id, at.wall);
+    }
     release(record, attempt, at.now);
     after_failure(record, attempt, at);
     return true;
@@ -100,15 +116,19 @@
     events_.emplace_back(std::move(answer));
 }
 
+void decision_core::mark_crash(const request_record& record, const target_id& target,
+                               wall_time wall) {
+    const once::crash_mark mark{record.fingerprint, target, wall};
+    containment_.add(mark, wall);
+    events_.emplace_back(mark);
+}
+
 void decision_core::release(request_record& record, const traffic::attempt_result& attempt,
                             instant now) {
-    if (!record.place) {
-        return;
-    }
     // A target that refuses connections answers fastest of all, so it must lose its places too.
     if (is_shed(attempt.kind) || attempt.kind == health::answer_kind::connect_failed) {
-        const auto sent = record.sent.value_or(record.chosen ? record.chosen->now : now);
-        record.place->limiter.on_shed(sent, now, random_.uniform());
+        const auto chosen = record.chosen ? record.chosen->now : now;
+        record.place->limiter.on_shed(record.sent.value_or(chosen), now, random_.uniform());
     }
     record.place->limiter.release();
     record.tried.push_back(record.place->id);
@@ -117,37 +137,57 @@
 
 void decision_core::after_failure(request_record& record, const traffic::attempt_result& attempt,
                                   moment at) {
-    const bool not_run = is_shed(attempt.kind) || !attempt.request_bytes_sent;
+    const bool not_run = was_not_run(attempt);
     if (!not_run) {
         ++record.losses;
+    } else if (record.holds_key) {
+        gate_.on_not_sent(*record.key);
     }
-    const bool repeatable = not_run || (!at_most_once(record) && record.losses < most_losses);
-    const bool sendable = record.info.body_replayable || !attempt.request_bytes_sent;
-    const bool wanted = attempt.kind != health::answer_kind::cancelled &&
-                        !attempt.answer_bytes_passed && record.attempts < most_attempts;
-    if (repeatable && sendable && wanted && !stopping_ && at.now < record.deadline &&
-        record.service->any_eligible(at.now) && record.service->retries.take(at.now)) {
+    record.sent.reset();
+    if (may_retry(record, attempt, at) && record.service->retries.take(at.now)) {
         record.reason =
             "retry after " + std::string(enum_name(health::answer_kind_names, attempt.kind));
         seek_place(record, at);
     } else {
-        const auto kind = kind_of_failure(attempt.kind);
-        refuse(record, kind, outcome_of(record),
+        refuse(record, refusal_of(attempt), outcome_of(record), at.now,
                not_run ? retry_after(record) : std::optional<seconds>{});
     }
     drain(*record.service, at.now);
 }
 
+bool decision_core::may_retry(const request_record& record, const traffic::attempt_result& attempt,
+                              moment at) const {
+    const bool repeatable =
+        was_not_run(attempt) || (!at_most_once(record) && record.losses < most_losses);
+    const bool sendable = record.info.body_replayable || !attempt.request_bytes_sent;
+    const bool wanted =
+        attempt.kind != health::answer_kind::cancelled && !attempt.answer_bytes_passed;
+    const bool allowed = !stopping_ && record.attempts < most_attempts &&
+                         at.now < record.deadline &&
+                         !containment_.refused(record.fingerprint, at.wall);
+    return repeatable && sendable && wanted && allowed && record.service->any_eligible(at.now);
+}
+
 std::optional<seconds> decision_core::retry_after(const request_record& record) {
     const auto& service = *record.service;
     return service.estimator.retry_after(service.queue.size(), random_.uniform());
 }
 
-void decision_core::finished(std::uint64_t id, moment at) {
+void decision_core::finished(std::uint64_t id, bool whole,
+                             std::shared_ptr<const traffic::stored_answer> answer, moment at) {
     auto& record = record_of(id);
     if (record.queued) {
         record.service->queue.remove(id);
     }
+    if (record.waits_for_key) {
+        gate_.leave(*record.key, id);
+    }
+    if (record.holds_key) {
+        const auto unanswered =
+            record.sent || record.losses > 0 ? once::key_state::unknown : once::key_state::not_run;
+        const bool answered = answer != nullptr || (whole && record.head_passed);
+        end_key(record, answered ? once::key_state::done : unanswered, std::move(answer), at.now);
+    }
     auto* service = record.service;
     if (record.place) {
         record.place->limiter.release();
--- a/wigeonrill/src/dispatch/refusals.cpp
+++ b/wigeonrill/src/dispatch/refusals.cpp
@@ -55,6 +55,64 @@
                  "request took effect before you send it under a new key."},
     refusal_text{refusal_kind::contained, 503, "contained", "The request is held back",
                  "Targets died while they ran this request, so it is refused for 10 minutes."},
+    refusal_text{refusal_kind::key_required, 428, "key-required", "An idempotency key is required",
+                 "The route runs a request at most once. Send the header Idempotency-Key, with a "
+                 "UUID version 7 or a key issued by POST /.wigeonrill/keys."},
+    refusal_text{
+        refusal_kind::key_invalid, 400, "key-invalid", "The idempotency key is not valid",
+        "Send 1 to 255 visible ASCII characters, or an issued key exactly as it was issued."},
+    refusal_text{refusal_kind::key_never_issued, 400, "key-never-issued", "The key was not issued",
+                 "This node did not issue the key. Ask for a key with POST /.wigeonrill/keys."},
+    refusal_text{refusal_kind::key_reused, 422, "key-reused", "The key belongs to another request",
+                 "The key was used with another method, path, query or body. Send a new key with a "
+                 "new request."},
+    refusal_text{
+        refusal_kind::key_in_progress, 409, "key-in-progress", "The first request is still running",
+        "Another request with this key did not end before the deadline. Send the same key again."},
+    refusal_text{refusal_kind::key_refused, 503, "key-refused", "The first request was refused",
+                 "Another request with this key, for which this one waited, was refused before a "
+                 "target got it. Send the same key again."},
+    refusal_text{refusal_kind::key_unknown, 409, "key-unknown", "The request may have run",
+                 "A target may have run the request of this key. Check whether it took effect "
+                 "before you send it under a new key."},
+    refusal_text{refusal_kind::answer_not_kept, 409, "answer-not-kept", "The request has run",
+                 "The request of this key was answered, but the answer was too large to keep. Read "
+                 "the result with another request."},
+    refusal_text{
+        refusal_kind::dedup_full, 503, "dedup-full", "The node has no room for keys",
+        "The table of keys is full. Send the same key again after the time in Retry-After."},
+    refusal_text{refusal_kind::key_process_gone, 409, "key-process-gone",
+                 "The owner of the key is gone",
+                 "The process that issued the key is gone. Check whether the request took effect, "
+                 "then ask for a new key."},
+    refusal_text{refusal_kind::key_too_old, 409, "key-too-old", "The key is too old",
+                 "The key is older than the time in which it may be sent again. Check whether the "
+                 "request took effect before you send it under a new key."},
+    refusal_text{
+        refusal_kind::key_from_future, 409, "key-from-future", "The key is from the future",
+        "The creation time of the key is ahead of the clock. Set the clock of the caller."},
+    refusal_text{refusal_kind::key_before_start, 409, "key-before-start",
+                 "The owner of the key restarted",
+                 "The owner of the key restarted after the key may have been run. Check whether "
+                 "the request took effect before you send it under a new key."},
+    refusal_text{refusal_kind::key_owner_changed, 409, "key-owner-changed",
+                 "The owner of the key changed",
+                 "The list of key owners changed and the previous owner may have run the key. "
+                 "Check whether the request took effect."},
+    refusal_text{refusal_kind::key_owner_unconfirmed, 503, "key-owner-unconfirmed",
+                 "The owner of the key is out of date",
+                 "The configuration of the owner was not confirmed for too long. Send the same key "
+                 "again later."},
+    refusal_text{
+        refusal_kind::key_no_owner, 503, "key-no-owner", "The key has no owner",
+        "No key owners are configured for this key. Use a key issued by POST /.wigeonrill/keys."},
+    refusal_text{refusal_kind::key_owner_disputed, 503, "key-owner-disputed",
+                 "The nodes disagree on the owner",
+                 "Another node forwarded the request here, but the key has another owner. Send the "
+                 "same key again."},
+    refusal_text{refusal_kind::key_owner_unreachable, 503, "key-owner-unreachable",
+                 "The owner of the key is unreachable",
+                 "The node that owns the key did not answer. Send the same key again."},
 };
 
 } // namespace
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -16,7 +16,8 @@
 request_dispatcher::request_dispatcher(dispatcher_options options, const clock_source& clock,
                                        random_source& random, event_sink& sink)
     : options_(std::move(options)), clock_(clock), sink_(sink),
-      core_(or_default(options_.make_policy), random) {}
+      core_(options_.own_address, options_.incarnation, read(clock),
+            or_default(options_.make_policy), random) {}
 
 void request_dispatcher::set_view(routing::view_ptr view) {
     WIGEONRILL_ASSERT(view != nullptr && view->configuration != nullptr,
@@ -48,6 +49,26 @@
     unlock_and_tell(lock);
 }
 
+std::string request_dispatcher::issue_key() {
+    const std::lock_guard guard(mutex_);
+    return core_.issue_key(clock_.now());
+}
+
+void request_dispatcher::set_confirmed(wall_time when) {
+    const std::lock_guard guard(mutex_);
+    core_.set_confirmed(when);
+}
+
+void request_dispatcher::add_crash_mark(const once::crash_mark& mark) {
+    const std::lock_guard guard(mutex_);
+    core_.add_crash_mark(mark, clock_.wall_now());
+}
+
+std::size_t request_dispatcher::keys() const {
+    const std::lock_guard guard(mutex_);
+    return core_.keys();
+}
+
 traffic::step request_dispatcher::first(const traffic::request_info& request) {
     std::unique_lock lock(mutex_);
     core_.begin(request, read(clock_));
@@ -69,10 +90,10 @@
     return std::nullopt;
 }
 
-void request_dispatcher::finished(const traffic::request_info& request, bool /*whole*/,
-                                  std::shared_ptr<const traffic::stored_answer> /*answer*/) {
+void request_dispatcher::finished(const traffic::request_info& request, bool whole,
+                                  std::shared_ptr<const traffic::stored_answer> answer) {
     std::unique_lock lock(mutex_);
-    core_.finished(request.id, read(clock_));
+    core_.finished(request.id, whole, std::move(answer), read(clock_));
     unlock_and_tell(lock);
 }
 
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -31,6 +31,14 @@
     /// \brief Expires and places waiting requests. Called every 50 ms or so.
     void tick();
 
+    /// \returns a new idempotency key that only this process may run
+    [[nodiscard]] std::string issue_key();
+    /// \brief Records that platform or a peer confirmed the configuration in force. Without a
+    ///        confirmation within owner_lease this node runs no keys made by callers.
+    void set_confirmed(wall_time when);
+    /// \brief Takes a crash mark that a peer reported.
+    void add_crash_mark(const once::crash_mark& mark);
+
     [[nodiscard]] traffic::step first(const traffic::request_info& request) override;
     [[nodiscard]] bool may_send(const traffic::request_info& request) override;
     [[nodiscard]] std::optional<traffic::step>
@@ -44,6 +52,8 @@
     [[nodiscard]] std::size_t active() const;
     /// \returns requests in the queues
     [[nodiscard]] std::size_t waiting() const;
+    /// \returns keys in the deduplication table
+    [[nodiscard]] std::size_t keys() const;
 
 private:
     [[nodiscard]] traffic::step wait_for_step(std::uint64_t id, std::unique_lock<std::mutex>& lock);
--- a/wigeonrill/src/dispatch/request_record.h
+++ b/wigeonrill/src/dispatch/request_record.h
@@ -16,14 +16,19 @@
     std::uint64_t fingerprint{0};
     instant deadline{};
 
-    place_ptr place;              ///< held place, null: none
-    std::vector<target_id> tried; ///< targets that shed or failed
-    std::uint32_t attempts{0};    ///< sends to targets
-    std::uint32_t losses{0};      ///< attempts that may have run
-    std::optional<moment> chosen; ///< when the present step was decided
-    std::optional<instant> sent;  ///< when the present attempt was allowed to write
-    bool head_passed{false};      ///< an answer is being passed on
-    std::string reason{"first"};  ///< of the present placement
+    place_ptr place;                    ///< held place, null: none
+    std::vector<target_id> tried;       ///< targets that shed or failed
+    std::uint32_t attempts{0};          ///< sends to targets
+    std::uint32_t losses{0};            ///< attempts that may have run
+    std::optional<once::dedup_key> key; ///< that it holds or waits for
+    bool holds_key{false};              ///< it alone may run the key
+    bool waits_for_key{false};          ///< another request holds the key
+    bool forwarding{false};             ///< the present step goes to another node
+    endpoint owner;                     ///< node that owns the key
+    std::optional<moment> chosen;       ///< when the present step was decided
+    std::optional<instant> sent;        ///< when the present attempt was allowed to write
+    bool head_passed{false};            ///< an answer is being passed on
+    std::string reason{"first"};        ///< of the present placement
 
     std::optional<instant> queued;      ///< since when it waits
     std::optional<traffic::step> ready; ///< decided, not yet handed over
@@ -35,7 +40,9 @@
 }
 
 /// \brief Fingerprint of a request: method, path, query, workspace, key and body.
-[[nodiscard]] std::uint64_t request_fingerprint(const traffic::request_info& info);
+/// \param key text of the key; empty where the key is compared on its own
+[[nodiscard]] std::uint64_t request_fingerprint(const traffic::request_info& info,
+                                                std::string_view key);
 
 } // namespace wigeonrill::dispatch
 
--- /dev/null
+++ b/wigeonrill/src/once/crash_containment.cpp
@@ -0,0 +1,73 @@
+#include "wigeonrill/once.h"
+
+#include <algorithm>
+
+namespace wigeonrill::once {
+
+namespace {
+
+constexpr std::chrono::minutes mark_lifetime{10};
+constexpr std::size_t marks_to_refuse = 2;
+// A failure domain that dies marks every request in flight in it: 124 requests/s x 36 nodes in 1 s
+// stay below this bound.
+constexpr std::size_t most_fingerprints = 8192;
+// More marks than this say nothing new.
+constexpr std::size_t most_marks = 8;
+
+bool current(const crash_mark& mark, wall_time now) {
+    return now - mark.observed < mark_lifetime;
+}
+
+} // namespace
+
+void crash_containment::add(const crash_mark& mark, wall_time now) {
+    auto clipped = mark;
+    clipped.observed = std::min(mark.observed, now);
+    const auto& last = successes_[mark.fingerprint % success_slots];
+    if (!current(clipped, now) ||
+        (last.fingerprint == mark.fingerprint && last.when >= clipped.observed)) {
+        return;
+    }
+    if (!marks_.contains(mark.fingerprint)) {
+        make_room(now);
+    }
+    auto& all = marks_[mark.fingerprint];
+    std::erase_if(all, [&](const crash_mark& it) { return !current(it, now); });
+    const auto known = std::ranges::find(all, mark.target, &crash_mark::target);
+    if (known != all.end()) {
+        known->observed = std::max(known->observed, clipped.observed);
+    } else if (all.size() < most_marks) {
+        all.push_back(std::move(clipped));
+    }
+}
+
+void crash_containment::make_room(wall_time now) {
+    if (marks_.size() < most_fingerprints) {
+        return;
+    }
+    // The search looks at every fingerprint, so a flood of marks must not cause one each.
+    if (purged_ == wall_time::min() || now - purged_ > seconds(1)) {
+        std::erase_if(marks_, [&](const auto& one) {
+            return std::ranges::none_of(one.second,
+                                        [&](const crash_mark& it) { return current(it, now); });
+        });
+        purged_ = now;
+    }
+    if (marks_.size() >= most_fingerprints) {
+        marks_.erase(marks_.begin());
+    }
+}
+
+void crash_containment::on_success(std::uint64_t fingerprint, wall_time now) {
+    successes_[fingerprint % success_slots] = {fingerprint, now};
+    marks_.erase(fingerprint);
+}
+
+bool crash_containment::refused(std::uint64_t fingerprint, wall_time now) const {
+    const auto it = marks_.find(fingerprint);
+    return it != marks_.end() && std::ranges::count_if(it->second, [&](const crash_mark& mark) {
+                                     return current(mark, now);
+                                 }) >= static_cast<std::ptrdiff_t>(marks_to_refuse);
+}
+
+} // namespace wigeonrill::once
