--- a/wigeonrill/src/daemon/application.cpp
+++ b/wigeonrill/src/daemon/application.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr milliseconds signal_wait{100};
+// Far below owner_lease, whose default is 6 h.
+constexpr seconds file_confirmation_period{10};
 
 int to_int(exit_code code) {
     return static_cast<int>(code);
@@ -18,7 +20,12 @@
 
 // Runs a started node until it has stopped.
 exit_code serve(running_node& node, stop_signal& signals) {
+    instant next_confirmation{};
     while (true) {
+        if (const auto now = std::chrono::steady_clock::now(); now >= next_confirmation) {
+            node.confirm_file();
+            next_confirmation = now + file_confirmation_period;
+        }
         const auto request = signals.next(signal_wait);
         if (request == process_request::reload) {
             node.reload();
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -59,6 +59,7 @@
 void control_loop::confirm(std::uint64_t version) {
     const auto now = parts_.clock.wall_now();
     store_.confirm(version, now);
+    parts_.dispatcher.set_confirmed(store_.confirmed());
     if (parts_.gossip != nullptr && version == store_.version()) {
         parts_.gossip->confirm_by_platform(now);
     }
@@ -145,6 +146,10 @@
         live.push_back({it.id, it.domain});
     }
     monitor_.set_nodes(std::move(live));
+    if (const auto confirmed = parts_.gossip->confirmed(); confirmed > store_.confirmed()) {
+        store_.confirm(store_.version(), confirmed);
+        parts_.dispatcher.set_confirmed(confirmed);
+    }
     const auto items = parts_.gossip->take_inbox();
     for (const auto& it : items.evidence) {
         monitor_.on_evidence(it, now);
@@ -154,11 +159,15 @@
     }
     for (const auto& it : items.marks) {
         monitor_.on_crash_mark(it.fingerprint, it.target, now);
+        parts_.dispatcher.add_crash_mark(it);
     }
 }
 
 void control_loop::carry_out(const health::monitor_actions& actions) {
-    for (const auto& it : actions.log) {
+    constexpr std::string_view prefix = "health: ";
+    for (std::string_view it : actions.log) {
+        // The sink writes the prefix of the part itself.
+        it.remove_prefix(it.starts_with(prefix) ? prefix.size() : 0);
         write(log_level::info, log_part::health, log_line(it));
     }
     if (parts_.gossip == nullptr) {
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -234,6 +234,13 @@
     return node;
 }
 
+void running_node::confirm_file() {
+    if (parts_->published) {
+        parts_->control->post(
+            [this, version = parts_->published->version] { parts_->loop->confirm(version); });
+    }
+}
+
 void running_node::reload() {
     auto& it = *parts_;
     if (const auto read = it.read_file(); !read) {
--- a/wigeonrill/src/daemon/running_node.h
+++ b/wigeonrill/src/daemon/running_node.h
@@ -19,6 +19,8 @@
     running_node& operator=(const running_node&) = delete;
     ~running_node() override;
 
+    /// \brief Confirms the version in force while a file of this VM is the configuration's source.
+    void confirm_file();
     /// \brief Reads the configuration file again, if the node has one.
     void reload();
     /// \brief Graceful shutdown: readiness off, accept for a while, finish all requests.
--- a/wigeonrill/src/tool/remote_commands.cpp
+++ b/wigeonrill/src/tool/remote_commands.cpp
@@ -5,6 +5,8 @@
 #include <Poco/URI.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cstdio>
 #include <functional>
 #include <iostream>
 
@@ -12,12 +14,18 @@
 
 namespace {
 
-using nlohmann::json;
+// Keeps the daemon's order of keys, which is the order of the columns.
+using json = nlohmann::ordered_json;
 
 std::string cell(const json& value) {
     if (value.is_string()) {
         return value.get<std::string>();
     }
+    if (value.is_number_float()) {
+        std::array<char, 32> buf{};
+        const auto n = std::snprintf(buf.data(), buf.size(), "%.2f", value.get<double>());
+        return {buf.data(), static_cast<std::size_t>(n)};
+    }
     return value.is_null() ? "-" : value.dump();
 }
 
