--- a/wigeonrill/daemon.h
+++ b/wigeonrill/daemon.h
@@ -9,9 +9,12 @@
 #include <atomic>
 #include <functional>
 #include <future>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <thread>
+#include <type_traits>
 #include <variant>
 #include <vector>
 
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -10,6 +10,9 @@
 
 // The administration port shows a state at most this old: 10 ticks of 50 ms.
 constexpr std::uint64_t ticks_between_states = 10;
+// Going through 3,700 members on each tick would take over 1% of a core; once a second is enough,
+// because an aggregator's death is noticed after seconds anyway.
+constexpr std::uint64_t ticks_between_members = 20;
 
 double to_seconds(nanoseconds duration) {
     return std::chrono::duration<double>(duration).count();
@@ -77,6 +80,11 @@
     publish();
 }
 
+std::vector<target_row> control_loop::targets() const {
+    const auto configuration = store_.current();
+    return configuration ? list_targets(*configuration, monitor_) : std::vector<target_row>{};
+}
+
 config::change_set control_loop::changes_since(std::uint64_t version) const {
     return store_.changes_since(version);
 }
@@ -141,11 +149,9 @@
         return;
     }
     const auto now = parts_.clock.now();
-    std::vector<health::fleet_node> live;
-    for (auto& it : parts_.gossip->live_nodes()) {
-        live.push_back({it.id, it.domain});
+    if (ticks_ % ticks_between_members == 0) {
+        take_members();
     }
-    monitor_.set_nodes(std::move(live));
     if (const auto confirmed = parts_.gossip->confirmed(); confirmed > store_.confirmed()) {
         store_.confirm(store_.version(), confirmed);
         parts_.dispatcher.set_confirmed(confirmed);
@@ -163,6 +169,21 @@
     }
 }
 
+void control_loop::take_members() {
+    std::vector<health::fleet_node> live;
+    for (auto& it : parts_.gossip->live_nodes()) {
+        live.push_back({it.id, it.domain});
+    }
+    monitor_.set_nodes(std::move(live));
+    auto ips = std::make_shared<std::set<std::string>>();
+    peers_by_state_.clear();
+    for (const auto& it : parts_.gossip->status()) {
+        ++peers_by_state_[std::string(enum_name(peers::member_state_names, it.state))];
+        ips->insert(it.id.value.substr(0, it.id.value.rfind(':')));
+    }
+    peer_ips_ = std::move(ips);
+}
+
 void control_loop::carry_out(const health::monitor_actions& actions) {
     constexpr std::string_view prefix = "health: ";
     for (std::string_view it : actions.log) {
@@ -191,12 +212,12 @@
         }
         next->configuration = configuration;
         next->routes = routes_;
-        next->targets = list_targets(*configuration, monitor_);
     }
     next->confirmed = store_.confirmed();
     next->rejection = store_.last_rejection();
     if (parts_.gossip != nullptr) {
-        next->peers = parts_.gossip->status();
+        next->peers_by_state = peers_by_state_;
+        next->peer_ips = peer_ips_;
         next->superseded = parts_.gossip->superseded();
         next->control_bytes_sent = parts_.gossip->counters().bytes_sent;
         next->control_bytes_received = parts_.gossip->counters().bytes_received;
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -34,6 +34,8 @@
     /// \brief One tick; to be called every tick_period.
     void run_once();
 
+    /// \returns all targets with their state and share
+    [[nodiscard]] std::vector<target_row> targets() const;
     /// \returns the changes that a peer with an older version needs
     [[nodiscard]] config::change_set changes_since(std::uint64_t version) const;
     /// \returns the state as of the last tick; callable from any thread
@@ -45,6 +47,7 @@
     void take(const dispatch::decision_record& decision);
     void take(const once::crash_mark& mark);
     void take_peer_items();
+    void take_members();
     void carry_out(const health::monitor_actions& actions);
     void adopt_configuration();
     void publish();
@@ -56,6 +59,8 @@
     std::shared_ptr<const routing::route_table> routes_;
     bool plans_changed_{true};
     std::uint64_t ticks_{0};
+    std::map<std::string, std::size_t> peers_by_state_;
+    std::shared_ptr<const std::set<std::string>> peer_ips_;
     mutable std::mutex state_mutex_;
     node_state_ptr state_;
 };
--- a/wigeonrill/src/daemon/control_thread.cpp
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -5,7 +5,6 @@
 namespace {
 
 constexpr std::size_t task_capacity = 1024;
-constexpr seconds answer_limit{2};
 
 } // namespace
 
@@ -31,17 +30,6 @@
     tasks_.push(std::move(work));
 }
 
-result<config::change_set> control_thread::changes_since(std::uint64_t version) {
-    auto promise = std::make_shared<std::promise<config::change_set>>();
-    auto future = promise->get_future();
-    post([this, promise, version] { promise->set_value(loop_.changes_since(version)); });
-    if (future.wait_for(answer_limit) != std::future_status::ready) {
-        return failed(error_kind::timed_out, "the control thread did not answer within 2 s",
-                      "ask again later or ask another node");
-    }
-    return future.get();
-}
-
 void control_thread::work() {
     instant next_tick = clock_.now();
     instant next_gossip = next_tick;
--- a/wigeonrill/src/daemon/control_thread.h
+++ b/wigeonrill/src/daemon/control_thread.h
@@ -28,11 +28,25 @@
     void start();
     /// \brief Hands over work that runs before the next tick.
     void post(task work);
-    /// \brief Asks the loop for the changes since a version, and waits for it.
-    /// \returns the changes, or unavailable when the thread stops
-    [[nodiscard]] result<config::change_set> changes_since(std::uint64_t version);
+    /// \brief Runs a query between two ticks and waits for its answer.
+    /// \param query called on the control thread with the loop
+    /// \returns the answer, or timed_out when the thread is busy or stops
+    template <typename Query>
+    [[nodiscard]] auto ask(Query query) -> result<std::invoke_result_t<Query, control_loop&>> {
+        using answer = std::invoke_result_t<Query, control_loop&>;
+        auto promise = std::make_shared<std::promise<answer>>();
+        auto future = promise->get_future();
+        post([this, promise, query = std::move(query)] { promise->set_value(query(loop_)); });
+        if (future.wait_for(answer_limit) != std::future_status::ready) {
+            return failed(error_kind::timed_out, "the control thread did not answer within 2 s",
+                          "ask again later or ask another node");
+        }
+        return future.get();
+    }
 
 private:
+    static constexpr seconds answer_limit{2};
+
     void work();
     void run_tasks();
     void fetch_if_due();
--- a/wigeonrill/src/daemon/node_pages.cpp
+++ b/wigeonrill/src/daemon/node_pages.cpp
@@ -24,21 +24,19 @@
     return it;
 }
 
-std::map<std::string, std::size_t> count_states(const std::vector<peers::member_status>& peers) {
-    std::map<std::string, std::size_t> counts;
-    for (const auto& it : peers) {
-        ++counts[std::string(enum_name(peers::member_state_names, it.state))];
-    }
-    return counts;
+// An empty list when the control thread does not answer in time.
+std::vector<target_row> rows_of(control_thread& control) {
+    auto rows = control.ask([](control_loop& loop) { return loop.targets(); });
+    return rows ? std::move(*rows) : std::vector<target_row>{};
 }
 
 } // namespace
 
-node_pages::node_pages(node_identity identity, const control_loop& loop,
+node_pages::node_pages(node_identity identity, const control_loop& loop, control_thread& control,
                        const dispatch::request_dispatcher& dispatcher,
                        const observe::metric_registry& metrics, const clock_source& clock)
-    : identity_(std::move(identity)), loop_(loop), dispatcher_(dispatcher), metrics_(metrics),
-      clock_(clock) {}
+    : identity_(std::move(identity)), loop_(loop), control_(control), dispatcher_(dispatcher),
+      metrics_(metrics), clock_(clock) {}
 
 bool node_pages::ready() const {
     return started_ && !draining_ && loop_.state()->configuration != nullptr;
@@ -61,7 +59,7 @@
     it["uptime_s"] = std::chrono::duration_cast<seconds>(clock_.now() - identity_.started).count();
     it["requests_active"] = dispatcher_.active();
     it["requests_waiting"] = dispatcher_.waiting();
-    it["peers"] = count_states(state->peers);
+    it["peers"] = state->peers_by_state;
     it["control_bytes_sent"] = state->control_bytes_sent;
     it["control_bytes_received"] = state->control_bytes_received;
     return it.dump();
@@ -69,8 +67,7 @@
 
 std::string node_pages::targets_json() const {
     auto rows = ordered_json::array();
-    const auto state = loop_.state();
-    for (const auto& it : state->targets) {
+    for (const auto& it : rows_of(control_)) {
         rows.push_back(row_json(it));
     }
     return rows.dump();
@@ -104,7 +101,7 @@
     it["service"] = match.route->service.value;
     it["repeat"] = enum_name(config::repeat_policy_names, match.route->repeat);
     it["targets"] = ordered_json::array();
-    for (const auto& row : state->targets) {
+    for (const auto& row : rows_of(control_)) {
         if (row.service == match.route->service) {
             it["targets"].push_back(row_json(row));
         }
--- a/wigeonrill/src/daemon/node_pages.h
+++ b/wigeonrill/src/daemon/node_pages.h
@@ -19,7 +19,7 @@
 class node_pages final : public admin_queries {
 public:
     /// \param loop must outlive this object, as must all references
-    node_pages(node_identity identity, const control_loop& loop,
+    node_pages(node_identity identity, const control_loop& loop, control_thread& control,
                const dispatch::request_dispatcher& dispatcher,
                const observe::metric_registry& metrics, const clock_source& clock);
 
@@ -39,7 +39,8 @@
 
 private:
     node_identity identity_;
-    const control_loop& loop_;
+    const control_loop& loop_; ///< only its published state
+    control_thread& control_;
     const dispatch::request_dispatcher& dispatcher_;
     const observe::metric_registry& metrics_;
     const clock_source& clock_;
--- a/wigeonrill/src/daemon/node_state.h
+++ b/wigeonrill/src/daemon/node_state.h
@@ -21,10 +21,10 @@
 struct node_state {
     config::snapshot_ptr configuration; ///< null before the first configuration
     std::shared_ptr<const routing::route_table> routes;
-    std::vector<target_row> targets; ///< by service, in the snapshot's order
-    wall_time confirmed{};           ///< when the version in force was last confirmed
-    std::optional<error> rejection;  ///< why the last rejected configuration was rejected
-    std::vector<peers::member_status> peers;
+    wall_time confirmed{};          ///< when the version in force was last confirmed
+    std::optional<error> rejection; ///< why the last rejected configuration was rejected
+    std::map<std::string, std::size_t> peers_by_state;
+    std::shared_ptr<const std::set<std::string>> peer_ips; ///< numeric addresses of all peers
     bool superseded{false}; ///< a newer process runs at this node's peer address
     std::uint64_t control_bytes_sent{0};
     std::uint64_t control_bytes_received{0};
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -2,7 +2,6 @@
 
 #include "wigeonrill/src/daemon/running_node.h"
 
-#include <algorithm>
 #include <random>
 
 namespace wigeonrill::daemon {
@@ -130,10 +129,10 @@
     const auto self = node_id(to_string(wanted.peer.value_or(wanted.traffic)));
     loop = std::make_unique<control_loop>(
         control_parts{clock, *log, metrics, events, dispatcher, gossip.get()}, self, wanted.domain);
+    control = std::make_unique<control_thread>(*loop, link.get(), gossip.get(), clock);
     pages = std::make_unique<node_pages>(node_identity{to_string(wanted.traffic), wanted.domain,
                                                        incarnation_number(process), clock.now()},
-                                         *loop, dispatcher, metrics, clock);
-    control = std::make_unique<control_thread>(*loop, link.get(), gossip.get(), clock);
+                                         *loop, *control, dispatcher, metrics, clock);
 }
 
 result<void> running_node::parts::read_file() {
@@ -160,7 +159,9 @@
         return {};
     }
     peers::change_source source;
-    source.changes = [this](std::uint64_t since) { return control->changes_since(since); };
+    source.changes = [this](std::uint64_t since) {
+        return control->ask([since](control_loop& it) { return it.changes_since(since); });
+    };
     source.status = [this] { return pages->status_json(); };
     auto started = peers::change_server::start(*wanted.peer, std::move(source));
     if (!started) {
@@ -171,11 +172,8 @@
 }
 
 bool running_node::parts::is_peer(const std::string& ip) const {
-    const auto state = loop->state();
-    return std::any_of(state->peers.begin(), state->peers.end(), [&](const auto& it) {
-        const auto address = parse_endpoint(it.id.value);
-        return address && address->ip == ip;
-    });
+    const auto ips = loop->state()->peer_ips;
+    return ips && ips->contains(ip);
 }
 
 result<void> running_node::parts::start_servers() {
