Read the configuration from the platform, and add its stand-in

Cause: nodes need new versions from the platform's configuration service within its call budget.

Change: platform::reader decides on calls (three watchers per failure domain, random start delay, polls at random once per 5 minutes, token bucket, backoff with jitter) and puts manifest and shards together into change sets; reader_thread carries it out; http_value_source speaks the protocol of docs/reference/platform.md. standin_platform serves a document, with faults and call counts. config::store gets digest() and entries(), which the reader compares manifests with.

Ruled out: one connection kept open (POCO reassigns its socket when it reconnects, which races with interrupt() from another thread); resetting the backoff on each manifest (a missing shard would then be asked for every second); trusting the end of POCO's body stream (a truncated value looks whole, so the announced length is compared).

Conclusion: older, stale, conflicting, missing and damaged values are reported and never come into force. A read of 2,800 shards at 20 calls/s takes 140 s by calculation; it was not measured.

--- /dev/null
+++ b/test/platform/reader_test.cpp
@@ -0,0 +1,355 @@
+#include "wigeonrill/platform.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace wigeonrill;
+using namespace std::chrono_literals;
+using platform::reader_call;
+using platform::reader_event;
+
+namespace {
+
+std::string document(int version, const std::string& host, const std::string& extra = "") {
+    return R"({"format": 1, "version": )" + std::to_string(version) +
+           R"(, "published": "2026-03-01T08:30:00Z", "services": {)" + extra +
+           R"("print": {"floor_slots": 0, "weight": "detection", "targets": {}}}, "routes": {
+             "proof": {"service": "print", "host": ")" +
+           host + R"(", "repeat": "idempotent"}}})";
+}
+
+// Values of the configuration service, in memory.
+struct fake_platform {
+    std::map<std::string, std::string> values;
+    std::uint64_t index{0};
+    bool down{false};
+    std::vector<std::string> calls;
+
+    config::change_set publish(const std::string& text, const config::change_set* previous) {
+        auto all = *config::split_document(text, "sample.json", previous);
+        ++index;
+        for (const auto& it : all.changed) {
+            values[platform::shard_key({it.name, it.version, it.digest})] = it.content;
+        }
+        values["manifest"] = platform::write_manifest(all);
+        return all;
+    }
+    result<std::optional<platform::stored_value>> answer(const reader_call& call) {
+        calls.push_back(call.key);
+        if (down) {
+            return failed(error_kind::unavailable, "down", "");
+        }
+        const auto found = values.find(call.key);
+        if (found == values.end()) {
+            return failed(error_kind::not_found, "no value", "");
+        }
+        if (call.what == reader_call::kind::watch && call.after == index) {
+            return std::optional<platform::stored_value>{};
+        }
+        return std::optional(platform::stored_value{found->second, index});
+    }
+};
+
+std::vector<config::vm_record> nodes(int count, int domains) {
+    std::vector<config::vm_record> all;
+    all.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+        all.push_back({{"192.0.2." + std::to_string(i + 1), 7000},
+                       domain_name("d" + std::to_string(i % domains)),
+                       config::vm_role::node,
+                       config::vm_state::live});
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_GROUP(reader) {
+    instant now{};
+    seeded_random_source random{1};
+    fake_platform service;
+    platform::reader_settings settings{{"192.0.2.1", 7000}};
+    config::store store;
+    std::vector<reader_event> events;
+    std::optional<platform::reader> subject;
+
+    void setup() override {
+        subject.emplace(settings, random, now);
+    }
+
+    // Makes calls until the reader waits; passes change sets to the store like the daemon.
+    void run_until_idle() {
+        for (int i = 0; i < 100; ++i) {
+            const auto call = subject->next(now);
+            if (call.what == reader_call::kind::wait) {
+                return;
+            }
+            const bool unchanged = call.what == reader_call::kind::watch &&
+                                   call.after == service.index && !service.down;
+            now += unchanged ? call.wait : 1ms;
+            subject->answered(call, service.answer(call), now);
+            take();
+            if (unchanged) {
+                return;
+            }
+        }
+        FAIL("the reader calls in a loop");
+    }
+    void take() {
+        for (const auto& it : subject->take_events()) {
+            events.push_back(it);
+            if (it.what != reader_event::kind::changes) {
+                continue;
+            }
+            if (store.apply(it.changes, wall_time{}) == config::apply_outcome::accepted) {
+                hold();
+            } else {
+                subject->skip(it.changes.version, it.changes.digest);
+            }
+        }
+    }
+    void hold() {
+        subject->set_held({store.version(), store.digest(), store.entries()});
+    }
+    // Runs the reader for a time, moving the clock to each time it names.
+    void run_for(nanoseconds duration) {
+        const auto end = now + duration;
+        run_until_idle();
+        for (int i = 0; i < 10'000 && now < end; ++i) {
+            const auto call = subject->next(now);
+            now = call.what == reader_call::kind::wait ? std::min(call.until, end) : now;
+            run_until_idle();
+        }
+    }
+    std::size_t count(reader_event::kind what) const {
+        return static_cast<std::size_t>(std::ranges::count(events, what, &reader_event::what));
+    }
+    std::string last_problem() const {
+        const auto it = std::ranges::find(events.rbegin(), events.rend(),
+                                          reader_event::kind::problem, &reader_event::what);
+        return it == events.rend() ? "" : it->reason.message;
+    }
+};
+
+// Guards against 3,700 nodes that call the platform together after a common start.
+TEST(reader, first_call_comes_at_random_within_the_start_delay) {
+    std::set<std::int64_t> seconds_of_first_call;
+    for (int i = 0; i < 100; ++i) {
+        const auto call = platform::reader(settings, random, now).next(now);
+        CHECK(call.until <= now + settings.start_delay);
+        seconds_of_first_call.insert((call.until - now) / 1s);
+    }
+    CHECK(seconds_of_first_call.size() > 20);
+}
+
+// Guards against a change that reads more than the manifest and the changed shard.
+TEST(reader, reads_all_shards_once_and_then_only_changed_ones) {
+    const auto first = service.publish(document(1, "a.example"), nullptr);
+    run_for(30s);
+    LONGS_EQUAL(1, store.version());
+    LONGS_EQUAL(1 + 3, service.calls.size());
+    service.calls.clear();
+    (void)service.publish(document(2, "b.example"), &first);
+    run_for(450s);
+    LONGS_EQUAL(2, store.version());
+    STRCMP_CONTAINS("shard/routes/", service.calls.at(1).c_str());
+    LONGS_EQUAL(1, std::ranges::count_if(service.calls,
+                                         [](const std::string& key) { return key != "manifest"; }));
+}
+
+// Guards against a removed service that stays in force.
+TEST(reader, reports_removed_shards) {
+    const auto both = document(
+        1, "a.example", R"("stock": {"floor_slots": 0, "weight": "detection", "targets": {}}, )");
+    const auto first = service.publish(both, nullptr);
+    run_for(30s);
+    LONGS_EQUAL(2, store.current()->services.size());
+    (void)service.publish(document(2, "a.example"), &first);
+    run_for(450s);
+    LONGS_EQUAL(1, store.current()->services.size());
+}
+
+// Guards against polls in step and against a poll rate above the platform's share.
+TEST(reader, polls_once_per_five_minutes_on_average) {
+    (void)service.publish(document(1, "a.example"), nullptr);
+    run_for(30s);
+    service.calls.clear();
+    run_for(1000min);
+    CHECK_TEXT(service.calls.size() > 170 && service.calls.size() < 230,
+               std::to_string(service.calls.size()).c_str());
+    CHECK(count(reader_event::kind::confirmed) >= service.calls.size());
+}
+
+// Guards against too few or too many watches: exactly three in each domain, and no leaving node.
+TEST(reader, three_nodes_per_domain_watch) {
+    auto vms = nodes(40, 4);
+    const auto watching = [&vms] {
+        std::map<domain_name, int> found;
+        for (const auto& it : vms) {
+            found[it.domain] += platform::may_watch(it.address, vms) ? 1 : 0;
+        }
+        return found;
+    };
+    const auto first = std::ranges::find_if(
+        vms, [&vms](const auto& it) { return platform::may_watch(it.address, vms); });
+    first->state = config::vm_state::leaving;
+    CHECK_FALSE(platform::may_watch(first->address, vms));
+    for (const auto& [domain, watchers] : watching()) {
+        LONGS_EQUAL(3, watchers);
+    }
+    CHECK_FALSE(platform::may_watch({"203.0.113.1", 7000}, vms));
+}
+
+// Guards against a watcher that polls besides its watch or misses a change.
+TEST(reader, watcher_waits_for_changes) {
+    const auto first = service.publish(document(1, "a.example"), nullptr);
+    subject->set_vms(nodes(3, 1));
+    CHECK(subject->watching());
+    run_for(30s);
+    service.calls.clear();
+    run_for(550s);
+    CHECK(service.calls.size() <= 11);
+    CHECK(count(reader_event::kind::confirmed) >= 9);
+    (void)service.publish(document(2, "b.example"), &first);
+    run_until_idle();
+    LONGS_EQUAL(2, store.version());
+}
+
+// Guards against a call loop when the service answers watches at once.
+TEST(reader, watch_that_returns_early_is_backed_off) {
+    (void)service.publish(document(1, "a.example"), nullptr);
+    subject->set_vms(nodes(3, 1));
+    run_for(30s);
+    const reader_call watch = [this] {
+        auto call = subject->next(now);
+        now = std::max(now, call.until);
+        return call.what == reader_call::kind::wait ? subject->next(now) : call;
+    }();
+    CHECK(watch.what == reader_call::kind::watch);
+    subject->answered(watch, std::optional(platform::stored_value{"", watch.after}), now);
+    CHECK(subject->next(now).what == reader_call::kind::wait);
+}
+
+// Guards against calls at full rate while the platform is down for hours, and against a node that
+// doesn't find back.
+TEST(reader, backs_off_while_the_platform_is_down) {
+    const auto first = service.publish(document(1, "a.example"), nullptr);
+    run_for(30s);
+    service.calls.clear();
+    service.down = true;
+    run_for(6h);
+    CHECK_TEXT(service.calls.size() < 120, std::to_string(service.calls.size()).c_str());
+    LONGS_EQUAL(1, store.version());
+    service.down = false;
+    (void)service.publish(document(2, "b.example"), &first);
+    run_for(450s);
+    LONGS_EQUAL(2, store.version());
+}
+
+// Guards against a stale replica of the platform that takes the fleet back.
+TEST(reader, reports_an_older_version_after_a_newer) {
+    const auto first = service.publish(document(1, "a.example"), nullptr);
+    const auto old_manifest = service.values["manifest"];
+    (void)service.publish(document(2, "b.example"), &first);
+    run_for(30s);
+    service.values["manifest"] = old_manifest;
+    const auto confirmed = count(reader_event::kind::confirmed);
+    run_for(450s);
+    LONGS_EQUAL(2, store.version());
+    STRCMP_CONTAINS("serves version 1, older than version 2", last_problem().c_str());
+    LONGS_EQUAL(confirmed, count(reader_event::kind::confirmed));
+}
+
+// Guards against two contents of one version.
+TEST(reader, reports_another_content_of_the_version_in_force) {
+    (void)service.publish(document(1, "a.example"), nullptr);
+    run_for(30s);
+    (void)service.publish(document(1, "b.example"), nullptr);
+    run_for(450s);
+    STRCMP_CONTAINS("another content for version 1", last_problem().c_str());
+    STRCMP_EQUAL("a.example", store.current()->routes.at(0).host.c_str());
+}
+
+// Guards against a part of a version in force, and a call loop, while a shard is missing or
+// damaged.
+TEST(reader, waits_for_missing_and_damaged_shards) {
+    const auto first = service.publish(document(1, "a.example"), nullptr);
+    const auto& routes = *std::ranges::find(first.changed, "routes/0-of-1", &config::shard::name);
+    const auto key = platform::shard_key({routes.name, routes.version, routes.digest});
+    service.values.erase(key);
+    run_for(10min);
+    LONGS_EQUAL(0, store.version());
+    CHECK_TEXT(service.calls.size() < 40, std::to_string(service.calls.size()).c_str());
+    service.values[key] = routes.content + " ";
+    run_for(10min);
+    LONGS_EQUAL(0, store.version());
+    STRCMP_CONTAINS("does not match its digest", last_problem().c_str());
+    service.values[key] = routes.content;
+    run_for(10min);
+    LONGS_EQUAL(1, store.version());
+}
+
+// Guards against an invalid version that is read again with every poll.
+TEST(reader, skips_a_version_that_the_store_rejected) {
+    const auto first = service.publish(document(1, "a.example"), nullptr);
+    run_for(30s);
+    const auto invalid = service.publish(document(2, "A_B"), &first);
+    run_for(450s);
+    LONGS_EQUAL(1, store.version());
+    service.calls.clear();
+    run_for(30min);
+    CHECK(std::ranges::all_of(service.calls,
+                              [](const std::string& key) { return key == "manifest"; }));
+    (void)service.publish(document(3, "c.example"), &invalid);
+    run_for(450s);
+    LONGS_EQUAL(3, store.version());
+}
+
+// Guards against a read that delivers against an old base after a peer was faster.
+TEST(reader, gives_up_a_read_when_a_peer_delivers_the_version) {
+    const auto first = service.publish(document(1, "a.example"), nullptr);
+    now += settings.start_delay;
+    subject->answered(subject->next(now), service.answer({reader_call::kind::get, "manifest"}),
+                      now);
+    const auto shard_call = subject->next(now);
+    STRCMP_CONTAINS("shard/", shard_call.key.c_str());
+    (void)store.apply(first, wall_time{});
+    hold();
+    subject->answered(shard_call, service.answer(shard_call), now);
+    CHECK(subject->next(now).what == reader_call::kind::wait);
+    CHECK(subject->take_events().empty());
+}
+
+// Guards against one node that uses up the platform's calls.
+TEST(reader, budget_limits_bursts_and_rate) {
+    platform::call_budget budget(2.0, 3.0);
+    for (int i = 0; i < 3; ++i) {
+        CHECK(budget.available_at(now) == now);
+        budget.take(now);
+    }
+    CHECK(budget.available_at(now) > now + 490ms && budget.available_at(now) < now + 510ms);
+    now += 1h;
+    for (int i = 0; i < 3; ++i) {
+        budget.take(now);
+    }
+    CHECK(budget.available_at(now) > now);
+}
+
+// Guards against manifests whose names reach other keys, and against a format that can't be kept.
+TEST(reader, checks_manifests) {
+    const auto all = service.publish(document(1, "a.example"), nullptr);
+    const auto text = platform::write_manifest(all);
+    const auto with = [&text](const std::string& part, const std::string& replacement) {
+        auto changed = text;
+        changed.replace(changed.find(part), part.size(), replacement);
+        return platform::parse_manifest(changed);
+    };
+    CHECK(platform::parse_manifest(text).has_value());
+    CHECK(!with("service/print", "service/p?"));
+    CHECK(!with("service/print", "aaa"));
+    CHECK(!with("\"version\":1", "\"version\":2"));
+    CHECK(!with("\"digest\":\"", "\"digest\":\"0"));
+    CHECK(!with("\"format\":1", "\"format\":1,\"zone\":1"));
+    CHECK(with("\"format\":1", "\"format\":2,\"zone\":1").has_value());
+}
--- a/wigeonrill/src/config/change_set.h
+++ b/wigeonrill/src/config/change_set.h
@@ -20,6 +20,15 @@
     friend bool operator==(const shard&, const shard&) = default;
 };
 
+/// \brief What a manifest says about a shard.
+struct shard_entry {
+    std::string name;
+    std::uint64_t version{0};
+    std::string digest;
+
+    friend bool operator==(const shard_entry&, const shard_entry&) = default;
+};
+
 /// \brief Difference between two versions of the configuration; the unit of transfer.
 struct change_set {
     std::uint64_t format{format_version};
--- a/wigeonrill/src/config/store.cpp
+++ b/wigeonrill/src/config/store.cpp
@@ -293,6 +293,19 @@
     return state_->last_rejection;
 }
 
+const std::string& store::digest() const {
+    return state_->digest;
+}
+
+std::vector<shard_entry> store::entries() const {
+    std::vector<shard_entry> all;
+    all.reserve(state_->shards.size());
+    for (const auto& [name, held] : state_->shards) {
+        all.push_back({name, held.version, held.digest});
+    }
+    return all;
+}
+
 change_set store::changes_since(std::uint64_t base) const {
     change_set changes;
     if (!state_->current) {
--- a/wigeonrill/src/config/store.h
+++ b/wigeonrill/src/config/store.h
@@ -48,6 +48,10 @@
     /// \param base version that the receiver has
     /// \returns the changes from base to the version in force, or everything if base is unknown
     [[nodiscard]] change_set changes_since(std::uint64_t base) const;
+    /// \returns digest of the version in force, empty before the first
+    [[nodiscard]] const std::string& digest() const;
+    /// \returns the shards in force without their content, sorted by name
+    [[nodiscard]] std::vector<shard_entry> entries() const;
     /// \returns the newest change set of a format that this build can't read, to be passed on as
     ///          received; nothing once a version at or above it is in force
     [[nodiscard]] const std::optional<change_set>& newer_format() const;
