Add the format reference and the check of configuration files

Cause: operators need the format on a page that stays true, and a check before publication.

Change: docs/reference/configuration.md describes each key; a test compares its keys with those that the parser asks for. check_files() reports the first fault or a summary per file, and whether the document can be divided into shards.

Conclusion: a key can't be added without its description.

--- /dev/null
+++ b/wigeonrill/src/config/file_check.cpp
@@ -0,0 +1,56 @@
+#include "wigeonrill/config.h"
+
+#include <algorithm>
+
+namespace wigeonrill::config {
+
+namespace {
+
+constexpr std::uint64_t largest_file = 256ULL * 1024 * 1024;
+
+std::string count(std::size_t n, const std::string& noun) {
+    return std::to_string(n) + " " + noun + (n == 1 ? "" : "s");
+}
+
+std::string describe(const snapshot& all, const change_set& shards) {
+    std::size_t targets = 0;
+    std::size_t slots = 0;
+    for (const auto& it : all.services) {
+        targets += it.targets.size();
+        for (const auto& one : it.targets) {
+            slots += one.slots;
+        }
+    }
+    return "version " + std::to_string(all.version) + ": " + count(all.services.size(), "service") +
+           ", " + count(targets, "target") + " with " + count(slots, "slot") + ", " +
+           count(all.routes.size(), "route") + ", " + count(all.workspaces.size(), "workspace") +
+           ", " + count(all.key_owners.size(), "key owner set") + ", " +
+           count(all.vms.size(), "VM") + ", " + count(shards.changed.size(), "shard");
+}
+
+file_check check_file(const std::string& path) {
+    const auto text = read_file(path, largest_file);
+    if (!text) {
+        return {path, text.error(), {}};
+    }
+    const auto parsed = parse_document(*text, path);
+    if (!parsed) {
+        return {path, parsed.error(), {}};
+    }
+    const auto shards = split_document(*text, path);
+    if (!shards) {
+        return {path, shards.error(), {}};
+    }
+    return {path, std::nullopt, describe(*parsed, *shards)};
+}
+
+} // namespace
+
+std::vector<file_check> check_files(const std::vector<std::string>& paths) {
+    std::vector<file_check> all;
+    all.reserve(paths.size());
+    std::ranges::transform(paths, std::back_inserter(all), check_file);
+    return all;
+}
+
+} // namespace wigeonrill::config
--- a/wigeonrill/src/config/loader.cpp
+++ b/wigeonrill/src/config/loader.cpp
@@ -35,12 +35,13 @@
     return it;
 }
 
-result<snapshot> parse_document(std::string_view text, const std::string& source_name) {
+result<snapshot> parse_document(std::string_view text, const std::string& source_name,
+                                std::set<std::string>* known_keys) {
     const auto document = json_document::parse(text, source_name);
     if (!document) {
         return tl::unexpected(document.error());
     }
-    reading_context context{source_name, std::nullopt};
+    reading_context context{source_name, std::nullopt, known_keys};
     checked_object root(document->root(), "", context);
     auto parsed = parse_sections(root);
     if (context.failure) {
