--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -152,7 +152,8 @@
             append_chunk(framed, body);
         }
         const bool sent = send_bytes(request_->chunked ? framed : body);
-        if (!sent || !is_quiet(connection_->fd())) {
+        const bool answered_early = !request_->body_complete && !is_quiet(connection_->fd());
+        if (!sent || answered_early) {
             return true;
         }
     }
