--- /dev/null
+++ b/wigeonrill/replay.h
@@ -0,0 +1,24 @@
+#ifndef WIGEONRILL_REPLAY_H
+#define WIGEONRILL_REPLAY_H
+
+/// \file
+/// \brief Traces of answers and faults, their replay over detection policies, reports.
+
+#define WIGEONRILL_REPLAY_MODULE
+
+#include <iosfwd>
+
+#include "health.h"
+
+#include "src/replay/trace.h"
+// Needs trace.h.
+#include "src/replay/generator.h"
+#include "src/replay/policy.h"
+#include "src/replay/report.h"
+#include "src/replay/trace_io.h"
+// Needs policy.h and report.h.
+#include "src/replay/baseline_policies.h"
+#include "src/replay/monitor_policy.h"
+#include "src/replay/run.h"
+
+#endif
--- a/wigeonrill/src/health/ejection_policy.cpp
+++ b/wigeonrill/src/health/ejection_policy.cpp
@@ -26,6 +26,28 @@
     return sick;
 }
 
+std::vector<target_condition> by_index(std::vector<target_condition> targets) {
+    std::sort(targets.begin(), targets.end(),
+              [](const auto& left, const auto& right) { return left.index < right.index; });
+    return targets;
+}
+
+/// A small share of a returning target would take away capacity that the floor needs.
+void fill_up(const std::vector<target_condition>& targets, std::uint32_t floor_slots,
+             ejection_plan& result) {
+    for (const auto& it : targets) {
+        if (result.slots_in_use >= floor_slots) {
+            return;
+        }
+        if (it.reachable && it.state == target_state::warming && it.weight < 1.0) {
+            result.slots_in_use += it.slots;
+            for (auto& used : result.usable) {
+                used = used.index == it.index ? usable_target{it.index, 1.0, true} : used;
+            }
+        }
+    }
+}
+
 void use_unreachable(const std::vector<target_condition>& targets, ejection_plan& result) {
     for (const auto& it : targets) {
         if (!it.reachable && it.state != target_state::leaving) {
@@ -59,6 +81,7 @@
             ++result.kept;
         }
     }
+    fill_up(by_index(targets), floor_slots, result);
     if (result.usable.empty()) {
         use_unreachable(targets, result);
     }
--- a/wigeonrill/src/health/ejection_policy.h
+++ b/wigeonrill/src/health/ejection_policy.h
@@ -23,7 +23,7 @@
 struct usable_target {
     std::uint32_t index{0};
     double weight{1.0};
-    bool kept_for_floor{false}; ///< sick, in use only because the floor needs its slots
+    bool kept_for_floor{false}; ///< sick or returning, but the floor needs its slots
 
     friend bool operator==(const usable_target&, const usable_target&) = default;
 };
@@ -50,7 +50,8 @@
     /// \brief Ejects sick targets, worst first, while the slots left in use reach the floor.
     ///
     /// A sick target that doesn't fit is kept and the next one is tried. Warming targets are used
-    /// but not counted. Leaving targets get no work even below the floor. Unreachable targets are
+    /// but not counted; when the floor is not reached, those with a reduced share get a full one.
+    /// Leaving targets get no work even below the floor. Unreachable targets are
     /// used only when nothing else is left.
     /// \param targets conditions in any order
     /// \param floor_slots capacity that ejection must leave, in slots
--- a/wigeonrill/src/health/evidence_pool.cpp
+++ b/wigeonrill/src/health/evidence_pool.cpp
@@ -8,6 +8,8 @@
 
 constexpr seconds reporter_lifetime{60};
 constexpr std::size_t reporters_for_limit = 3;
+constexpr seconds remark_lifetime{2};
+constexpr std::size_t remarks_needed = 3;
 // Evidence that the second reporter must have given; a single slow healthy answer gives less.
 constexpr double second_share = 2.0;
 
@@ -26,6 +28,9 @@
         from.epoch = epoch_;
         from.nats = 0.0;
     }
+    if (report.others_ratio > 0.0) {
+        remarks_[remarks_added_++ % remarks_kept] = {report.others_ratio, now};
+    }
     double nats = report.llr_sum;
     if (shares_.size() >= reporters_for_limit) {
         nats = std::min(nats, std::max(0.0, point.threshold / 2 - from.nats));
@@ -67,6 +72,22 @@
     return false;
 }
 
+double evidence_pool::others_ratio(instant now) const {
+    double sum = 0.0;
+    std::size_t count = 0;
+    for (const auto& it : remarks_) {
+        if (it.ratio > 0.0 && now - it.at <= remark_lifetime) {
+            sum += it.ratio;
+            ++count;
+        }
+    }
+    return count < remarks_needed ? 0.0 : sum / static_cast<double>(count);
+}
+
+void evidence_pool::halve(const operating_point& point) {
+    statistic_ = std::min(statistic_, point.threshold / 2);
+}
+
 std::vector<node_id> evidence_pool::reporters() const {
     std::vector<node_id> names;
     names.reserve(shares_.size());
--- a/wigeonrill/src/health/evidence_pool.h
+++ b/wigeonrill/src/health/evidence_pool.h
@@ -19,6 +19,8 @@
 
     /// \brief Starts the statistic at 0 and forgets the shares, but not the reporters.
     void reset();
+    /// \brief Lowers the statistic to half of the threshold, after a shared cause was found.
+    void halve(const operating_point& point);
 
     /// \returns the CUSUM statistic in nats
     [[nodiscard]] double statistic() const { return statistic_; }
@@ -27,6 +29,10 @@
     /// \returns whether the statistic passes the threshold with the reporters it needs
     [[nodiscard]] bool is_sick(const operating_point& point, std::size_t fleet_domains,
                                std::size_t fleet_nodes) const;
+    /// \brief Mean over the latest reports of how slow the reporters find the other targets.
+    ///
+    /// \returns the factor, or 0 when too few told lately
+    [[nodiscard]] double others_ratio(instant now) const;
     /// \returns answers in the reports since the last reset
     [[nodiscard]] std::uint64_t answers() const { return answers_; }
     /// \returns the nodes that reported within the last minute or so, sorted
@@ -41,6 +47,12 @@
         instant seen{};
     };
 
+    struct remark {
+        double ratio{0.0};
+        instant at{};
+    };
+    static constexpr std::size_t remarks_kept = 6;
+
     void forget_silent(instant now);
 
     std::unordered_map<node_id, share> shares_;
@@ -48,6 +60,8 @@
     std::uint64_t epoch_{0}; ///< shares of an older epoch count as 0
     std::uint64_t answers_{0};
     instant pruned_{};
+    std::array<remark, remarks_kept> remarks_{}; ///< latest reports' views of the other targets
+    std::size_t remarks_added_{0};
 };
 
 } // namespace wigeonrill::health
--- a/wigeonrill/src/health/evidence_report.h
+++ b/wigeonrill/src/health/evidence_report.h
@@ -15,6 +15,8 @@
     target_id target;
     double llr_sum{0.0};       ///< sum of log-likelihood ratios, in nats
     std::uint32_t answers{0};  ///< number of answers in the sum
+    double others_ratio{0.0};  ///< latest slowdown of the service's other targets as the reporter
+                               ///< sees them, 1: normal, 0: not known
     std::uint64_t sequence{0}; ///< grows with each report of this reporter; drops duplicates
 
     friend bool operator==(const evidence_report&, const evidence_report&) = default;
--- a/wigeonrill/src/health/latency_baseline.cpp
+++ b/wigeonrill/src/health/latency_baseline.cpp
@@ -58,7 +58,7 @@
 
 double latency_baseline::ratio(nanoseconds latency) const {
     const double few = std::min(answers_, answers_settled);
-    const double caution = 1.0 + 1.5 / std::sqrt(std::max(few, 1.0));
+    const double caution = 1.0 + 1.0 / std::sqrt(std::max(few, 1.0));
     const double mean = std::exp(log_median_) / std::numbers::ln2;
     return seconds_of(latency) / (mean * caution);
 }
--- a/wigeonrill/src/health/monitor_answers.cpp
+++ b/wigeonrill/src/health/monitor_answers.cpp
@@ -116,8 +116,7 @@
         return success_llr();
     }
     const auto ratio = route.baseline.ratio(ended.ended - ended.sent);
-    return latency_llr(ratio / shared_slowdown(place, route, now),
-                       services[place.service].point.slowdown);
+    return latency_llr(ratio / shared_slowdown(place, route, now), services[place.service].point);
 }
 
 double monitor_state::failure_evidence(const answer& ended, const target_place& place,
--- a/wigeonrill/src/health/monitor_judge.cpp
+++ b/wigeonrill/src/health/monitor_judge.cpp
@@ -34,14 +34,13 @@
         if (mine.course.is_ejected() || !mine.pool.is_sick(point, nodes.domains(), nodes.size())) {
             continue;
         }
-        if (has_shared_cause(place, now)) {
+        if (is_held_back(place, now)) {
             if (!mine.held_back) {
                 actions.log.push_back("health: " + name_of(place) +
                                       " is not ejected: the other targets look sick too");
             }
             mine.held_back = true;
-            // Evidence of a shared cause must not remain for the time after it.
-            mine.pool.reset();
+            mine.pool.halve(point);
             continue;
         }
         eject(place, mine.pool.statistic(), now, actions);
@@ -83,6 +82,14 @@
     }
 }
 
+bool monitor_state::is_held_back(const target_place& place, instant now) const {
+    const auto& pool = services[place.service].targets[place.target].judged->pool;
+    const double others = pool.others_ratio(now);
+    // The reporters together see a shared slowdown before this node does alone.
+    return others > 0.0 ? others > shared_slowdown_limit || shared_failure(place, now)
+                        : has_shared_cause(place, now);
+}
+
 bool monitor_state::has_shared_cause(const target_place& place, instant now) const {
     const auto& service = services[place.service];
     return std::max(service.shared.slowdown(place.target, now),
--- a/wigeonrill/src/health/monitor_outstanding.cpp
+++ b/wigeonrill/src/health/monitor_outstanding.cpp
@@ -80,7 +80,7 @@
     const double ratio = route.baseline.ratio(waiting.age) / shared_slowdown(place, route, now);
     auto& credit = credits[credit_key(waiting.request, waiting.target)];
     credit.seen = now;
-    const double nats = ratio < least_ratio ? 0.0 : outstanding_llr(ratio, service.point.slowdown);
+    const double nats = ratio < least_ratio ? 0.0 : outstanding_llr(ratio, service.point);
     if (nats - credit.nats >= least_gain) {
         add_evidence(place, nats - credit.nats, 0);
         credit.nats = nats;
--- a/wigeonrill/src/health/monitor_reports.cpp
+++ b/wigeonrill/src/health/monitor_reports.cpp
@@ -42,6 +42,7 @@
     report.target = record.id;
     report.llr_sum = record.pending.nats;
     report.answers = record.pending.answers;
+    report.others_ratio = services[place.service].shared.latest(place.target, now);
     report.sequence = next_sequence++;
     record.pending = {};
     // The debt is bounded, so that a burst of urgent reports does not silence the others for long.
--- a/wigeonrill/src/health/monitor_state.h
+++ b/wigeonrill/src/health/monitor_state.h
@@ -174,6 +174,8 @@
     void issue(const target_place& place, target_state state, instant now,
                monitor_actions& actions);
     void judge_locally(const target_place& place, instant now, monitor_actions& actions);
+    /// \brief Whether the reporters, or this node, find the other targets sick too.
+    [[nodiscard]] bool is_held_back(const target_place& place, instant now) const;
     [[nodiscard]] bool has_shared_cause(const target_place& place, instant now) const;
     void take_queued(monitor_actions& actions);
     void hold_verdict(const verdict& judged, const target_place& place);
--- a/wigeonrill/src/health/operating_point.h
+++ b/wigeonrill/src/health/operating_point.h
@@ -9,8 +9,11 @@
 
 /// \brief Parameters of the sequential test for one weight.
 struct operating_point {
-    double threshold{0.0};   ///< CUSUM level that makes a target sick, ln(1/a) in nats
-    double slowdown{3.0};    ///< design slowdown r of the likelihood ratio
+    double threshold{0.0};  ///< CUSUM level that makes a target sick, ln(1/a) in nats
+    double slowdown{3.0};   ///< design slowdown r of the likelihood ratio
+    double tail_ratio{4.0}; ///< latency ratios above this grow with their logarithm only, because
+                            ///< healthy service times have heavier tails than the exponential model
+    double most_llr{7.0};   ///< most evidence of one answer, in nats; below half of the threshold
     bool two_domains{false}; ///< evidence must come from two failure domains
 
     friend bool operator==(const operating_point&, const operating_point&) = default;
--- a/wigeonrill/src/health/shared_condition.cpp
+++ b/wigeonrill/src/health/shared_condition.cpp
@@ -8,14 +8,20 @@
 namespace {
 
 constexpr seconds sample_lifetime{15};
-constexpr double decay = 0.8;
+constexpr double decay = 0.85;
 // Weight of three fresh samples; fewer say nothing about the others.
 constexpr double weight_needed = 2.4;
-// A median of about nine samples errs by a quarter in normal operation.
-constexpr double margin = 1.25;
+// A median of about nine samples errs by a third in normal operation; less is not taken for a
+// slowdown, more is taken in full.
+constexpr double least_slowdown = 1.5;
 // Two failing targets may both be sick; three of three look like a shared cause.
 constexpr std::size_t failing_needed = 3;
 
+constexpr std::size_t latest_samples = 2;
+constexpr seconds latest_lifetime{5};
+// One very slow answer of another target must not look like a slowdown of all.
+constexpr double most_latest_ratio = 5.0;
+
 using weighted_ratio = std::pair<double, double>;
 
 double weighted_median(std::vector<weighted_ratio>& ratios, double total) {
@@ -76,7 +82,29 @@
     if (total < weight_needed) {
         return 1.0;
     }
-    return std::max(1.0, weighted_median(ratios, total) / (std::numbers::ln2 * margin));
+    const double factor = weighted_median(ratios, total) / std::numbers::ln2;
+    return factor > least_slowdown ? factor : 1.0;
+}
+
+double shared_condition::latest(std::uint32_t except, instant now) const {
+    double sum = 0.0;
+    std::size_t samples = 0;
+    const auto take = [&](double ratio) {
+        sum += std::min(ratio, most_latest_ratio);
+        ++samples;
+    };
+    for (const auto& [target, ratio] : outstanding_) {
+        if (target != except) {
+            take(ratio);
+        }
+    }
+    for (std::size_t age = 0; age < std::min(added_, memory) && samples < latest_samples; ++age) {
+        const auto& it = recent(age);
+        if (it.target != except && !it.failed && now - it.at <= latest_lifetime) {
+            take(it.ratio);
+        }
+    }
+    return samples < latest_samples ? 0.0 : sum / static_cast<double>(samples);
 }
 
 bool shared_condition::most_fail(std::uint32_t except, instant now) const {
--- a/wigeonrill/src/health/shared_condition.h
+++ b/wigeonrill/src/health/shared_condition.h
@@ -24,6 +24,10 @@
 
     /// \returns factor, at least 1, by which the other targets are slower than their baselines
     [[nodiscard]] double slowdown(std::uint32_t except, instant now) const;
+    /// \brief Mean of the last two ratios of the other targets: newer and noisier than slowdown().
+    ///
+    /// \returns the factor, or 0 when too little is known
+    [[nodiscard]] double latest(std::uint32_t except, instant now) const;
     /// \returns whether most of the other targets failed their last attempt
     [[nodiscard]] bool most_fail(std::uint32_t except, instant now) const;
 
