Make three tests of traffic deterministic or stricter

It now waits for the end of the process. Two tests passed with their code broken: the mark of a node with is_peer always true, and the request of a caller who left while it was queued.

--- a/test/traffic/cancellation_test.cpp
+++ b/test/traffic/cancellation_test.cpp
@@ -74,6 +74,7 @@
     // before close() returns.
     queue.open();
     it.decisions.wait_finished(1);
+    it.target.wait_closed(1); // Then the target has read all that was sent to it.
     CHECK(it.target.requests().empty());
     CHECK(answer_kind::cancelled == it.decisions.attempts.at(0).kind);
 }
--- a/test/traffic/node_forwarding_test.cpp
+++ b/test/traffic/node_forwarding_test.cpp
@@ -20,12 +20,13 @@
 
 // Guards against a caller that claims to be a node and so passes by the key's owner.
 TEST(node_forwarding, believes_the_mark_only_from_nodes) {
-    proxy_fixture unknown(answer_ok);
+    traffic::server_options options;
+    options.is_peer = [](const std::string& ip) { return ip == "10.0.0.1"; };
+    proxy_fixture unknown(answer_ok, options);
     static_cast<void>(unknown.ask(marked_get));
     CHECK_FALSE(unknown.decisions.started.at(0).from_node);
     CHECK_FALSE(contains(unknown.target.requests().at(0), "From-Node"));
 
-    traffic::server_options options;
     options.is_peer = [](const std::string& ip) { return ip == "127.0.0.1"; };
     proxy_fixture known(answer_ok, options);
     static_cast<void>(known.ask(marked_get));
--- a/test/traffic/standin_target_test.cpp
+++ b/test/traffic/standin_target_test.cpp
@@ -33,10 +33,16 @@
     standin_process(const standin_process&) = delete;
     standin_process& operator=(const standin_process&) = delete;
     ~standin_process() {
-        if (Poco::Process::isRunning(handle_)) {
+        if (!ended_) {
             Poco::Process::requestTermination(handle_.id());
+            handle_.wait();
         }
+    }
+
+    /// Waits until the process has ended on its own.
+    void wait_end() {
         handle_.wait();
+        ended_ = true;
     }
 
     [[nodiscard]] endpoint address() const { return {"127.0.0.1", port_}; }
@@ -57,6 +63,7 @@
     Poco::Pipe output_;
     Poco::ProcessHandle handle_;
     std::uint16_t port_{0};
+    bool ended_{false};
 };
 
 const std::string keyed = "POST /print HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k-1\r\n"
@@ -93,13 +100,14 @@
 
 // Guards against faults of a real HTTP server that the scripted target doesn't have.
 TEST(standin_target, breaks_answers_and_dies) {
-    const standin_process target({"--truncate", "--crash-path", "/crash"});
+    standin_process target({"--truncate", "--crash-path", "/crash"});
     it.decisions.usual.address = target.address();
     it.decisions.usual.route.repeat = config::repeat_policy::at_most_once;
     target.control(R"({"body_bytes": 1000})");
     STRCMP_CONTAINS("HTTP/1.1 502 ", it.ask(plain_get).c_str());
     const auto refused = it.ask("GET /crash HTTP/1.1\r\nHost: a\r\n\r\n");
     STRCMP_CONTAINS("Wigeonrill-Outcome: unknown\r\n", refused.c_str());
+    target.wait_end(); // Until then its port may still accept a connection.
     STRCMP_CONTAINS("Wigeonrill-Outcome: not-run\r\n", it.ask(plain_get).c_str());
     it.decisions.wait_finished(3);
     CHECK(answer_kind::malformed == it.decisions.attempts.at(0).kind);
