--- a/test/admission/budget_test.cpp
+++ b/test/admission/budget_test.cpp
@@ -64,4 +64,7 @@
     estimator.on_empty();
     estimator.on_grant(now + std::chrono::hours(1), true);
     CHECK(estimator.wait(0) == seconds(1));
+    estimator.on_grant(now + std::chrono::hours(1), false);
+    estimator.on_grant(now + std::chrono::hours(2), true);
+    CHECK(estimator.wait(0) <= seconds(1));
 }
--- a/test/dispatch/at_most_once_test.cpp
+++ b/test/dispatch/at_most_once_test.cpp
@@ -96,6 +96,51 @@
     CHECK_EQUAL(1U, node.sink.marks.size());
 }
 
+// Guards against "not-run" for a request whose connection code gave up after it was allowed to
+// write.
+TEST(at_most_once, request_without_a_result_is_unknown) {
+    const auto request = node.request("POST", "/runs", "k");
+    CHECK(d.first(request).kind == step_kind::send);
+    CHECK_TRUE(d.may_send(request));
+    d.finished(request, false, nullptr);
+    check_refused(d.first(node.request("POST", "/runs", "k")), "key-unknown", outcome::unknown);
+}
+
+// Guards against "done" for an answer whose body broke after its head was passed on.
+TEST(at_most_once, broken_body_is_unknown) {
+    const auto request = node.request("POST", "/runs", "k");
+    CHECK(d.first(request).kind == step_kind::send);
+    CHECK_TRUE(d.may_send(request));
+    CHECK_FALSE(d.ended(request, node.attempt(answer_kind::ok)).has_value());
+    auto broken = node.attempt(answer_kind::malformed);
+    broken.answer_bytes_passed = true;
+    check_refused(*d.ended(request, broken), "bad-answer", outcome::unknown);
+    d.finished(request, false, nullptr);
+    check_refused(d.first(node.request("POST", "/runs", "k")), "key-unknown", outcome::unknown);
+}
+
+// Guards against a waiting thread that is not woken when the holder of its key ends.
+TEST(at_most_once, end_of_the_holder_names_the_waiters) {
+    const dispatch::moment at{node.clock.now(), node.clock.wall_now()};
+    const std::chrono::hours uptime(1);
+    dispatch::decision_core core(
+        {"10.1.0.1", 80}, 7, {at.now - uptime, at.wall - uptime},
+        [] { return std::make_unique<routing::round_robin>(); }, node.random);
+    core.set_confirmed(at.wall);
+    core.set_view(test::make_view(node.snapshot),
+                  std::make_shared<routing::route_table>(node.snapshot), at.now);
+    const auto holder = node.request("POST", "/runs", "k");
+    const auto waiter = node.request("POST", "/runs", "k");
+    core.begin(holder, at);
+    core.begin(waiter, at);
+    CHECK(core.poll(holder.id, at)->kind == step_kind::send);
+    CHECK_FALSE(core.poll(waiter.id, at).has_value());
+    core.finished(holder.id, false, nullptr, at);
+    CHECK(core.take_ready() == std::vector<std::uint64_t>({waiter.id}));
+    const auto step = core.poll(waiter.id, at);
+    check_refused(*step, "key-refused", outcome::not_run);
+}
+
 // Guards against giving up a request that no target got: a reset before the first byte.
 TEST(at_most_once, refused_connection_goes_to_another_target) {
     const auto request = node.request("POST", "/runs", "k");
--- a/test/dispatch/retry_test.cpp
+++ b/test/dispatch/retry_test.cpp
@@ -32,6 +32,17 @@
     CHECK(third->reason.result == outcome::unknown);
 }
 
+// Guards against a second attempt at the target that just failed.
+TEST(retry, second_attempt_goes_elsewhere) {
+    for (int i = 0; i < 8; ++i) {
+        const auto request = node.request("GET", ("/" + std::to_string(i)).c_str());
+        const auto first = d.first(request).target;
+        CHECK(lose(request)->target != first);
+        CHECK_FALSE(d.ended(request, node.attempt(answer_kind::ok)).has_value());
+        d.finished(request, true, nullptr);
+    }
+}
+
 // Guards against a second answer behind a part of the first, and against sending half a body.
 TEST(retry, no_retry_after_answer_bytes_or_without_the_body) {
     const auto passed = node.request("GET", "/stock");
--- a/test/once/dedup_table_test.cpp
+++ b/test/once/dedup_table_test.cpp
@@ -75,6 +75,7 @@
     CHECK(table.begin(key, 1, now) == begin_outcome::replay);
     now += seconds(1);
     CHECK_FALSE(table.state(key, now).has_value());
+    CHECK(table.state(running, now) == key_state::queued);
     CHECK(table.begin(running, 1, now) == begin_outcome::wait);
     CHECK_EQUAL(1U, table.size());
     CHECK_EQUAL(0U, table.answer_bytes());
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -84,7 +84,11 @@
         after_forward(record, attempt, at.now);
         return true;
     }
-    WIGEONRILL_ASSERT(record.place != nullptr, "ended() needs an attempt at a target");
+    if (!record.place) {
+        // The body broke after the attempt was already ended by its head or a refusal.
+        refuse(record, refusal_of(attempt), outcome_of(record), at.now);
+        return true;
+    }
     report(record, attempt);
     if (is_answer(attempt.kind)) {
         record.place->limiter.on_answer();
@@ -147,6 +151,7 @@
         gate_.on_not_sent(*record.key);
     }
     record.sent.reset();
+    record.head_passed = false;
     const bool retry = may_retry(record, attempt, at);
     record.reason =
         "retry after " + std::string(enum_name(health::answer_kind_names, attempt.kind));
