--- a/test/fleet/at_most_once_test.cpp
+++ b/test/fleet/at_most_once_test.cpp
@@ -58,6 +58,23 @@
     LONGS_EQUAL(1, all.executions(key));
 }
 
+// Guards against a key that runs at another process than the one that issued it.
+TEST(at_most_once, issued_key_runs_only_at_its_issuer) {
+    const auto issued = send(all.traffic_port(0), {"POST", "/.wigeonrill/keys"});
+    LONGS_EQUAL(201, issued.status);
+    const auto begin = issued.body.find("wr1-");
+    const auto key = issued.body.substr(begin, issued.body.rfind('"') - begin);
+    LONGS_EQUAL(200, order(all, 1, key).status);
+    LONGS_EQUAL(200, order(all, 2, key).status);
+    LONGS_EQUAL(1, all.executions(key));
+    all.kill_node(0);
+    all.start_node(0);
+    const auto again = order(all, 1, key);
+    CHECK(again.status >= 400);
+    STRCMP_EQUAL("unknown", again.headers.at("Wigeonrill-Outcome").c_str());
+    LONGS_EQUAL(1, all.executions(key));
+}
+
 // Guards against a second run after the nodes that knew of the first were replaced; the outcome
 // must be unknown, because no node can know any more.
 TEST(at_most_once, answers_unknown_after_the_owner_was_replaced) {
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -225,7 +225,7 @@
     for (const int it : peer_) {
         seeds.push_back(loopback(it));
     }
-    json source = {{"platform", loopback(dead_port_)}};
+    json source = {{"platform", json::array({loopback(dead_port_)})}};
     if (with_file) {
         source = {{"file", folder_ + "/inventory.json"}};
     }
--- a/test/peers/news_test.cpp
+++ b/test/peers/news_test.cpp
@@ -211,3 +211,16 @@
     UNSIGNED_LONGS_EQUAL(3 * sequence, answers);
     UNSIGNED_LONGS_EQUAL(4, fleet->at(0).live_nodes().size());
 }
+
+// Guards against a crashing request that its caller sends again to other nodes before the next
+// gossip round tells them of the crash. Six receivers each leave e^-6 of the nodes unreached.
+TEST(news, spreads_crash_marks_before_the_next_round) {
+    const auto fleet = settled(36);
+    fleet->at(4).announce(once::crash_mark{99, target_id("stock-2"), fleet->clock.wall_now()});
+    fleet->run(milliseconds{200});
+    std::size_t reached = 0;
+    for (const auto& it : fleet->nodes) {
+        reached += it->marks.size();
+    }
+    CHECK(reached >= 34);
+}
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -192,11 +192,9 @@
 }
 
 void control_loop::carry_out(const health::monitor_actions& actions) {
-    constexpr std::string_view prefix = "health: ";
-    for (std::string_view it : actions.log) {
-        // The sink writes the prefix of the part itself.
-        it.remove_prefix(it.starts_with(prefix) ? prefix.size() : 0);
-        write(log_level::info, log_part::health, log_line(it));
+    for (const auto& it : actions.log) {
+        write(log_level::info, log_part::health,
+              log_line(observe::without_prefix(it, log_part::health)));
     }
     if (parts_.gossip == nullptr) {
         return;
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -192,7 +192,8 @@
     auto options = server_options_of(wanted);
     options.is_peer = [this](const std::string& ip) { return is_peer(ip); };
     options.log = [this](const std::string& line) {
-        log->write(log_level::info, log_part::traffic, log_line(line));
+        log->write(log_level::info, log_part::traffic,
+                   log_line(observe::without_prefix(line, log_part::traffic)));
     };
     callers = std::make_unique<traffic::server>(std::move(options), dispatcher, clock);
     if (auto started = callers->start(); !started) {
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -4,6 +4,12 @@
 
 namespace {
 
+constexpr std::string_view key_path = "/.wigeonrill/keys";
+
+bool asks_for_key(const traffic::request_info& request) {
+    return request.method == "POST" && request.path == key_path;
+}
+
 decision_core::policy_factory or_default(const decision_core::policy_factory& factory) {
     if (factory) {
         return factory;
@@ -70,11 +76,26 @@
 }
 
 traffic::step request_dispatcher::first(const traffic::request_info& request) {
+    if (asks_for_key(request)) {
+        return answer_with_key();
+    }
     std::unique_lock lock(mutex_);
     core_.begin(request, read(clock_));
     return wait_for_step(request.id, lock);
 }
 
+traffic::step request_dispatcher::answer_with_key() {
+    constexpr int created = 201;
+    auto answer = std::make_shared<traffic::stored_answer>();
+    answer->status = created;
+    answer->headers = {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}};
+    answer->body = "{\"idempotency_key\":\"" + issue_key() + "\"}\n";
+    traffic::step made;
+    made.kind = traffic::step_kind::replay;
+    made.answer = std::move(answer);
+    return made;
+}
+
 bool request_dispatcher::may_send(const traffic::request_info& request) {
     const std::lock_guard guard(mutex_);
     return core_.may_send(request.id, read(clock_));
@@ -92,6 +113,9 @@
 
 void request_dispatcher::finished(const traffic::request_info& request, bool whole,
                                   std::shared_ptr<const traffic::stored_answer> answer) {
+    if (asks_for_key(request)) {
+        return;
+    }
     std::unique_lock lock(mutex_);
     core_.finished(request.id, whole, std::move(answer), read(clock_));
     unlock_and_tell(lock);
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -56,6 +56,7 @@
     [[nodiscard]] std::size_t keys() const;
 
 private:
+    [[nodiscard]] traffic::step answer_with_key();
     [[nodiscard]] traffic::step wait_for_step(std::uint64_t id, std::unique_lock<std::mutex>& lock);
     /// Wakes the threads whose requests got a step.
     void wake();
--- a/wigeonrill/src/observe/log_part.h
+++ b/wigeonrill/src/observe/log_part.h
@@ -31,6 +31,13 @@
     {log_part::daemon, "daemon"},
 }};
 
+/// \brief Removes the part's prefix from a line that already has it; the sink writes it itself.
+[[nodiscard]] constexpr std::string_view without_prefix(std::string_view line, log_part part) {
+    const auto name = enum_name(log_part_names, part);
+    const bool has_prefix = line.starts_with(name) && line.substr(name.size()).starts_with(": ");
+    return has_prefix ? line.substr(name.size() + 2) : line;
+}
+
 /// \brief Importance of a log line.
 enum class log_level : std::uint8_t { debug, info, warning, error };
 
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -16,8 +16,8 @@
 // is a fault, and is not answered.
 constexpr double replies_per_second = 25;
 constexpr double reply_burst = 50;
-// Peers that hear at once that this node leaves.
-constexpr int farewells = 6;
+// Peers that hear at once that this node leaves, or of a request that crashes targets.
+constexpr int urgent_receivers = 6;
 // Changes of members are passed on at once, which reaches 94 % of the nodes in a few hops; the
 // rounds reach the rest. At the target size 0.4 changes/s are usual.
 constexpr int urgent_fanout = 3;
@@ -134,7 +134,9 @@
 }
 
 void gossip_node::announce(const once::crash_mark& item) {
-    digest_.learn(item, clock_.wall_now());
+    if (digest_.learn(item, clock_.wall_now())) {
+        spread_at_once(clock_.now());
+    }
 }
 
 void gossip_node::announce_leaving() {
@@ -143,14 +145,18 @@
     }
     self_.state = member_state::leaving;
     digest_.refresh(self_.id);
+    spread_at_once(clock_.now());
+}
+
+void gossip_node::spread_at_once(instant now) {
     std::set<node_id> told;
-    for (int i = 0; i < farewells; ++i) {
+    for (int i = 0; i < urgent_receivers; ++i) {
         const auto peer = members_.choose(random_, true, told);
         if (!peer) {
             return;
         }
         told.insert(*peer);
-        send_gossip(*peer, message_kind::gossip_request, clock_.now());
+        send_gossip(*peer, message_kind::gossip_request, now);
     }
 }
 
--- a/wigeonrill/src/peers/gossip_node.h
+++ b/wigeonrill/src/peers/gossip_node.h
@@ -144,6 +144,8 @@
     };
 
     void excuse_pause(instant now);
+    /// Sends gossip to a few peers without waiting for the next round.
+    void spread_at_once(instant now);
     void gossip(instant now);
     void start_probe(const node_id& peer, instant now);
     void retry_probes(instant now);
--- a/wigeonrill/src/peers/gossip_rounds.cpp
+++ b/wigeonrill/src/peers/gossip_rounds.cpp
@@ -232,11 +232,16 @@
             inbox_.verdicts.push_back(it);
         }
     }
+    const auto marks_before = inbox_.marks.size();
     for (const auto& it : content.marks) {
         if (digest_.learn(it, clock_.wall_now())) {
             inbox_.marks.push_back(it);
         }
     }
+    if (inbox_.marks.size() > marks_before) {
+        // The caller may send the request again at once, so marks don't wait for the next round.
+        spread_at_once(now);
+    }
 }
 
 void gossip_node::learn_members(const message& content, instant now) {
