Forget the wait estimate when the queue is empty

Cause: after a long stall the estimate stayed above half of every deadline, so each request that had to wait was refused as overloaded. Without waiting requests no interval is measured, so this never ended.

Ruled out: letting only the first request into an empty queue (two waiting requests are needed to measure an interval).

Conclusion: refusals by estimate end with the backlog.

--- a/wigeonrill/src/admission/wait_estimator.h
+++ b/wigeonrill/src/admission/wait_estimator.h
@@ -18,8 +18,12 @@
     /// \param others_wait true when the queue is not empty after it; else the next interval says
     ///        how seldom requests come and not how fast places become free
     void on_grant(instant now, bool others_wait);
-    /// \brief Ends the interval that a grant began, because the queue became empty without one.
-    void on_empty() { last_.reset(); }
+    /// \brief Forgets the estimate, because nothing waits any more. A kept estimate would refuse
+    ///        every request after a long stall, and without waiting requests it never changes.
+    void on_empty() {
+        last_.reset();
+        interval_ = 0.0;
+    }
 
     /// \param ahead requests that wait already
     /// \returns the estimated wait, 0 before the first interval was measured
