Leave requests without an answer out of the reporters' view of other targets

Cause: when a domain is lost, the outstanding requests of its other targets raised others_ratio, which held ejections back: 43 of 600 lost targets stayed in use on some node for 20 s at Western Australia.

Change: shared_condition::latest uses answers only; the limit of precision is 1.3.

--- a/wigeonrill/src/health/operating_point.h
+++ b/wigeonrill/src/health/operating_point.h
@@ -15,7 +15,7 @@
                             ///< healthy service times have heavier tails than the exponential model
     double most_llr{7.0};   ///< most evidence of one answer, in nats; below half of the threshold
     /// Slowdown of the other targets above which an ejection is held back for a shared cause.
-    double shared_limit{1.4};
+    double shared_limit{1.3};
     bool two_domains{false}; ///< evidence must come from two failure domains
 
     friend bool operator==(const operating_point&, const operating_point&) = default;
--- a/wigeonrill/src/health/shared_condition.cpp
+++ b/wigeonrill/src/health/shared_condition.cpp
@@ -93,11 +93,6 @@
         sum += std::min(ratio, most_latest_ratio);
         ++samples;
     };
-    for (const auto& [target, ratio] : outstanding_) {
-        if (target != except) {
-            take(ratio);
-        }
-    }
     for (std::size_t age = 0; age < std::min(added_, memory) && samples < latest_samples; ++age) {
         const auto& it = recent(age);
         if (it.target != except && !it.failed && now - it.at <= latest_lifetime) {
--- a/wigeonrill/src/health/shared_condition.h
+++ b/wigeonrill/src/health/shared_condition.h
@@ -26,6 +26,9 @@
     [[nodiscard]] double slowdown(std::uint32_t except, instant now) const;
     /// \brief Mean of the last two ratios of the other targets: newer and noisier than slowdown().
     ///
+    /// Requests without an answer are left out: those of a lost domain would look like a shared
+    /// slowdown.
+    ///
     /// \returns the factor, or 0 when too little is known
     [[nodiscard]] double latest(std::uint32_t except, instant now) const;
     /// \returns whether most of the other targets failed their last attempt
