Probe ejected targets with live requests; carry the others' slowdown; name the caller to owners

Cause: an ejected target got no request and returned only when its hold ended; the aggregators did not get others_ratio, which the detector needs to tell a shared slowdown; an owner took the forwarding node for the caller of a key. Ruled out: probes of health endpoints, which a gray target answers well. Conclusion: ejected targets return by evidence of real requests.

--- a/test/fleet/faults_test.cpp
+++ b/test/fleet/faults_test.cpp
@@ -108,3 +108,25 @@
         }
     }
 }
+
+// Guards against an ejected target that never returns after it recovered.
+TEST(faults, recovered_target_returns) {
+    fleet all(1, 3);
+    all.start_node(0);
+    const auto looks_up_until = [&](const std::string& state, int limit_s) {
+        return eventually(
+            [&] {
+                for (int i = 0; i < 10; ++i) {
+                    LONGS_EQUAL(200, send(all.traffic_port(0), {"GET", "/stock/1"}).status);
+                }
+                return all.state_of(0, "lookups-1") == state;
+            },
+            limit_s);
+    };
+    CHECK(looks_up_until("healthy", 5));
+    all.control("lookups-1", R"({"latency_ms": 200})");
+    CHECK(looks_up_until("sick", 20));
+    all.control("lookups-1", R"({"latency_ms": 5})");
+    CHECK(looks_up_until("warming", 60));
+    CHECK(looks_up_until("healthy", 30));
+}
--- a/test/peers/codec_test.cpp
+++ b/test/peers/codec_test.cpp
@@ -42,6 +42,7 @@
         out.marks.push_back({0xffffffffffffffffU, target_id("stock-2"), clock.wall_now()});
         auto evidence = make_evidence("stock-3", 12);
         evidence.reporter = alice;
+        evidence.others_ratio = 1.25;
         out.evidence.push_back(evidence);
         return out;
     }
@@ -195,6 +196,7 @@
     content.evidence.at(0).sequence = INT64_MAX;
     content.evidence.at(0).llr_sum = -1e9;
     content.evidence.at(0).answers = INT32_MAX;
+    content.evidence.at(0).others_ratio = 1e9;
     content.marks.at(0).observed = wall_time{};
     const auto bound = header_size_bound + content.domain.value.size() +
                        size_bound(content.members.at(0)) + size_bound(content.verdicts.at(0)) +
--- a/test/peers/news_test.cpp
+++ b/test/peers/news_test.cpp
@@ -217,6 +217,7 @@
 TEST(news, spreads_crash_marks_before_the_next_round) {
     const auto fleet = settled(36);
     fleet->at(4).announce(once::crash_mark{99, target_id("stock-2"), fleet->clock.wall_now()});
+    fleet->nodes[4]->link.flush();
     fleet->run(milliseconds{200});
     std::size_t reached = 0;
     for (const auto& it : fleet->nodes) {
--- a/test/traffic/node_forwarding_test.cpp
+++ b/test/traffic/node_forwarding_test.cpp
@@ -113,3 +113,25 @@
     CHECK_FALSE(it.decisions.started.at(1).body_replayable);
     CHECK(it.decisions.started.at(1).body_digest == 0);
 }
+
+// Guards against a key without a workspace that runs twice, because its owner takes the node that
+// forwarded it for its caller; and against a caller that names another one.
+TEST(node_forwarding, names_the_caller_to_the_owner) {
+    const std::string named = "GET /a HTTP/1.1\r\nHost: shop\r\nWigeonrill-From-Node: "
+                              "1\r\nWigeonrill-Caller: 192.0.2.7\r\n\r\n";
+    traffic::server_options options;
+    options.is_peer = [](const std::string& ip) { return ip == "127.0.0.1"; };
+    proxy_fixture owner(answer_ok, options);
+    static_cast<void>(owner.ask(named));
+    STRCMP_EQUAL("192.0.2.7", owner.decisions.started.at(0).caller.c_str());
+    CHECK_FALSE(contains(owner.target.requests().at(0), "Wigeonrill-Caller"));
+
+    proxy_fixture stranger(answer_ok);
+    static_cast<void>(stranger.ask(named));
+    STRCMP_EQUAL("127.0.0.1", stranger.decisions.started.at(0).caller.c_str());
+
+    proxy_fixture forwarding(answer_ok);
+    forwarding.decisions.usual.kind = traffic::step_kind::forward;
+    static_cast<void>(forwarding.ask(plain_get));
+    CHECK(contains(forwarding.target.requests().at(0), "Wigeonrill-Caller: 127.0.0.1\r\n"));
+}
--- a/wigeonrill/gen-cpp/messages_types.cpp
+++ b/wigeonrill/gen-cpp/messages_types.cpp
@@ -573,6 +573,11 @@
 void Evidence::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void Evidence::__set_others_ratio_milli(const int32_t val) {
+  this->others_ratio_milli = val;
+__isset.others_ratio_milli = true;
+}
 std::ostream& operator<<(std::ostream& out, const Evidence& obj)
 {
   obj.printTo(out);
@@ -641,6 +646,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->others_ratio_milli);
+          this->__isset.others_ratio_milli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -678,6 +691,11 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.others_ratio_milli) {
+    xfer += oprot->writeFieldBegin("others_ratio_milli", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->others_ratio_milli);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -690,6 +708,7 @@
   swap(a.llr_milli, b.llr_milli);
   swap(a.answers, b.answers);
   swap(a.sequence, b.sequence);
+  swap(a.others_ratio_milli, b.others_ratio_milli);
   swap(a.__isset, b.__isset);
 }
 
@@ -699,6 +718,7 @@
   llr_milli = other6.llr_milli;
   answers = other6.answers;
   sequence = other6.sequence;
+  others_ratio_milli = other6.others_ratio_milli;
   __isset = other6.__isset;
 }
 Evidence& Evidence::operator=(const Evidence& other7) {
@@ -707,6 +727,7 @@
   llr_milli = other7.llr_milli;
   answers = other7.answers;
   sequence = other7.sequence;
+  others_ratio_milli = other7.others_ratio_milli;
   __isset = other7.__isset;
   return *this;
 }
@@ -718,6 +739,7 @@
   out << ", " << "llr_milli=" << to_string(llr_milli);
   out << ", " << "answers=" << to_string(answers);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "others_ratio_milli="; (__isset.others_ratio_milli ? (out << to_string(others_ratio_milli)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wigeonrill/gen-cpp/messages_types.h
+++ b/wigeonrill/gen-cpp/messages_types.h
@@ -260,12 +260,13 @@
 std::ostream& operator<<(std::ostream& out, const CrashMark& obj);
 
 typedef struct _Evidence__isset {
-  _Evidence__isset() : service_name(false), target_name(false), llr_milli(false), answers(false), sequence(false) {}
+  _Evidence__isset() : service_name(false), target_name(false), llr_milli(false), answers(false), sequence(false), others_ratio_milli(false) {}
   bool service_name :1;
   bool target_name :1;
   bool llr_milli :1;
   bool answers :1;
   bool sequence :1;
+  bool others_ratio_milli :1;
 } _Evidence__isset;
 
 class Evidence : public virtual ::apache::thrift::TBase {
@@ -278,7 +279,8 @@
              target_name(),
              llr_milli(0),
              answers(0),
-             sequence(0) {
+             sequence(0),
+             others_ratio_milli(0) {
   }
 
   virtual ~Evidence() noexcept;
@@ -287,6 +289,7 @@
   int32_t llr_milli;
   int32_t answers;
   int64_t sequence;
+  int32_t others_ratio_milli;
 
   _Evidence__isset __isset;
 
@@ -300,6 +303,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_others_ratio_milli(const int32_t val);
+
   bool operator == (const Evidence & rhs) const
   {
     if (!(service_name == rhs.service_name))
@@ -312,6 +317,10 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (__isset.others_ratio_milli != rhs.__isset.others_ratio_milli)
+      return false;
+    else if (__isset.others_ratio_milli && !(others_ratio_milli == rhs.others_ratio_milli))
+      return false;
     return true;
   }
   bool operator != (const Evidence &rhs) const {
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -13,6 +13,8 @@
 // Going through 3,700 members on each tick would take over 1% of a core; once a second is enough,
 // because an aggregator's death is noticed after seconds anyway.
 constexpr std::uint64_t ticks_between_members = 20;
+// The monitor asks again 5 s after a probe; an older wish must not add to the next.
+constexpr seconds probe_wait{4};
 
 double to_seconds(nanoseconds duration) {
     return std::chrono::duration<double>(duration).count();
@@ -120,6 +122,9 @@
 }
 
 void control_loop::take(const health::answer& answer) {
+    if (probed_.erase(answer.target) > 0) {
+        monitor_.on_probe(answer);
+    }
     monitor_.on_answer(answer);
     if (answer.draining) {
         monitor_.on_leaving(answer.target, answer.ended);
@@ -196,6 +201,10 @@
         write(log_level::info, log_part::health,
               log_line(observe::without_prefix(it, log_part::health)));
     }
+    for (const auto& it : actions.probes) {
+        parts_.dispatcher.want_probe(it.service, it.target, probe_wait);
+        probed_.insert(it.target);
+    }
     if (parts_.gossip == nullptr) {
         return;
     }
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -63,6 +63,7 @@
     health::monitor monitor_;
     std::shared_ptr<const routing::route_table> routes_;
     std::function<void()> adopted_;
+    std::set<target_id> probed_; ///< ejected targets whose next answer is a probe's
     bool plans_changed_{true};
     std::uint64_t ticks_{0};
     std::map<std::string, std::size_t> peers_by_state_;
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -143,6 +143,9 @@
         refuse(record, refusal_kind::deadline_passed, outcome_of(record), at.now);
         return;
     }
+    if (take_probe(record, at.now)) {
+        return;
+    }
     // Requests that wait already come first.
     drain(*record.service, at.now);
     if (record.service->queue.size() == 0) {
@@ -155,6 +158,35 @@
     enqueue(record, at.now);
 }
 
+void decision_core::want_probe(const service_name& service, const target_id& target,
+                               instant until) {
+    auto* state = view_ ? service_of(service) : nullptr;
+    const auto* configured = view_ ? config::find_service(*view_->configuration, service) : nullptr;
+    if (state == nullptr || configured == nullptr) {
+        return;
+    }
+    for (const auto& it : configured->targets) {
+        if (it.id == target) {
+            state->want_probe(it, until);
+        }
+    }
+}
+
+// A probe is a caller's request, because health endpoints of a gray target answer well. It must be
+// repeatable, so that the caller gets its answer from another target when the probe fails.
+bool decision_core::take_probe(request_record& record, instant now) {
+    if (at_most_once(record) || !record.info.body_replayable || record.attempts > 0) {
+        return false;
+    }
+    placement placed{record.service->take_probe(now), 1};
+    if (!placed.place) {
+        return false;
+    }
+    record.reason = "probe of an ejected target";
+    take_place(record, std::move(placed), now, now);
+    return true;
+}
+
 void decision_core::enqueue(request_record& record, instant now) {
     auto& service = *record.service;
     // The other half of the time is for the answer, and for the error of the estimate.
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -29,6 +29,8 @@
     /// \param table routes of the view's snapshot
     void set_view(routing::view_ptr view, std::shared_ptr<const routing::route_table> table,
                   instant now);
+    /// \brief Asks for one repeatable request to an ejected target within a time.
+    void want_probe(const service_name& service, const target_id& target, instant until);
     /// \brief Refuses waiting and new requests from now on.
     void stop(instant now);
     /// \brief Expires and places waiting requests.
@@ -81,6 +83,7 @@
     bool pass_key(request_record& record, moment at);
     bool find_service(request_record& record, moment at);
     void seek_place(request_record& record, moment at);
+    [[nodiscard]] bool take_probe(request_record& record, instant now);
     void enqueue(request_record& record, instant now);
     void take_place(request_record& record, placement placed, instant now, instant waited_since);
     void refuse(request_record& record, refusal_kind kind, traffic::outcome result, instant now,
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -43,6 +43,12 @@
     unlock_and_tell(lock);
 }
 
+void request_dispatcher::want_probe(const service_name& service, const target_id& target,
+                                    milliseconds wait) {
+    const std::lock_guard guard(mutex_);
+    core_.want_probe(service, target, clock_.now() + wait);
+}
+
 void request_dispatcher::stop() {
     std::unique_lock lock(mutex_);
     core_.stop(clock_.now());
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -26,6 +26,9 @@
 
     /// \brief Takes over eligible targets and routes.
     void set_view(routing::view_ptr view);
+    /// \brief Sends the service's next repeatable request to an ejected target, to probe it.
+    /// \param wait how long the probe may wait for such a request
+    void want_probe(const service_name& service, const target_id& target, milliseconds wait);
     /// \brief Refuses waiting and new requests; requests in targets go on.
     void stop();
     /// \brief Expires and places waiting requests. Called every 50 ms or so.
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -26,15 +26,7 @@
     queue.set_limit(view.service->queue_limit);
     eligible_.clear();
     for (const auto& it : view.eligible) {
-        auto& place = known_[it.target->id];
-        if (!place) {
-            place = std::make_shared<target_place>();
-            place->id = it.target->id;
-        }
-        place->address = it.target->address;
-        place->slots = it.target->slots;
-        place->limiter.set_slots(it.target->slots);
-        eligible_.push_back({place, std::max(it.weight, least_weight)});
+        eligible_.push_back({known_place(*it.target), std::max(it.weight, least_weight)});
     }
     // Places outside the view stay while requests hold them, and for targets that may return.
     std::erase_if(known_, [&](const auto& one) {
@@ -45,6 +37,43 @@
     });
 }
 
+place_ptr service_state::known_place(const config::target& target) {
+    auto& place = known_[target.id];
+    if (!place) {
+        place = std::make_shared<target_place>();
+        place->id = target.id;
+    }
+    place->address = target.address;
+    place->slots = target.slots;
+    place->limiter.set_slots(target.slots);
+    return place;
+}
+
+bool service_state::is_eligible(const place_ptr& place) const {
+    return std::ranges::any_of(eligible_, [&](const share& it) { return it.place == place; });
+}
+
+void service_state::want_probe(const config::target& target, instant until) {
+    auto place = known_place(target);
+    std::erase_if(probes_, [&](const wanted_probe& it) { return it.place == place; });
+    probes_.push_back({std::move(place), until});
+}
+
+place_ptr service_state::take_probe(instant now) {
+    std::erase_if(probes_,
+                  [&](const wanted_probe& it) { return now >= it.until || is_eligible(it.place); });
+    const auto found = std::ranges::find_if(probes_, [&](const wanted_probe& it) {
+        return now >= it.place->draining_until && it.place->limiter.has_place(now);
+    });
+    if (found == probes_.end()) {
+        return nullptr;
+    }
+    auto place = std::move(found->place);
+    probes_.erase(found);
+    place->limiter.acquire();
+    return place;
+}
+
 bool service_state::usable(const share& it, std::span<const target_id> avoid, instant now) const {
     return now >= it.place->draining_until && it.place->limiter.has_place(now) &&
            !contains(avoid, it.place->id);
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -29,6 +29,14 @@
     [[nodiscard]] placement place(std::span<const target_id> avoid, instant now,
                                   random_source& random);
 
+    /// \brief Asks for one request to an ejected target, to learn whether it recovered.
+    /// \param target target of the service, outside the eligible ones
+    /// \param until end of the wish; a service without requests is not probed
+    void want_probe(const config::target& target, instant until);
+    /// \brief Takes the place of a wanted probe.
+    /// \returns null: no probe is wanted now
+    [[nodiscard]] place_ptr take_probe(instant now);
+
     /// \returns true when a target may get work, now or later
     [[nodiscard]] bool any_eligible(instant now) const;
     /// \returns the next time at which a target's hold ends, or the given time if that is earlier
@@ -43,12 +51,19 @@
         place_ptr place;
         double weight{1.0};
     };
+    struct wanted_probe {
+        place_ptr place;
+        instant until{};
+    };
+    [[nodiscard]] place_ptr known_place(const config::target& target);
+    [[nodiscard]] bool is_eligible(const place_ptr& place) const;
     [[nodiscard]] bool usable(const share& it, std::span<const target_id> avoid, instant now) const;
     void collect(std::span<const target_id> avoid, instant now);
 
     std::unique_ptr<routing::placement_policy> policy_;
     std::uint64_t generation_{0};
     std::vector<share> eligible_;
+    std::vector<wanted_probe> probes_; ///< few: one per ejected target at most
     std::unordered_map<target_id, place_ptr> known_;
     std::vector<routing::placement_candidate> candidates_; ///< reused, to allocate nothing
     std::vector<std::size_t> positions_;                   ///< of candidates_ in eligible_
--- a/wigeonrill/src/peers/codec.cpp
+++ b/wigeonrill/src/peers/codec.cpp
@@ -95,6 +95,9 @@
     out.target_name = item.target.value;
     out.llr_milli = to_milli(item.llr_sum);
     out.answers = static_cast<std::int32_t>(item.answers);
+    if (item.others_ratio > 0.0) {
+        out.__set_others_ratio_milli(to_milli(item.others_ratio));
+    }
     out.sequence = static_cast<std::int64_t>(item.sequence);
     return out;
 }
@@ -198,6 +201,8 @@
     out.target = target_id(item.target_name);
     out.llr_sum = item.llr_milli / 1000.0;
     out.answers = static_cast<std::uint32_t>(item.answers);
+    out.others_ratio =
+        item.__isset.others_ratio_milli ? std::max(0, item.others_ratio_milli) / 1000.0 : 0.0;
     out.sequence = static_cast<std::uint64_t>(item.sequence);
     return out;
 }
@@ -346,7 +351,7 @@
 }
 
 std::size_t size_bound(const health::evidence_report& item) {
-    return 30 + item.service.value.size() + item.target.value.size();
+    return 36 + item.service.value.size() + item.target.value.size();
 }
 
 } // namespace wigeonrill::peers
--- a/wigeonrill/src/peers/evidence_queue.cpp
+++ b/wigeonrill/src/peers/evidence_queue.cpp
@@ -16,6 +16,7 @@
             it.aggregator == aggregator) {
             it.report.llr_sum += report.llr_sum;
             it.report.answers += report.answers;
+            it.report.others_ratio = report.others_ratio;
             it.report.sequence = report.sequence;
             return true;
         }
--- a/wigeonrill/src/peers/messages.thrift
+++ b/wigeonrill/src/peers/messages.thrift
@@ -39,6 +39,8 @@
   3: i32 llr_milli
   4: i32 answers
   5: i64 sequence
+  // Latest slowdown of the service's other targets, in thousandths; absent: not known.
+  6: optional i32 others_ratio_milli
 }
 
 // Every datagram is one Message. The sender's id is the source address of the datagram.
--- a/wigeonrill/src/tool/check_command.cpp
+++ b/wigeonrill/src/tool/check_command.cpp
@@ -1,6 +1,6 @@
 #include "wigeonrill/tool.h"
 
-#include "remote_commands.h"
+#include "commands.h"
 
 #include <nlohmann/json.hpp>
 
@@ -11,21 +11,19 @@
 exit_code check_files(const std::vector<std::string>& files, bool json) {
     auto code = exit_code::success;
     auto rows = nlohmann::ordered_json::array();
-    for (const auto& it : files) {
-        const auto checked = config::load_file(it);
+    for (const auto& it : config::check_files(files)) {
         nlohmann::ordered_json row;
-        row["file"] = it;
-        row["valid"] = checked.has_value();
-        if (checked) {
-            row["version"] = checked->version;
-        } else {
-            row["message"] = checked.error().message;
-            row["remedy"] = checked.error().remedy;
+        row["file"] = it.path;
+        row["valid"] = !it.fault;
+        if (it.fault) {
+            row["message"] = it.fault->message;
+            row["remedy"] = it.fault->remedy;
             code = exit_code::negative;
+        } else {
+            row["summary"] = it.summary;
         }
         if (!json) {
-            std::cout << (checked ? it + ": valid, version " + std::to_string(checked->version)
-                                  : to_string(checked.error()))
+            std::cout << (it.fault ? to_string(*it.fault) : it.path + ": valid, " + it.summary)
                       << '\n';
         }
         rows.push_back(std::move(row));
--- a/wigeonrill/src/tool/command_line.cpp
+++ b/wigeonrill/src/tool/command_line.cpp
@@ -1,6 +1,6 @@
 #include "wigeonrill/tool.h"
 
-#include "remote_commands.h"
+#include "commands.h"
 
 #include <CLI/CLI.hpp>
 
@@ -25,6 +25,7 @@
 
 struct arguments {
     std::vector<std::string> files;
+    std::string trace;
     std::vector<std::string> admin{default_admin};
     bool json{false};
     std::string method{"GET"};
@@ -42,6 +43,10 @@
     auto* check = app.add_subcommand("check", "Check configuration files as the daemon does");
     check->add_option("FILE", given.files, "Configuration file")->required();
     check->add_flag("--json", given.json, "Print JSON instead of text");
+    auto* replay =
+        app.add_subcommand("replay", "Replay a recorded trace over the detector and the baselines");
+    replay->add_option("TRACE", given.trace, "Trace file, docs/reference/trace.md")->required();
+    replay->add_flag("--json", given.json, "Print JSON instead of a table");
     add_remote_options(*app.add_subcommand("status", "Show the state of nodes"), given);
     add_remote_options(*app.add_subcommand("targets", "Show targets, their state and why"), given);
     add_remote_options(*app.add_subcommand("config", "Show the version in force on each node"),
@@ -71,6 +76,9 @@
     if (command == "check") {
         return check_files(given.files, given.json);
     }
+    if (command == "replay") {
+        return replay_trace(given.trace, given.json);
+    }
     const auto addresses = parse_addresses(given.admin);
     if (!addresses) {
         std::cerr << "wigeonrill: " << to_string(addresses.error()) << '\n';
--- a/wigeonrill/src/tool/remote_commands.h
+++ b/wigeonrill/src/tool/commands.h
@@ -1,5 +1,5 @@
-#ifndef WIGEONRILL_TOOL_REMOTE_COMMANDS_H
-#define WIGEONRILL_TOOL_REMOTE_COMMANDS_H
+#ifndef WIGEONRILL_TOOL_COMMANDS_H
+#define WIGEONRILL_TOOL_COMMANDS_H
 
 #ifndef WIGEONRILL_TOOL_MODULE
 #error "Include wigeonrill/tool.h instead of this file."
@@ -11,6 +11,10 @@
 /// \returns negative when a file is invalid
 [[nodiscard]] exit_code check_files(const std::vector<std::string>& files, bool json);
 
+/// \brief Replays a recorded trace over the detector and the baselines, and prints a table.
+/// \returns negative when the trace can't be read
+[[nodiscard]] exit_code replay_trace(const std::string& path, bool json);
+
 /// \brief Prints a page (status, targets or config) of one or more daemons.
 /// \returns unreachable when a daemon did not answer; the others are printed all the same
 [[nodiscard]] exit_code show_page(const std::string& page, const std::vector<endpoint>& nodes,
--- a/wigeonrill/src/tool/remote_commands.cpp
+++ b/wigeonrill/src/tool/remote_commands.cpp
@@ -1,6 +1,6 @@
 #include "wigeonrill/tool.h"
 
-#include "remote_commands.h"
+#include "commands.h"
 
 #include <Poco/URI.h>
 #include <nlohmann/json.hpp>
--- /dev/null
+++ b/wigeonrill/src/tool/replay_command.cpp
@@ -0,0 +1,99 @@
+#include "wigeonrill/tool.h"
+
+#include "commands.h"
+#include "wigeonrill/replay.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <iostream>
+
+namespace wigeonrill::tool {
+
+namespace {
+
+// Tick and message delay of the daemon's control thread.
+constexpr milliseconds tick_period{50};
+constexpr milliseconds message_delay{1};
+
+std::string seconds_text(const std::optional<nanoseconds>& duration) {
+    if (!duration) {
+        return "never";
+    }
+    std::array<char, 32> buf{};
+    const auto n = std::snprintf(buf.data(), buf.size(), "%.2f",
+                                 std::chrono::duration<double>(*duration).count());
+    return {buf.data(), static_cast<std::size_t>(n)};
+}
+
+std::vector<std::unique_ptr<replay::policy>> all_policies() {
+    std::vector<std::unique_ptr<replay::policy>> all;
+    all.push_back(std::make_unique<replay::monitor_policy>(tick_period, message_delay));
+    all.push_back(std::make_unique<replay::consecutive_errors>());
+    all.push_back(std::make_unique<replay::fixed_latency>());
+    return all;
+}
+
+std::uint64_t broken_ticks(const replay::report& report) {
+    std::uint64_t broken = 0;
+    for (const auto& it : report.capacity) {
+        broken += it.broken;
+    }
+    return broken;
+}
+
+nlohmann::ordered_json to_json(const replay::report& report) {
+    nlohmann::ordered_json it;
+    it["policy"] = report.policy;
+    it["answers"] = report.answers;
+    it["false_ejections"] = report.false_ejections.size();
+    it["floor_broken_ticks"] = broken_ticks(report);
+    it["detections"] = nlohmann::ordered_json::array();
+    for (const auto& found : report.detections) {
+        it["detections"].push_back({{"fault", found.fault},
+                                    {"target", found.target},
+                                    {"first_s", seconds_text(found.first)},
+                                    {"all_s", seconds_text(found.all)},
+                                    {"work_after", found.work_after}});
+    }
+    return it;
+}
+
+void add_rows(text_table& table, const replay::report& report) {
+    const auto false_ejections = std::to_string(report.false_ejections.size());
+    const auto broken = std::to_string(broken_ticks(report));
+    if (report.detections.empty()) {
+        table.add_row({report.policy, "-", "-", "-", "-", false_ejections, broken});
+    }
+    for (const auto& it : report.detections) {
+        table.add_row({report.policy, it.fault, std::to_string(it.target), seconds_text(it.first),
+                       seconds_text(it.all), false_ejections, broken});
+    }
+}
+
+} // namespace
+
+exit_code replay_trace(const std::string& path, bool json) {
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << "wigeonrill: can't read " << path << "; check the path\n";
+        return exit_code::negative;
+    }
+    const auto recorded = replay::read_trace(file);
+    if (!recorded) {
+        std::cerr << "wigeonrill: " << path << ": " << to_string(recorded.error()) << '\n';
+        return exit_code::negative;
+    }
+    text_table table(
+        {"policy", "fault", "target", "first_s", "all_s", "false_ejections", "floor_broken_ticks"});
+    auto reports = nlohmann::ordered_json::array();
+    for (const auto& tested : all_policies()) {
+        const auto report = replay::run(*recorded, *tested);
+        add_rows(table, report);
+        reports.push_back(to_json(report));
+    }
+    std::cout << (json ? reports.dump(2) + "\n" : table.text());
+    return exit_code::success;
+}
+
+} // namespace wigeonrill::tool
--- a/wigeonrill/src/traffic/caller_request.cpp
+++ b/wigeonrill/src/traffic/caller_request.cpp
@@ -69,9 +69,13 @@
     info.body_bytes = request.chunked ? 0 : request.length.value_or(0);
     info.from_node = head.count(from_node_field) > 0 && context.options.is_peer &&
                      context.options.is_peer(caller);
+    if (info.from_node && head.count(caller_field) == 1) {
+        info.caller = head.value(caller_field);
+    }
     info.arrived = context.clock->now();
     info.deadline = info.arrived + limit;
     head.remove(from_node_field);
+    head.remove(caller_field);
     return request;
 }
 
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -102,6 +102,7 @@
     head.set("Request-Timeout-Ms", std::to_string(std::max<std::int64_t>(left.count(), 0)));
     if (plan_->kind == step_kind::forward) {
         head.set(std::string(from_node_field), "1");
+        head.set(std::string(caller_field), request_->info.caller);
     }
     head.add_via(context_->options.via);
     return request_text(head);
