--- a/programs/wigeonrill/main.cpp
+++ b/programs/wigeonrill/main.cpp
@@ -1,3 +1,5 @@
 #include "wigeonrill/tool.h"
 
-int main(int argc, char** argv) { return wigeonrill::tool::run(argc, argv); }
+int main(int argc, char** argv) {
+    return wigeonrill::tool::run(argc, argv);
+}
--- a/programs/wigeonrilld/main.cpp
+++ b/programs/wigeonrilld/main.cpp
@@ -1,3 +1,5 @@
 #include "wigeonrill/daemon.h"
 
-int main(int argc, char** argv) { return wigeonrill::daemon::run(argc, argv); }
+int main(int argc, char** argv) {
+    return wigeonrill::daemon::run(argc, argv);
+}
--- a/test/fleet/at_most_once_test.cpp
+++ b/test/fleet/at_most_once_test.cpp
@@ -36,8 +36,10 @@
     all.control("orders-1", R"({"latency_ms": 300})");
     all.control("orders-2", R"({"latency_ms": 300})");
     const auto key = make_key();
-    std::vector<answer> answers(2 * nodes);
+    constexpr std::size_t resends = 6;
+    std::vector<answer> answers(resends);
     std::vector<std::thread> callers;
+    callers.reserve(resends);
     for (std::size_t i = 0; i < answers.size(); ++i) {
         callers.emplace_back([&, i] { answers[i] = order(all, static_cast<int>(i % nodes), key); });
     }
--- a/test/fleet/faults_test.cpp
+++ b/test/fleet/faults_test.cpp
@@ -90,8 +90,10 @@
     for (int i = 0; i < 20; ++i) {
         LONGS_EQUAL(200, send(all.traffic_port(0), {"GET", "/stock/1"}).status);
     }
+    constexpr int requests = 6;
     std::vector<std::thread> callers;
-    for (int i = 0; i < 6; ++i) {
+    callers.reserve(requests);
+    for (int i = 0; i < requests; ++i) {
         callers.emplace_back([&] {
             static_cast<void>(send(all.traffic_port(0), {"GET", "/stock/1"}));
         });
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -29,7 +29,7 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr const char* domain_names[] = {"edi-1", "edi-2", "edi-3"};
+constexpr std::array<const char*, 3> domain_names{"edi-1", "edi-2", "edi-3"};
 
 std::string binary(const std::string& name) {
     const char* folder = std::getenv("WIGEONRILL_BIN");
@@ -92,21 +92,32 @@
     return buf.data();
 }
 
-process::process(const std::string& program, const std::vector<std::string>& arguments) {
-    std::vector<char*> argv{const_cast<char*>(program.c_str())};
-    for (const auto& it : arguments) {
-        argv.push_back(const_cast<char*>(it.c_str()));
+namespace {
+
+// Replaces the present process by a program; its output is dropped.
+void execute(std::vector<std::string>& words) {
+    std::vector<char*> argv;
+    argv.reserve(words.size() + 1);
+    for (auto& it : words) {
+        argv.push_back(it.data());
     }
     argv.push_back(nullptr);
-    pid_ = fork();
+    const auto* opened = std::freopen("/dev/null", "w", stderr);
+    const auto* silenced = std::freopen("/dev/null", "w", stdout);
+    if (opened != nullptr && silenced != nullptr) {
+        execv(argv.front(), argv.data());
+    }
+    _exit(127);
+}
+
+} // namespace
+
+process::process(const std::string& program, const std::vector<std::string>& arguments)
+    : pid_(fork()) {
     if (pid_ == 0) {
-        const std::string log = "/dev/null";
-        const auto* opened = std::freopen(log.c_str(), "w", stderr);
-        const auto* silenced = std::freopen(log.c_str(), "w", stdout);
-        if (opened != nullptr && silenced != nullptr) {
-            execv(program.c_str(), argv.data());
-        }
-        _exit(127);
+        std::vector<std::string> words{program};
+        words.insert(words.end(), arguments.begin(), arguments.end());
+        execute(words);
     }
 }
 
@@ -180,7 +191,7 @@
         service["floor_slots"] = slots_;
         service["weight"] = "detection";
         service["targets"][name] = {{"address", loopback(port)},
-                                    {"domain", domain_names[number % 3]},
+                                    {"domain", domain_names.at(number % 3)},
                                     {"slots", slots_},
                                     {"cold_start", "0s"}};
     }
@@ -191,7 +202,7 @@
     json vms = json::array();
     for (std::size_t i = 0; i < peer_.size(); ++i) {
         vms.push_back({{"address", loopback(peer_[i])},
-                       {"domain", domain_names[i % 3]},
+                       {"domain", domain_names.at(i % 3)},
                        {"role", "node"},
                        {"state", "live"}});
     }
@@ -230,14 +241,14 @@
         source = {{"file", folder_ + "/inventory.json"}};
     }
     const json document = {{"node",
-                            {{"domain", domain_names[node % 3]},
+                            {{"domain", domain_names.at(node % 3)},
                              {"traffic", loopback(traffic_[node])},
                              {"peer", loopback(peer_[node])},
                              {"admin", loopback(admin_[node])}}},
                            {"configuration", source},
                            {"peers", {{"seeds", seeds}}},
                            {"shutdown", {{"accept_for", "300ms"}, {"finish_within", "30s"}}}};
-    const auto path = folder_ + "/node-" + std::to_string(node) + ".json";
+    auto path = folder_ + "/node-" + std::to_string(node) + ".json";
     std::ofstream(path) << document.dump(2);
     return path;
 }
--- a/test/fleet/fleet.h
+++ b/test/fleet/fleet.h
@@ -47,7 +47,7 @@
     [[nodiscard]] bool ended() const { return ended_; }
 
 private:
-    int pid_{0};
+    int pid_;
     bool ended_{false};
 };
 
--- a/wigeonrill/health.h
+++ b/wigeonrill/health.h
@@ -18,8 +18,8 @@
 #include "src/health/ejection_policy.h"
 // Needs the records above.
 #include "src/health/evidence_pool.h"
-#include "src/health/fleet_nodes.h"
 #include "src/health/failure_baseline.h"
+#include "src/health/fleet_nodes.h"
 #include "src/health/latency_baseline.h"
 #include "src/health/recovery.h"
 #include "src/health/shared_condition.h"
--- a/wigeonrill/src/tool/remote_commands.cpp
+++ b/wigeonrill/src/tool/remote_commands.cpp
@@ -54,6 +54,7 @@
     text_table table(columns);
     for (const auto& row : rows) {
         std::vector<std::string> cells;
+        cells.reserve(columns.size());
         for (const auto& column : columns) {
             cells.push_back(row.contains(column) ? cell(row.at(column)) : "-");
         }
--- a/wigeonrill/src/traffic/caller_request.h
+++ b/wigeonrill/src/traffic/caller_request.h
@@ -15,8 +15,8 @@
 
 /// \brief Marks a request that another node forwarded. Believed only from nodes of the fleet.
 inline constexpr std::string_view from_node_field = "Wigeonrill-From-Node";
-/// \brief Header with the numeric address of the caller, set by the node that forwards. Keys without
-/// a workspace belong to a caller, so the owner must know the caller and not the node.
+/// \brief Header with the numeric address of the caller, set by the node that forwards. Keys
+/// without a workspace belong to a caller, so the owner must know the caller and not the node.
 inline constexpr std::string_view caller_field = "Wigeonrill-Caller";
 
 /// \brief One request of a caller with the state of its body.
