Tell peers of leaving targets at once; test settings and the control loop

Cause: a target that says in an answer that it stops was avoided by the node that got the answer only; other nodes waited for the list, which lags. Ruled out: gossip rounds alone, which take up to 4 s at the target size. Change: a leaving notice travels as a verdict and is spread at once, like crash marks; transfers over TCP are counted; settings faults name their own page; test/daemon.

--- /dev/null
+++ b/test/daemon/control_loop_test.cpp
@@ -0,0 +1,124 @@
+#include "wigeonrill/daemon.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using namespace wigeonrill::daemon;
+
+namespace {
+
+std::string document(int version, int floor) {
+    std::string targets;
+    for (const std::string n : {"1", "2", "3", "4"}) {
+        targets.append(targets.empty() ? "" : ",")
+            .append(R"("stock-)")
+            .append(n)
+            .append(R"(": {"address": "10.0.0.)")
+            .append(n)
+            .append(R"(:80", "domain": "d)")
+            .append(n)
+            .append(R"(", "slots": 6, "cold_start": "0s"})");
+    }
+    return R"({"format": 1, "version": )" + std::to_string(version) +
+           R"(, "published": "2026-12-04T08:00:00Z", "services": {"stock": {"floor_slots": )" +
+           std::to_string(floor) + R"(, "weight": "detection", "targets": {)" + targets +
+           R"(}}}, "routes": {"lookup": {"service": "stock", "repeat": "idempotent"}}})";
+}
+
+config::change_set changes(int version, int floor = 6) {
+    auto split = config::split_document(document(version, floor), "test");
+    CHECK(split.has_value());
+    return std::move(*split);
+}
+
+} // namespace
+
+TEST_GROUP(control_loop) {
+    manual_clock_source clock;
+    seeded_random_source random{1};
+    observe::memory_sink log;
+    observe::metric_registry metrics;
+    traffic_events events{log};
+    dispatch::request_dispatcher dispatcher{{{"10.1.0.1", 80}, 1, {}}, clock, random, events};
+    control_loop loop{{clock, log, metrics, events, dispatcher, nullptr},
+                      node_id("10.1.0.1:7"),
+                      domain_name("d1")};
+
+    void tick() {
+        clock.advance(control_loop::tick_period);
+        loop.run_once();
+    }
+    void answer(int target, milliseconds latency) {
+        health::answer it;
+        it.service = service_name("stock");
+        it.target = target_id("stock-" + std::to_string(target));
+        it.route = route_name("lookup");
+        it.sent = clock.now() - latency;
+        it.ended = clock.now();
+        events.on_answer(it);
+    }
+    const target_row row(int target) const {
+        return loop.targets().at(target - 1);
+    }
+};
+
+// Guards against a configuration that reverts when an older version arrives after a newer one.
+TEST(control_loop, never_goes_back_to_an_older_version) {
+    CHECK(config::apply_outcome::accepted == loop.offer(changes(3), "platform"));
+    CHECK(config::apply_outcome::not_newer == loop.offer(changes(2), "peer"));
+    UNSIGNED_LONGS_EQUAL(3, loop.state()->configuration->version);
+}
+
+// Guards against an invalid version that takes the node's configuration away or blocks the next.
+TEST(control_loop, skips_an_invalid_version_between_two_valid_ones) {
+    CHECK(config::apply_outcome::accepted == loop.offer(changes(1), "platform"));
+    constexpr int more_than_all_slots = 100;
+    CHECK(config::apply_outcome::rejected ==
+          loop.offer(changes(2, more_than_all_slots), "platform"));
+    UNSIGNED_LONGS_EQUAL(1, loop.state()->configuration->version);
+    CHECK(config::apply_outcome::accepted == loop.offer(changes(3), "platform"));
+    UNSIGNED_LONGS_EQUAL(3, loop.state()->configuration->version);
+}
+
+// Guards against answers that don't reach the detector, and against ejections that don't reach the
+// traffic threads' view.
+TEST(control_loop, ejects_a_slow_target_from_the_view) {
+    static_cast<void>(loop.offer(changes(1), "platform"));
+    tick();
+    for (int i = 0; i < 60; ++i) {
+        for (int target = 1; target <= 4; ++target) {
+            answer(target, milliseconds(20 + (i * 7 + target * 3) % 11));
+        }
+        tick();
+    }
+    CHECK(row(1).eligible);
+    for (int i = 0; i < 20; ++i) {
+        answer(1, milliseconds(400));
+        for (int target = 2; target <= 4; ++target) {
+            answer(target, milliseconds(20 + (i * 7 + target * 3) % 11));
+        }
+        tick();
+    }
+    CHECK(health::target_state::sick == row(1).status.state);
+    CHECK_FALSE(row(1).eligible);
+    CHECK(row(2).eligible);
+}
+
+// Guards against a raised floor that leaves an ejected target out although its slots are needed.
+TEST(control_loop, keeps_a_sick_target_when_the_floor_is_raised) {
+    static_cast<void>(loop.offer(changes(1), "platform"));
+    tick();
+    for (int i = 0; i < 80; ++i) {
+        answer(1, milliseconds(i < 60 ? 22 : 400));
+        for (int target = 2; target <= 4; ++target) {
+            answer(target, milliseconds(20 + (i * 7 + target * 3) % 11));
+        }
+        tick();
+    }
+    CHECK_FALSE(row(1).eligible);
+    constexpr int all_slots = 24;
+    static_cast<void>(loop.offer(changes(2, all_slots), "platform"));
+    tick();
+    CHECK(row(1).eligible);
+    CHECK(row(1).kept_for_floor);
+}
--- a/test/fleet/faults_test.cpp
+++ b/test/fleet/faults_test.cpp
@@ -82,6 +82,23 @@
     LONGS_EQUAL(before, all.executions_at("lookups-1"));
 }
 
+// Guards against a node that goes on sending work to a target whose stop only another node heard
+// of.
+TEST(faults, peers_hear_that_a_target_is_draining) {
+    fleet all(2, 3);
+    all.start_node(0);
+    all.start_node(1);
+    all.control("lookups-1", R"({"drain": true})");
+    CHECK(eventually(
+        [&] {
+            static_cast<void>(send(all.traffic_port(0), {"GET", "/stock/1"}));
+            return all.state_of(0, "lookups-1") == "leaving";
+        },
+        10));
+    // The promise is no new work after 5 s, whoever heard of it first.
+    CHECK(eventually([&] { return all.state_of(1, "lookups-1") == "leaving"; }, 5));
+}
+
 // Guards against ejections by a node that was frozen and holds its own silence against targets.
 TEST(faults, frozen_node_ejects_nothing_when_it_resumes) {
     fleet all(2, 3);
--- a/wigeonrill/src/config/checked_object.cpp
+++ b/wigeonrill/src/config/checked_object.cpp
@@ -76,7 +76,7 @@
         return &*it;
     }
     if (mandatory) {
-        fail(key, "the key is missing", "add it; docs/reference/configuration.md describes it");
+        fail(key, "the key is missing", "add it; " + context_->reference + " describes it");
     }
     return nullptr;
 }
--- a/wigeonrill/src/config/reading_context.h
+++ b/wigeonrill/src/config/reading_context.h
@@ -16,6 +16,8 @@
     std::optional<error> failure; ///< first fault
     /// Receives every key that the parser asks for, as "services.*.weight"; null: not collected.
     std::set<std::string>* known_keys{nullptr};
+    /// Page that describes the document, for remedies.
+    std::string reference{"docs/reference/configuration.md"};
 
     /// \brief Records a fault unless one was found before.
     /// \param path key path, such as "routes.charge.limits.total"
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -15,19 +15,24 @@
 constexpr std::uint64_t ticks_between_members = 20;
 // The monitor asks again 5 s after a probe; an older wish must not add to the next.
 constexpr seconds probe_wait{4};
+// Peers keep the target out of work for 10 minutes by themselves; this only bounds the gossip.
+constexpr seconds leaving_notice_lifetime{60};
 
 double to_seconds(nanoseconds duration) {
     return std::chrono::duration<double>(duration).count();
 }
 
+std::uint64_t nanoseconds_since_epoch(const clock_source& clock) {
+    return static_cast<std::uint64_t>(clock.wall_now().time_since_epoch() / nanoseconds(1));
+}
+
 health::monitor_options options_of(node_id self, domain_name domain, const clock_source& clock) {
     health::monitor_options options;
     options.self = std::move(self);
     options.domain = std::move(domain);
     options.tick_period = control_loop::tick_period;
     // The start time in nanoseconds grows from one process to its successor.
-    options.first_sequence =
-        static_cast<std::uint64_t>(clock.wall_now().time_since_epoch() / nanoseconds(1));
+    options.first_sequence = nanoseconds_since_epoch(clock);
     return options;
 }
 
@@ -127,7 +132,7 @@
     }
     monitor_.on_answer(answer);
     if (answer.draining) {
-        monitor_.on_leaving(answer.target, answer.ended);
+        tell_leaving(answer);
     }
     parts_.metrics.count(
         "wigeonrill_attempts_total", "Attempts at targets by result.",
@@ -139,6 +144,23 @@
                            to_seconds(answer.ended - answer.sent), parts_.clock.now());
 }
 
+void control_loop::tell_leaving(const health::answer& answer) {
+    const auto now = parts_.clock.now();
+    auto& told = leaving_told_[answer.target];
+    if (parts_.gossip == nullptr || now < told) {
+        return;
+    }
+    told = now + leaving_notice_lifetime;
+    health::verdict notice;
+    notice.service = answer.service;
+    notice.target = answer.target;
+    notice.state = health::target_state::leaving;
+    notice.judge = parts_.gossip->id();
+    notice.sequence = nanoseconds_since_epoch(parts_.clock);
+    notice.expires = told;
+    parts_.gossip->announce(notice, {});
+}
+
 void control_loop::take(const dispatch::decision_record& decision) {
     const bool refused = decision.kind == traffic::step_kind::refuse;
     parts_.metrics.count(
@@ -173,7 +195,11 @@
         monitor_.on_evidence(it, now);
     }
     for (const auto& it : items.verdicts) {
-        monitor_.on_verdict(it, now);
+        if (it.state == health::target_state::leaving) {
+            monitor_.on_leaving(it.target, now);
+        } else {
+            monitor_.on_verdict(it, now);
+        }
     }
     for (const auto& it : items.marks) {
         monitor_.on_crash_mark(it.fingerprint, it.target, now);
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -51,6 +51,7 @@
     void take(const health::answer& answer);
     void take(const dispatch::decision_record& decision);
     void take(const once::crash_mark& mark);
+    void tell_leaving(const health::answer& answer);
     void take_peer_items();
     void take_members();
     void carry_out(const health::monitor_actions& actions);
@@ -63,7 +64,8 @@
     health::monitor monitor_;
     std::shared_ptr<const routing::route_table> routes_;
     std::function<void()> adopted_;
-    std::set<target_id> probed_; ///< ejected targets whose next answer is a probe's
+    std::map<target_id, instant> leaving_told_; ///< end of the notice that peers got
+    std::set<target_id> probed_;                ///< ejected targets whose next answer is a probe's
     bool plans_changed_{true};
     std::uint64_t ticks_{0};
     std::map<std::string, std::size_t> peers_by_state_;
--- a/wigeonrill/src/daemon/control_thread.cpp
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -6,6 +6,14 @@
 
 constexpr std::size_t task_capacity = 1024;
 
+std::size_t content_bytes(const config::change_set& changes) {
+    std::size_t bytes = 0;
+    for (const auto& it : changes.changed) {
+        bytes += it.content.size();
+    }
+    return bytes;
+}
+
 } // namespace
 
 control_thread::control_thread(control_loop& loop, peers::peer_link* link,
@@ -89,6 +97,7 @@
                            : result<config::change_set>(tl::unexpected<error>(address.error()));
     post([this, request, answer = std::move(changes)] {
         gossip_->fetch_finished(request.from, answer.has_value());
+        gossip_->count_transfer(0, answer ? content_bytes(*answer) : 0);
         if (answer && answer->version > request.since) {
             loop_.offer(*answer, request.from.value);
         }
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -122,6 +122,9 @@
     if (!digest_.learn(item, now)) {
         return;
     }
+    if (item.state == health::target_state::leaving) {
+        spread_at_once(now);
+    }
     bucket_.refill(now);
     for (const auto& it : reporters) {
         if (it != self_.id && bucket_.level() >= reserve_bytes) {
--- a/wigeonrill/src/peers/gossip_rounds.cpp
+++ b/wigeonrill/src/peers/gossip_rounds.cpp
@@ -220,6 +220,9 @@
         it.reporter_domain = sender.record.domain;
         inbox_.evidence.push_back(std::move(it));
     }
+    // Callers send crashing requests again at once, and leaving targets must get no work after a
+    // few seconds, so neither waits for the next round.
+    bool urgent = false;
     for (const auto& it : content.verdicts) {
         const bool direct = content.kind == message_kind::verdict;
         const bool known =
@@ -231,16 +234,16 @@
             }
         } else if (digest_.learn(it, now)) {
             inbox_.verdicts.push_back(it);
+            urgent = urgent || it.state == health::target_state::leaving;
         }
     }
-    const auto marks_before = inbox_.marks.size();
     for (const auto& it : content.marks) {
         if (digest_.learn(it, clock_.wall_now())) {
             inbox_.marks.push_back(it);
+            urgent = true;
         }
     }
-    if (inbox_.marks.size() > marks_before) {
-        // The caller may send the request again at once, so marks don't wait for the next round.
+    if (urgent) {
         spread_at_once(now);
     }
 }
