Hand the configuration file's content to the control thread by value

Cause: reading the code showed that SIGHUP replaced the content on the main thread while a task of the control thread could still read the previous one. Ruled out: a lock; the content never changes, so tasks share it. Conclusion: no shared mutable state between the two threads here.

--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -96,7 +96,9 @@
     std::unique_ptr<peers::change_server> changes;
     std::unique_ptr<traffic::server> callers;
     std::unique_ptr<admin_server> admin;
-    std::unique_ptr<config::change_set> published; ///< last content of the configuration file
+    /// Last content of the configuration file. The main thread replaces it; tasks of the control
+    /// thread hold the content that they were made with.
+    std::shared_ptr<const config::change_set> published;
 
     result<void> open_peers();
     result<void> read_file();
@@ -106,7 +108,7 @@
     result<void> start_servers();
     void write(log_level level, const log_line& line) { log->write(level, log_part::daemon, line); }
     bool is_peer(const std::string& ip) const;
-    void offer_file();
+    void offer(const std::shared_ptr<const config::change_set>& content);
 };
 
 result<void> running_node::parts::open_peers() {
@@ -146,14 +148,14 @@
     if (!changes) {
         return tl::unexpected<error>(changes.error());
     }
-    published = std::make_unique<config::change_set>(std::move(*changes));
+    published = std::make_shared<const config::change_set>(std::move(*changes));
     return {};
 }
 
-void running_node::parts::offer_file() {
-    if (published) {
-        loop->offer(*published, wanted.configuration_file);
-        loop->confirm(published->version);
+void running_node::parts::offer(const std::shared_ptr<const config::change_set>& content) {
+    if (content) {
+        loop->offer(*content, wanted.configuration_file);
+        loop->confirm(content->version);
     }
 }
 
@@ -224,7 +226,7 @@
         return tl::unexpected<error>(read.error());
     }
     initial->make_loop();
-    initial->offer_file();
+    initial->offer(initial->published);
     initial->start_platform();
     initial->control->start();
     std::unique_ptr<running_node> node(new running_node(std::move(initial)));
@@ -263,7 +265,7 @@
                      .with("reason", to_string(read.error())));
         return;
     }
-    it.control->post([this] { parts_->offer_file(); });
+    it.control->post([&it, content = it.published] { it.offer(content); });
 }
 
 bool running_node::superseded() const {
