--- a/programs/wigeonrilld/main.cpp
+++ b/programs/wigeonrilld/main.cpp
@@ -1,5 +1,13 @@
+#include "platform/headers.h"
+#include "platform/store_client.h"
 #include "wigeonrill/daemon.h"
 
 int main(int argc, char** argv) {
-    return wigeonrill::daemon::run(argc, argv);
+    using namespace wigeonrill;
+    const daemon::platform_binding binding{
+        [](const endpoint& store, const clock_source& clock) {
+            return std::make_unique<users_platform::store_client>(store, clock);
+        },
+        users_platform::header_names()};
+    return daemon::run(argc, argv, binding);
 }
--- a/test/dispatch/fixture.h
+++ b/test/dispatch/fixture.h
@@ -19,6 +19,10 @@
         const std::lock_guard guard(mutex_);
         decisions.push_back(decision);
     }
+    void on_observation(const health::observation& seen) override {
+        const std::lock_guard guard(mutex_);
+        observations.push_back(seen);
+    }
     void on_crash_mark(const once::crash_mark& mark) override {
         const std::lock_guard guard(mutex_);
         marks.push_back(mark);
@@ -27,6 +31,7 @@
     std::vector<health::answer> answers;
     std::vector<dispatch::decision_record> decisions;
     std::vector<once::crash_mark> marks;
+    std::vector<health::observation> observations;
 
 private:
     std::mutex mutex_;
--- /dev/null
+++ b/test/peers/reading_news_test.cpp
@@ -0,0 +1,62 @@
+#include "fake_fleet.h"
+
+using namespace wigeonrill;
+using namespace wigeonrill::peers;
+
+TEST_GROUP(reading_news){};
+
+// Guards against nodes that don't hear what one of them has read or seen.
+TEST(reading_news, reach_the_peers_named) {
+    fake_fleet fleet(3);
+    fleet.list_all();
+    fleet.run(seconds(2));
+    fake_fleet::set_version(*fleet.nodes.at(0), 7);
+    const auto when = fleet.clock.now() - milliseconds(300);
+    fleet.at(0).announce_reading({fake_fleet::id(1)}, when);
+    const health::observation seen{service_name("stock"), target_id("t1"),
+                                   health::observation_kind::late};
+    fleet.at(0).announce(std::vector<health::observation>(20, seen), {fake_fleet::id(1)});
+    for (auto& it : fleet.nodes) {
+        it->link.flush();
+    }
+    fleet.clock.advance(milliseconds(5));
+    fleet.nodes.at(1)->link.receive(milliseconds(0));
+    const auto heard = fleet.at(1).take_inbox();
+    CHECK(heard.reading.has_value());
+    LONGS_EQUAL(7, heard.reading->version);
+    CHECK(heard.reading->when >= when && heard.reading->when <= when + milliseconds(10));
+    LONGS_EQUAL(20, heard.observations.size());
+    CHECK(heard.observations.front() == seen);
+}
+
+// Guards against a fleet without a list of nodes in which nobody finds the others.
+TEST(reading_news, nodes_find_each_other_by_seeds_alone) {
+    fake_fleet fleet(0);
+    for (std::size_t i = 0; i < 36; ++i) {
+        auto settings = fleet.settings(i, 1);
+        settings.admits_unlisted = true;
+        fleet.nodes.push_back(
+            std::make_unique<fake_node>(fleet.network, settings, fleet.clock, fleet.secret));
+    }
+    fleet.run(seconds(5));
+    for (std::size_t i = 0; i < 36; ++i) {
+        LONGS_EQUAL(36, fleet.at(i).live_nodes().size());
+    }
+}
+
+// Guards against a node that stops itself because its clock was ahead when its predecessor started.
+TEST(reading_news, owner_of_an_address_outlives_its_own_past) {
+    fake_fleet fleet(2);
+    fleet.list_all();
+    fleet.run(seconds(2));
+    auto settings = fleet.settings(0, 1);
+    settings.process.started_ms -= 5'000;
+    settings.owns_address = true;
+    fleet.nodes.at(0) =
+        std::make_unique<fake_node>(fleet.network, settings, fleet.clock, fleet.secret);
+    fleet.at(0).set_vms(fleet.list());
+    fleet.run(seconds(5));
+    CHECK_FALSE(fleet.at(0).superseded());
+    CHECK(fleet.state(1, 0) == member_state::alive);
+    CHECK(fleet.state(0, 1) == member_state::alive);
+}
--- /dev/null
+++ b/test/traffic/named_headers_test.cpp
@@ -0,0 +1,175 @@
+#include "proxy_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using namespace wigeonrill::test;
+using health::answer_kind;
+
+namespace {
+
+traffic::server_options named_options() {
+    traffic::server_options options;
+    options.names.request_id = "Request-Name";
+    options.names.deadline = "Patience-Ms";
+    options.names.expected_target = "Meant-For";
+    options.names.load = "Load";
+    options.names.not_run = "Not-Run";
+    options.names.draining = "";
+    options.names.signature = "Signed";
+    options.names.retry_after_means_not_run = false;
+    return options;
+}
+
+const std::string named_get =
+    "GET /a HTTP/1.1\r\nHost: shop\r\nRequest-Name: r1\r\nPatience-Ms: 5000\r\n\r\n";
+
+reaction answer(int status, const std::string& lines, const std::string& body) {
+    return {answer_text(status, lines, body), false, false};
+}
+
+reaction signed_answer(const std::string& /*request*/, int /*number*/) {
+    return answer(200, "Request-Name: r1\r\nSigned: s\r\nLoad: 3,2,6\r\n", "ok");
+}
+
+} // namespace
+
+TEST_GROUP(named_headers){};
+
+// Guards against a request without the fields by which a target knows its deadline and itself.
+TEST(named_headers, reach_the_target) {
+    proxy_fixture it(signed_answer, named_options());
+    it.decisions.usual.target = target_id("i-1");
+    it.decisions.usual.deadline = instant{}; // the request's own
+    STRCMP_CONTAINS("\r\n\r\nok", it.ask(named_get).c_str());
+    const auto request = it.target.requests().at(0);
+    STRCMP_CONTAINS("Meant-For: i-1\r\n", request.c_str());
+    STRCMP_CONTAINS("Request-Name: r1\r\n", request.c_str());
+    const auto left = std::atoi(request.c_str() + request.find("Patience-Ms: ") + 13);
+    CHECK(left > 4'000 && left <= 5'000);
+    STRCMP_EQUAL("r1", it.decisions.started.at(0).name.c_str());
+    LONGS_EQUAL(5, it.decisions.attempts.at(0).reported_load);
+}
+
+// Guards against a late second answer to an earlier request that is given to the next caller.
+TEST(named_headers, skip_an_answer_to_another_request) {
+    proxy_fixture it(
+        [](const std::string& request, int number) {
+            auto mine = signed_answer(request, number);
+            mine.bytes = answer_text(200, "Request-Name: r0\r\nSigned: s\r\n", "late") + mine.bytes;
+            return mine;
+        },
+        named_options());
+    const auto passed = it.ask(named_get);
+    STRCMP_CONTAINS("\r\n\r\nok", passed.c_str());
+    CHECK(passed.find("late") == std::string::npos);
+}
+
+// Guards against a success that no target made, and against a failure that needs no signature.
+TEST(named_headers, refuse_an_unsigned_success) {
+    proxy_fixture it(
+        [](const std::string& /*request*/, int number) {
+            return number == 1 ? answer(200, "Request-Name: r1\r\n", "ok") : answer(500, "", "no");
+        },
+        named_options());
+    STRCMP_CONTAINS("HTTP/1.1 502 ", it.ask(named_get).c_str());
+    CHECK(answer_kind::malformed == it.decisions.attempts.at(0).kind);
+    STRCMP_CONTAINS("HTTP/1.1 500 ", it.ask(named_get).c_str());
+}
+
+// Guards against a 503 that is taken for "not run" although the target didn't say so, and against
+// another target at the address that is taken for a failure.
+TEST(named_headers, tell_what_was_not_run) {
+    proxy_fixture it(
+        [](const std::string& /*request*/, int number) {
+            return number == 1   ? answer(503, "Not-Run: 1\r\n", "")
+                   : number == 2 ? answer(421, "", "")
+                                 : answer(503, "Retry-After: 1\r\n", "");
+        },
+        named_options());
+    for (int i = 0; i < 3; ++i) {
+        static_cast<void>(it.ask(named_get));
+    }
+    it.decisions.wait_finished(3);
+    const auto& attempts = it.decisions.attempts;
+    CHECK(attempts.at(0).kind == answer_kind::shed && !attempts.at(0).misdirected);
+    CHECK(attempts.at(1).kind == answer_kind::shed && attempts.at(1).misdirected);
+    CHECK(attempts.at(2).kind == answer_kind::server_error);
+}
+
+// Guards against a refusal that promises "not run" when a target may have run the request.
+TEST(named_headers, statuses_say_no_more_than_is_known) {
+    LONGS_EQUAL(502, traffic::truthful_status(503, traffic::outcome::unknown));
+    LONGS_EQUAL(502, traffic::truthful_status(429, traffic::outcome::unknown));
+    LONGS_EQUAL(504, traffic::truthful_status(504, traffic::outcome::unknown));
+    LONGS_EQUAL(503, traffic::truthful_status(504, traffic::outcome::not_run));
+    LONGS_EQUAL(503, traffic::truthful_status(502, traffic::outcome::not_run));
+    LONGS_EQUAL(404, traffic::truthful_status(404, traffic::outcome::not_run));
+}
+
+// Guards against giving up on a silent target while nobody else can answer.
+TEST(named_headers, silent_target_keeps_the_request_without_a_replacement) {
+    proxy_fixture it([](const std::string& /*request*/, int /*number*/) {
+        std::this_thread::sleep_for(milliseconds{120});
+        return answer(200, "", "slow");
+    });
+    it.decisions.usual.route.limits.first_byte = milliseconds{30};
+    it.decisions.replacing_allowed = false;
+    STRCMP_CONTAINS("\r\n\r\nslow", it.ask(plain_get).c_str());
+}
+
+TEST_GROUP(call_client) {
+    system_clock_source clock;
+};
+
+// Guards against a new connection for each call.
+TEST(call_client, keeps_its_connection) {
+    scripted_target target([](const std::string& /*request*/, int number) {
+        return answer(200 + number, "", "body");
+    });
+    traffic::call_client it(target.address(), clock);
+    LONGS_EQUAL(201, it.get("/x?a=1", seconds{5})->status);
+    LONGS_EQUAL(202, it.get("/y", seconds{5})->status);
+    LONGS_EQUAL(1, target.connections());
+    STRCMP_CONTAINS("GET /x?a=1 HTTP/1.1\r\n", target.requests().at(0).c_str());
+}
+
+// Guards against a store that accepts a call and never answers, and against using the connection on
+// which an answer was lost.
+TEST(call_client, gives_up_in_time_and_connects_anew) {
+    scripted_target target([](const std::string& /*request*/, int number) {
+        return number == 1 ? reaction{"", false, true} : answer(200, "", "body");
+    });
+    traffic::call_client it(target.address(), clock);
+    const auto lost = it.get("/x", milliseconds{50});
+    CHECK(!lost && lost.error().kind == error_kind::timed_out);
+    STRCMP_EQUAL("body", it.get("/x", seconds{5})->body.c_str());
+    LONGS_EQUAL(2, target.connections());
+}
+
+// Guards against a truncated answer that is taken for the whole one.
+TEST(call_client, refuses_a_truncated_answer) {
+    scripted_target target([](const std::string& /*request*/, int /*number*/) {
+        return reaction{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello", true, false};
+    });
+    traffic::call_client it(target.address(), clock);
+    const auto cut = it.get("/x", seconds{5});
+    CHECK(!cut && cut.error().kind == error_kind::unavailable);
+}
+
+// Guards against a stop of the program that waits for the end of a call.
+TEST(call_client, interrupt_ends_a_call) {
+    scripted_target target([](const std::string& /*request*/, int /*number*/) {
+        return reaction{"", false, true};
+    });
+    traffic::call_client it(target.address(), clock);
+    std::thread stopper([&] {
+        while (target.requests().empty()) {
+            std::this_thread::yield();
+        }
+        it.interrupt();
+    });
+    CHECK(!it.get("/x", std::chrono::hours{1}).has_value());
+    stopper.join();
+    CHECK(!it.get("/x", std::chrono::hours{1}).has_value());
+}
--- a/test/traffic/node_forwarding_test.cpp
+++ b/test/traffic/node_forwarding_test.cpp
@@ -76,6 +76,7 @@
             false};
     });
     it.decisions.usual.store_answer = true;
+    it.decisions.usual.route.repeat = config::repeat_policy::at_most_once;
     static_cast<void>(it.ask(plain_get));
     static_cast<void>(it.ask("GET /large HTTP/1.1\r\nHost: a\r\n\r\n"));
     it.decisions.wait_finished(2);
--- a/test/traffic/proxy_fixture.h
+++ b/test/traffic/proxy_fixture.h
@@ -12,6 +12,9 @@
 public:
     traffic::step first(const traffic::request_info& request) override;
     bool may_send(const traffic::request_info& request) override;
+    bool may_replace(const traffic::request_info& /*request*/) override {
+        return replacing_allowed;
+    }
     std::optional<traffic::step> ended(const traffic::request_info& request,
                                        const traffic::attempt_result& attempt) override;
     void finished(const traffic::request_info& request, bool whole,
@@ -27,6 +30,7 @@
     std::vector<bool> wholes;
     std::vector<std::shared_ptr<const traffic::stored_answer>> stored;
     std::atomic<bool> sending_allowed{true};
+    std::atomic<bool> replacing_allowed{true};
     std::function<void()> while_queued; ///< called in first()
     traffic::step usual;                ///< taken when the list of steps is empty
 
--- /dev/null
+++ b/test/users_platform/records_test.cpp
@@ -0,0 +1,130 @@
+#include "platform/records.h"
+
+#include <Poco/Base64Encoder.h>
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string base64(const std::string& text) {
+    std::ostringstream out;
+    Poco::Base64Encoder encoder(out);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << text;
+    encoder.close();
+    return out.str();
+}
+
+std::string item(const std::string& key, const std::string& value) {
+    return R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","revision":7})";
+}
+
+std::string page(const std::string& items) {
+    return R"({"items":[)" + items + R"(],"has_more":false,"at":9})";
+}
+
+const std::string target = R"({"address":"10.128.0.9:8080","born":1700000000123,)"
+                           R"("info":{"service":"s1","version":"v1","zone":"z1","capacity":6},)"
+                           R"("status":{"state":"draining","sequence":4,"cold_left_s":0.5}})";
+
+const std::string rules =
+    R"({"version":7,"routes":{)"
+    R"("r-1":{"host":"h.example","prefix":"/a/b/","kind":"unsafe","timeout_s":6,)"
+    R"("target_latency_s":2.5,"priority":1,"service":"s1","attempts":2},)"
+    R"("r-2":{"host":"h.example","prefix":"/c/","kind":"download","timeout_s":5.25,"priority":2,)"
+    R"("traffic_split":[{"service":"s2","weight":90},{"service":"s1","weight":10}],"attempts":3}},)"
+    R"("services":{"s1":{},"s2":{}},"limits":{"max_body_bytes":1000}})";
+
+const platform::feed_record& only_record(const result<users_platform::store_page>& decoded) {
+    CHECK(decoded.has_value());
+    LONGS_EQUAL(1, decoded->page.records.size());
+    return decoded->page.records.front();
+}
+
+} // namespace
+
+TEST_GROUP(records){};
+
+// Guards against fields that are read from the wrong part of a record, or in the wrong unit.
+TEST(records, decodes_a_target) {
+    const auto decoded = users_platform::decode_page(page(item("servers/i-1", target)));
+    const auto& record = only_record(decoded);
+    LONGS_EQUAL(9, decoded->page.as_of);
+    LONGS_EQUAL(7, record.revision);
+    const auto& it = std::get<platform::target_entry>(record.content);
+    STRCMP_EQUAL("i-1", it.target.id.value.c_str());
+    STRCMP_EQUAL("10.128.0.9:8080", to_string(it.target.address).c_str());
+    STRCMP_EQUAL("z1", it.target.domain.value.c_str());
+    STRCMP_EQUAL("s1", it.service.value.c_str());
+    LONGS_EQUAL(6, it.target.slots);
+    CHECK(it.leaving);
+    CHECK(it.started_ms == 1'700'000'000'123);
+    LONGS_EQUAL(4, it.heartbeat);
+}
+
+// Guards against orders that may run twice, and against splits and times that are lost.
+TEST(records, decodes_the_rules) {
+    const auto decoded = users_platform::decode_page(page(item("op/config", rules)));
+    const auto& it = std::get<platform::operator_rules>(only_record(decoded).content);
+    LONGS_EQUAL(7, it.version);
+    LONGS_EQUAL(2, it.services.size());
+    const auto& order = it.routes.at(0);
+    CHECK(order.repeat == config::repeat_policy::at_most_once);
+    CHECK(order.key == config::key_policy::optional);
+    CHECK(order.limits.total == 6s);
+    CHECK(order.target_latency == 2'500ms);
+    LONGS_EQUAL(1'000, order.max_body_bytes);
+    const auto& file = it.routes.at(1);
+    CHECK(file.repeat == config::repeat_policy::idempotent);
+    CHECK(file.limits.total == 5'250ms);
+    LONGS_EQUAL(3, file.attempts);
+    LONGS_EQUAL(2, file.split.size());
+    STRCMP_EQUAL("s1", file.split.at(0).service.value.c_str());
+    LONGS_EQUAL(10'000, file.split.at(0).weight);
+    LONGS_EQUAL(90'000, file.split.at(1).weight);
+}
+
+// Guards against a record of another writer that is used, or that hides the valid ones.
+TEST(records, names_what_it_cant_read) {
+    const std::vector<std::string> wrong{
+        "not json",
+        "{}",
+        "[]",
+        "7",
+        R"({"address":"10.0.0.1:1","info":{"service":"s1","zone":"z","capacity":"6"},)"
+        R"("status":{"state":"ready","sequence":1}})",
+        R"({"address":"10.0.0.1:1","info":{"service":"s1","zone":"z","capacity":0},)"
+        R"("status":{"state":"ready","sequence":1}})",
+        R"({"address":"host:1","info":{"service":"s1","zone":"z","capacity":6},)"
+        R"("status":{"state":"ready","sequence":1}})",
+        R"({"address":"10.0.0.1:1","info":{"service":"s1","zone":"z","capacity":6},)"
+        R"("status":{"state":"resting","sequence":1}})"};
+    for (const auto& it : wrong) {
+        const auto decoded = users_platform::decode_page(
+            page(item("servers/bad", it) + "," + item("servers/good", target)));
+        CHECK(decoded.has_value());
+        LONGS_EQUAL(2, decoded->page.records.size());
+        CHECK(std::holds_alternative<platform::unreadable_record>(
+            decoded->page.records.at(0).content));
+        CHECK(std::holds_alternative<platform::target_entry>(decoded->page.records.at(1).content));
+    }
+    const auto kind = users_platform::decode_page(page(
+        item("op/config", R"({"version":1,"services":{},"routes":{"r":{"host":"h","prefix":"/",)"
+                          R"("kind":"odd","service":"s"}}})")));
+    CHECK(std::holds_alternative<platform::unreadable_record>(only_record(kind).content));
+}
+
+// Guards against deletions that are overlooked, and against keys of others that are taken for
+// targets.
+TEST(records, reads_events_and_leaves_other_keys_out) {
+    const auto decoded = users_platform::decode_page(
+        R"({"events":[{"key":"servers/i-1","revision":8,"deleted":true},)"
+        R"({"key":"my/old","revision":9,"deleted":true}],"at":10})");
+    CHECK(std::holds_alternative<platform::deleted_record>(only_record(decoded).content));
+    STRCMP_EQUAL("my/old", decoded->last_key.c_str());
+    CHECK(!users_platform::decode_page("{}").has_value());
+}
--- a/wigeonrill/config.h
+++ b/wigeonrill/config.h
@@ -31,6 +31,7 @@
 #include "src/config/change_set.h"
 #include "src/config/snapshot.h"
 // Needs change_set.h and snapshot.h.
+#include "src/config/document_writer.h"
 #include "src/config/file_check.h"
 #include "src/config/loader.h"
 #include "src/config/sharding.h"
--- a/wigeonrill/daemon.h
+++ b/wigeonrill/daemon.h
@@ -25,7 +25,6 @@
 #include "traffic.h"
 
 #include "src/daemon/admin_server.h"
-#include "src/daemon/application.h"
 #include "src/daemon/event_queue.h"
 #include "src/daemon/node_state.h"
 #include "src/daemon/settings.h"
@@ -39,6 +38,10 @@
 // Needs admin_server.h and control_loop.h.
 #include "src/daemon/control_thread.h"
 #include "src/daemon/node_pages.h"
+#include "src/daemon/platform_binding.h"
+// Needs platform_binding.h.
+#include "src/daemon/application.h"
+#include "src/daemon/feed_link.h"
 #include "src/daemon/platform_link.h"
 
 #endif
--- a/wigeonrill/gen-cpp/messages_types.cpp
+++ b/wigeonrill/gen-cpp/messages_types.cpp
@@ -744,6 +744,138 @@
 }
 
 
+Observation::~Observation() noexcept {
+}
+
+
+void Observation::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void Observation::__set_target_name(const std::string& val) {
+  this->target_name = val;
+}
+
+void Observation::__set_kind(const int8_t val) {
+  this->kind = val;
+}
+std::ostream& operator<<(std::ostream& out, const Observation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Observation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target_name);
+          this->__isset.target_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Observation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Observation");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_BYTE, 3);
+  xfer += oprot->writeByte(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Observation &a, Observation &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.target_name, b.target_name);
+  swap(a.kind, b.kind);
+  swap(a.__isset, b.__isset);
+}
+
+Observation::Observation(const Observation& other8) {
+  service_name = other8.service_name;
+  target_name = other8.target_name;
+  kind = other8.kind;
+  __isset = other8.__isset;
+}
+Observation& Observation::operator=(const Observation& other9) {
+  service_name = other9.service_name;
+  target_name = other9.target_name;
+  kind = other9.kind;
+  __isset = other9.__isset;
+  return *this;
+}
+void Observation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Observation(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "target_name=" << to_string(target_name);
+  out << ", " << "kind=" << to_string(kind);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -819,6 +951,16 @@
   this->evidence = val;
 __isset.evidence = true;
 }
+
+void Message::__set_reading_age_ms(const int32_t val) {
+  this->reading_age_ms = val;
+__isset.reading_age_ms = true;
+}
+
+void Message::__set_observations(const std::vector<Observation> & val) {
+  this->observations = val;
+__isset.observations = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -947,14 +1089,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->members.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size10;
+            ::apache::thrift::protocol::TType _etype13;
+            xfer += iprot->readListBegin(_etype13, _size10);
+            this->members.resize(_size10);
+            uint32_t _i14;
+            for (_i14 = 0; _i14 < _size10; ++_i14)
             {
-              xfer += this->members[_i12].read(iprot);
+              xfer += this->members[_i14].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -967,14 +1109,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size13;
-            ::apache::thrift::protocol::TType _etype16;
-            xfer += iprot->readListBegin(_etype16, _size13);
-            this->verdicts.resize(_size13);
-            uint32_t _i17;
-            for (_i17 = 0; _i17 < _size13; ++_i17)
+            uint32_t _size15;
+            ::apache::thrift::protocol::TType _etype18;
+            xfer += iprot->readListBegin(_etype18, _size15);
+            this->verdicts.resize(_size15);
+            uint32_t _i19;
+            for (_i19 = 0; _i19 < _size15; ++_i19)
             {
-              xfer += this->verdicts[_i17].read(iprot);
+              xfer += this->verdicts[_i19].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -987,14 +1129,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crash_marks.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->crash_marks.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->crash_marks.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->crash_marks[_i22].read(iprot);
+              xfer += this->crash_marks[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1007,14 +1149,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->evidence.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->evidence.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += this->evidence[_i27].read(iprot);
+              xfer += this->evidence[_i29].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1023,6 +1165,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reading_age_ms);
+          this->__isset.reading_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->observations.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->observations.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += this->observations[_i34].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.observations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1096,10 +1266,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<Member> ::const_iterator _iter28;
-      for (_iter28 = this->members.begin(); _iter28 != this->members.end(); ++_iter28)
+      std::vector<Member> ::const_iterator _iter35;
+      for (_iter35 = this->members.begin(); _iter35 != this->members.end(); ++_iter35)
       {
-        xfer += (*_iter28).write(oprot);
+        xfer += (*_iter35).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1109,10 +1279,10 @@
     xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-      std::vector<Verdict> ::const_iterator _iter29;
-      for (_iter29 = this->verdicts.begin(); _iter29 != this->verdicts.end(); ++_iter29)
+      std::vector<Verdict> ::const_iterator _iter36;
+      for (_iter36 = this->verdicts.begin(); _iter36 != this->verdicts.end(); ++_iter36)
       {
-        xfer += (*_iter29).write(oprot);
+        xfer += (*_iter36).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1122,10 +1292,10 @@
     xfer += oprot->writeFieldBegin("crash_marks", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crash_marks.size()));
-      std::vector<CrashMark> ::const_iterator _iter30;
-      for (_iter30 = this->crash_marks.begin(); _iter30 != this->crash_marks.end(); ++_iter30)
+      std::vector<CrashMark> ::const_iterator _iter37;
+      for (_iter37 = this->crash_marks.begin(); _iter37 != this->crash_marks.end(); ++_iter37)
       {
-        xfer += (*_iter30).write(oprot);
+        xfer += (*_iter37).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1135,10 +1305,28 @@
     xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-      std::vector<Evidence> ::const_iterator _iter31;
-      for (_iter31 = this->evidence.begin(); _iter31 != this->evidence.end(); ++_iter31)
+      std::vector<Evidence> ::const_iterator _iter38;
+      for (_iter38 = this->evidence.begin(); _iter38 != this->evidence.end(); ++_iter38)
+      {
+        xfer += (*_iter38).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.reading_age_ms) {
+    xfer += oprot->writeFieldBegin("reading_age_ms", ::apache::thrift::protocol::T_I32, 17);
+    xfer += oprot->writeI32(this->reading_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.observations) {
+    xfer += oprot->writeFieldBegin("observations", ::apache::thrift::protocol::T_LIST, 18);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->observations.size()));
+      std::vector<Observation> ::const_iterator _iter39;
+      for (_iter39 = this->observations.begin(); _iter39 != this->observations.end(); ++_iter39)
       {
-        xfer += (*_iter31).write(oprot);
+        xfer += (*_iter39).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1167,46 +1355,52 @@
   swap(a.verdicts, b.verdicts);
   swap(a.crash_marks, b.crash_marks);
   swap(a.evidence, b.evidence);
+  swap(a.reading_age_ms, b.reading_age_ms);
+  swap(a.observations, b.observations);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other32) {
-  protocol = other32.protocol;
-  kind = other32.kind;
-  started_ms = other32.started_ms;
-  nonce = other32.nonce;
-  epoch = other32.epoch;
-  config_version = other32.config_version;
-  sequence = other32.sequence;
-  echo = other32.echo;
-  leaving = other32.leaving;
-  domain = other32.domain;
-  config_digest = other32.config_digest;
-  confirmed_ms = other32.confirmed_ms;
-  members = other32.members;
-  verdicts = other32.verdicts;
-  crash_marks = other32.crash_marks;
-  evidence = other32.evidence;
-  __isset = other32.__isset;
-}
-Message& Message::operator=(const Message& other33) {
-  protocol = other33.protocol;
-  kind = other33.kind;
-  started_ms = other33.started_ms;
-  nonce = other33.nonce;
-  epoch = other33.epoch;
-  config_version = other33.config_version;
-  sequence = other33.sequence;
-  echo = other33.echo;
-  leaving = other33.leaving;
-  domain = other33.domain;
-  config_digest = other33.config_digest;
-  confirmed_ms = other33.confirmed_ms;
-  members = other33.members;
-  verdicts = other33.verdicts;
-  crash_marks = other33.crash_marks;
-  evidence = other33.evidence;
-  __isset = other33.__isset;
+Message::Message(const Message& other40) {
+  protocol = other40.protocol;
+  kind = other40.kind;
+  started_ms = other40.started_ms;
+  nonce = other40.nonce;
+  epoch = other40.epoch;
+  config_version = other40.config_version;
+  sequence = other40.sequence;
+  echo = other40.echo;
+  leaving = other40.leaving;
+  domain = other40.domain;
+  config_digest = other40.config_digest;
+  confirmed_ms = other40.confirmed_ms;
+  members = other40.members;
+  verdicts = other40.verdicts;
+  crash_marks = other40.crash_marks;
+  evidence = other40.evidence;
+  reading_age_ms = other40.reading_age_ms;
+  observations = other40.observations;
+  __isset = other40.__isset;
+}
+Message& Message::operator=(const Message& other41) {
+  protocol = other41.protocol;
+  kind = other41.kind;
+  started_ms = other41.started_ms;
+  nonce = other41.nonce;
+  epoch = other41.epoch;
+  config_version = other41.config_version;
+  sequence = other41.sequence;
+  echo = other41.echo;
+  leaving = other41.leaving;
+  domain = other41.domain;
+  config_digest = other41.config_digest;
+  confirmed_ms = other41.confirmed_ms;
+  members = other41.members;
+  verdicts = other41.verdicts;
+  crash_marks = other41.crash_marks;
+  evidence = other41.evidence;
+  reading_age_ms = other41.reading_age_ms;
+  observations = other41.observations;
+  __isset = other41.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -1228,6 +1422,8 @@
   out << ", " << "verdicts="; (__isset.verdicts ? (out << to_string(verdicts)) : (out << "<null>"));
   out << ", " << "crash_marks="; (__isset.crash_marks ? (out << to_string(crash_marks)) : (out << "<null>"));
   out << ", " << "evidence="; (__isset.evidence ? (out << to_string(evidence)) : (out << "<null>"));
+  out << ", " << "reading_age_ms="; (__isset.reading_age_ms ? (out << to_string(reading_age_ms)) : (out << "<null>"));
+  out << ", " << "observations="; (__isset.observations ? (out << to_string(observations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1358,19 +1554,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Shard::Shard(const Shard& other34) {
-  name = other34.name;
-  version = other34.version;
-  digest = other34.digest;
-  content = other34.content;
-  __isset = other34.__isset;
+Shard::Shard(const Shard& other42) {
+  name = other42.name;
+  version = other42.version;
+  digest = other42.digest;
+  content = other42.content;
+  __isset = other42.__isset;
 }
-Shard& Shard::operator=(const Shard& other35) {
-  name = other35.name;
-  version = other35.version;
-  digest = other35.digest;
-  content = other35.content;
-  __isset = other35.__isset;
+Shard& Shard::operator=(const Shard& other43) {
+  name = other43.name;
+  version = other43.version;
+  digest = other43.digest;
+  content = other43.content;
+  __isset = other43.__isset;
   return *this;
 }
 void Shard::printTo(std::ostream& out) const {
@@ -1499,14 +1695,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->changed.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->changed.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->changed[_i40].read(iprot);
+              xfer += this->changed[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1519,14 +1715,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->removed.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->removed.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              xfer += iprot->readString(this->removed[_i45]);
+              xfer += iprot->readString(this->removed[_i53]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1579,10 +1775,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<Shard> ::const_iterator _iter46;
-    for (_iter46 = this->changed.begin(); _iter46 != this->changed.end(); ++_iter46)
+    std::vector<Shard> ::const_iterator _iter54;
+    for (_iter54 = this->changed.begin(); _iter54 != this->changed.end(); ++_iter54)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter54).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1591,10 +1787,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter47;
-    for (_iter47 = this->removed.begin(); _iter47 != this->removed.end(); ++_iter47)
+    std::vector<std::string> ::const_iterator _iter55;
+    for (_iter55 = this->removed.begin(); _iter55 != this->removed.end(); ++_iter55)
     {
-      xfer += oprot->writeString((*_iter47));
+      xfer += oprot->writeString((*_iter55));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1618,27 +1814,27 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeSet::ChangeSet(const ChangeSet& other48) {
-  protocol = other48.protocol;
-  format = other48.format;
-  base_version = other48.base_version;
-  version = other48.version;
-  published_ms = other48.published_ms;
-  digest = other48.digest;
-  changed = other48.changed;
-  removed = other48.removed;
-  __isset = other48.__isset;
-}
-ChangeSet& ChangeSet::operator=(const ChangeSet& other49) {
-  protocol = other49.protocol;
-  format = other49.format;
-  base_version = other49.base_version;
-  version = other49.version;
-  published_ms = other49.published_ms;
-  digest = other49.digest;
-  changed = other49.changed;
-  removed = other49.removed;
-  __isset = other49.__isset;
+ChangeSet::ChangeSet(const ChangeSet& other56) {
+  protocol = other56.protocol;
+  format = other56.format;
+  base_version = other56.base_version;
+  version = other56.version;
+  published_ms = other56.published_ms;
+  digest = other56.digest;
+  changed = other56.changed;
+  removed = other56.removed;
+  __isset = other56.__isset;
+}
+ChangeSet& ChangeSet::operator=(const ChangeSet& other57) {
+  protocol = other57.protocol;
+  format = other57.format;
+  base_version = other57.base_version;
+  version = other57.version;
+  published_ms = other57.published_ms;
+  digest = other57.digest;
+  changed = other57.changed;
+  removed = other57.removed;
+  __isset = other57.__isset;
   return *this;
 }
 void ChangeSet::printTo(std::ostream& out) const {
@@ -1748,15 +1944,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Status::Status(const Status& other50) {
-  protocol = other50.protocol;
-  json = other50.json;
-  __isset = other50.__isset;
+Status::Status(const Status& other58) {
+  protocol = other58.protocol;
+  json = other58.json;
+  __isset = other58.__isset;
 }
-Status& Status::operator=(const Status& other51) {
-  protocol = other51.protocol;
-  json = other51.json;
-  __isset = other51.__isset;
+Status& Status::operator=(const Status& other59) {
+  protocol = other59.protocol;
+  json = other59.json;
+  __isset = other59.__isset;
   return *this;
 }
 void Status::printTo(std::ostream& out) const {
@@ -1860,15 +2056,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Refusal::Refusal(const Refusal& other52) : TException() {
-  message = other52.message;
-  remedy = other52.remedy;
-  __isset = other52.__isset;
+Refusal::Refusal(const Refusal& other60) : TException() {
+  message = other60.message;
+  remedy = other60.remedy;
+  __isset = other60.__isset;
 }
-Refusal& Refusal::operator=(const Refusal& other53) {
-  message = other53.message;
-  remedy = other53.remedy;
-  __isset = other53.__isset;
+Refusal& Refusal::operator=(const Refusal& other61) {
+  message = other61.message;
+  remedy = other61.remedy;
+  __isset = other61.__isset;
   return *this;
 }
 void Refusal::printTo(std::ostream& out) const {
--- a/wigeonrill/gen-cpp/messages_types.h
+++ b/wigeonrill/gen-cpp/messages_types.h
@@ -29,6 +29,8 @@
 
 class Evidence;
 
+class Observation;
+
 class Message;
 
 class Shard;
@@ -339,8 +341,65 @@
 
 std::ostream& operator<<(std::ostream& out, const Evidence& obj);
 
+typedef struct _Observation__isset {
+  _Observation__isset() : service_name(false), target_name(false), kind(false) {}
+  bool service_name :1;
+  bool target_name :1;
+  bool kind :1;
+} _Observation__isset;
+
+class Observation : public virtual ::apache::thrift::TBase {
+ public:
+
+  Observation(const Observation&);
+  Observation& operator=(const Observation&);
+  Observation() noexcept
+              : service_name(),
+                target_name(),
+                kind(0) {
+  }
+
+  virtual ~Observation() noexcept;
+  std::string service_name;
+  std::string target_name;
+  int8_t kind;
+
+  _Observation__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_target_name(const std::string& val);
+
+  void __set_kind(const int8_t val);
+
+  bool operator == (const Observation & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(target_name == rhs.target_name))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    return true;
+  }
+  bool operator != (const Observation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Observation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Observation &a, Observation &b);
+
+std::ostream& operator<<(std::ostream& out, const Observation& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : protocol(false), kind(false), started_ms(false), nonce(false), epoch(false), config_version(false), sequence(false), echo(false), leaving(false), domain(false), config_digest(false), confirmed_ms(false), members(false), verdicts(false), crash_marks(false), evidence(false) {}
+  _Message__isset() : protocol(false), kind(false), started_ms(false), nonce(false), epoch(false), config_version(false), sequence(false), echo(false), leaving(false), domain(false), config_digest(false), confirmed_ms(false), members(false), verdicts(false), crash_marks(false), evidence(false), reading_age_ms(false), observations(false) {}
   bool protocol :1;
   bool kind :1;
   bool started_ms :1;
@@ -357,6 +416,8 @@
   bool verdicts :1;
   bool crash_marks :1;
   bool evidence :1;
+  bool reading_age_ms :1;
+  bool observations :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -376,7 +437,8 @@
             leaving(0),
             domain(),
             config_digest(0),
-            confirmed_ms(0) {
+            confirmed_ms(0),
+            reading_age_ms(0) {
   }
 
   virtual ~Message() noexcept;
@@ -396,6 +458,8 @@
   std::vector<Verdict>  verdicts;
   std::vector<CrashMark>  crash_marks;
   std::vector<Evidence>  evidence;
+  int32_t reading_age_ms;
+  std::vector<Observation>  observations;
 
   _Message__isset __isset;
 
@@ -431,6 +495,10 @@
 
   void __set_evidence(const std::vector<Evidence> & val);
 
+  void __set_reading_age_ms(const int32_t val);
+
+  void __set_observations(const std::vector<Observation> & val);
+
   bool operator == (const Message & rhs) const
   {
     if (!(protocol == rhs.protocol))
@@ -481,6 +549,14 @@
       return false;
     else if (__isset.evidence && !(evidence == rhs.evidence))
       return false;
+    if (__isset.reading_age_ms != rhs.__isset.reading_age_ms)
+      return false;
+    else if (__isset.reading_age_ms && !(reading_age_ms == rhs.reading_age_ms))
+      return false;
+    if (__isset.observations != rhs.__isset.observations)
+      return false;
+    else if (__isset.observations && !(observations == rhs.observations))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/wigeonrill/health.h
+++ b/wigeonrill/health.h
@@ -23,6 +23,7 @@
 #include "src/health/latency_baseline.h"
 #include "src/health/recovery.h"
 #include "src/health/shared_condition.h"
+#include "src/health/spell_estimate.h"
 // Needs all of the above.
 #include "src/health/monitor.h"
 
--- a/wigeonrill/routing.h
+++ b/wigeonrill/routing.h
@@ -11,6 +11,7 @@
 #include "health.h"
 
 #include "src/routing/concurrency_limiter.h"
+#include "src/routing/latency_mean.h"
 #include "src/routing/load_hint.h"
 #include "src/routing/placement_policy.h"
 #include "src/routing/route_path.h"
--- a/wigeonrill/src/admission/request_budget.cpp
+++ b/wigeonrill/src/admission/request_budget.cpp
@@ -17,9 +17,13 @@
     balance_ = std::min(cap_, balance_ + fraction_);
 }
 
-bool request_budget::take(instant now) {
+bool request_budget::available(instant now) {
     refill(now);
-    if (balance_ < 1.0) {
+    return balance_ >= 1.0;
+}
+
+bool request_budget::take(instant now) {
+    if (!available(now)) {
         return false;
     }
     balance_ -= 1.0;
--- a/wigeonrill/src/admission/request_budget.h
+++ b/wigeonrill/src/admission/request_budget.h
@@ -24,6 +24,8 @@
     /// \brief Takes one extra request.
     /// \returns false when the budget is used up
     [[nodiscard]] bool take(instant now);
+    /// \returns true when take() would succeed
+    [[nodiscard]] bool available(instant now);
     [[nodiscard]] double balance() const { return balance_; }
 
 private:
--- a/wigeonrill/src/config/checked_object.cpp
+++ b/wigeonrill/src/config/checked_object.cpp
@@ -129,6 +129,24 @@
     return value->get<std::uint64_t>();
 }
 
+double checked_object::fraction(std::string_view key, double most, double fallback) {
+    const auto* value = find(key, false);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_number()) {
+        wrong_type(key, "a number");
+        return fallback;
+    }
+    const auto number = value->get<double>();
+    if (number < 0.0 || number > most) {
+        fail(key, value->dump() + " is not in the allowed range",
+             range_remedy("0", nlohmann::json(most).dump()));
+        return fallback;
+    }
+    return number;
+}
+
 milliseconds checked_object::duration(std::string_view key, milliseconds least, milliseconds most,
                                       std::optional<milliseconds> fallback) {
     const auto* value = find(key, !fallback);
--- a/wigeonrill/src/config/checked_object.h
+++ b/wigeonrill/src/config/checked_object.h
@@ -28,6 +28,8 @@
     [[nodiscard]] std::uint64_t number(std::string_view key, std::uint64_t least,
                                        std::uint64_t most,
                                        std::optional<std::uint64_t> fallback = std::nullopt);
+    /// \returns a number in [0, most] that may have a fraction
+    [[nodiscard]] double fraction(std::string_view key, double most, double fallback);
     /// \returns a duration in [least, most], written with its unit
     [[nodiscard]] milliseconds duration(std::string_view key, milliseconds least, milliseconds most,
                                         std::optional<milliseconds> fallback = std::nullopt);
--- /dev/null
+++ b/wigeonrill/src/config/document_writer.cpp
@@ -0,0 +1,115 @@
+#include "wigeonrill/config.h"
+
+#include <nlohmann/json.hpp>
+
+namespace wigeonrill::config {
+
+namespace {
+
+using nlohmann::json;
+
+std::string duration_text(milliseconds duration) {
+    return std::to_string(duration.count()) + "ms";
+}
+
+json to_json(const target& it) {
+    return {{"address", to_string(it.address)},
+            {"domain", it.domain.value},
+            {"slots", it.slots},
+            {"cold_start", duration_text(it.cold_start)}};
+}
+
+json to_json(const service& it) {
+    json targets = json::object();
+    for (const auto& one : it.targets) {
+        targets[one.id.value] = to_json(one);
+    }
+    return {{"floor_slots", it.floor_slots},
+            {"weight", enum_name(health_weight_names, it.weight)},
+            {"queue_limit", it.queue_limit},
+            {"targets", std::move(targets)}};
+}
+
+void write_destination(const route& it, json& into) {
+    if (it.split.empty()) {
+        into["service"] = it.service.value;
+    }
+    for (const auto& part : it.split) {
+        into["split"][part.service.value] = {{"weight", part.weight}};
+    }
+}
+
+json to_json(const route& it) {
+    json made = {{"path_prefix", it.path_prefix},
+                 {"repeat", enum_name(repeat_policy_names, it.repeat)},
+                 {"hedge", it.hedge},
+                 {"max_body", it.max_body_bytes},
+                 {"limits",
+                  {{"total", duration_text(it.limits.total)},
+                   {"first_byte", duration_text(it.limits.first_byte)},
+                   {"body_idle", duration_text(it.limits.body_idle)}}},
+                 {"attempts", it.attempts},
+                 {"priority", it.priority},
+                 {"target_latency", duration_text(it.target_latency)}};
+    write_destination(it, made);
+    if (!it.host.empty()) {
+        made["host"] = it.host;
+    }
+    if (!it.methods.empty()) {
+        made["methods"] = it.methods;
+    }
+    if (it.repeat == repeat_policy::at_most_once) {
+        made["key"] = enum_name(key_policy_names, it.key);
+    }
+    return made;
+}
+
+json to_json(const key_owner_set& it) {
+    json owners = json::array();
+    for (const auto& owner : it.owners) {
+        owners.push_back(to_string(owner));
+    }
+    json made = {{"effective_from", format_time(it.effective_from)}, {"owners", std::move(owners)}};
+    if (it.announced != wall_time{}) {
+        made["announced"] = format_time(it.announced);
+    }
+    return made;
+}
+
+json to_json(const vm_record& it) {
+    return {{"address", to_string(it.address)},
+            {"domain", it.domain.value},
+            {"role", enum_name(vm_role_names, it.role)},
+            {"state", enum_name(vm_state_names, it.state)}};
+}
+
+} // namespace
+
+std::string write_document(const snapshot& configuration) {
+    json root = {{"format", format_version},
+                 {"version", configuration.version},
+                 {"published", format_time(configuration.published)},
+                 {"rules",
+                  {{"resend_window", duration_text(configuration.resend_window)},
+                   {"owner_lease", duration_text(configuration.owner_lease)}}},
+                 {"services", json::object()},
+                 {"routes", json::object()}};
+    for (const auto& it : configuration.services) {
+        root["services"][it.name.value] = to_json(it);
+    }
+    for (const auto& it : configuration.routes) {
+        root["routes"][it.name.value] = to_json(it);
+    }
+    for (const auto& it : configuration.workspaces) {
+        root["workspaces"][it.name.value] = {{"requests_per_second", it.requests_per_second}};
+    }
+    for (const auto& it : configuration.key_owners) {
+        root["key_owners"].push_back(to_json(it));
+    }
+    for (const auto& it : configuration.vms) {
+        root["vms"].push_back(to_json(it));
+    }
+    return root.dump();
+}
+
+} // namespace wigeonrill::config
--- a/wigeonrill/src/config/route.h
+++ b/wigeonrill/src/config/route.h
@@ -34,10 +34,18 @@
     friend bool operator==(const time_limits&, const time_limits&) = default;
 };
 
+/// \brief Share of a route's requests that goes to one service.
+struct weighted_service {
+    service_name service;
+    std::uint32_t weight{1}; ///< in proportion to the sum over the route
+
+    friend bool operator==(const weighted_service&, const weighted_service&) = default;
+};
+
 /// \brief Maps requests to a service and states how they may be treated.
 struct route {
     route_name name;
-    service_name service;
+    service_name service;             ///< the first one of a split
     std::string host;                 ///< empty: any host
     std::vector<std::string> methods; ///< empty: any method
     std::string path_prefix{"/"};     ///< matches whole path segments
@@ -46,6 +54,10 @@
     bool hedge{false}; ///< a second copy may be sent when the first is slow
     std::uint64_t max_body_bytes{10'485'760};
     time_limits limits;
+    std::uint32_t attempts{0};      ///< most targets that one request may reach; 0: no own limit
+    std::uint32_t priority{0};      ///< rank of the requests, 0 is the most urgent
+    milliseconds target_latency{0}; ///< an answer within it has its full worth; 0: not stated
+    std::vector<weighted_service> split; ///< services that share the requests; empty: one service
 
     friend bool operator==(const route&, const route&) = default;
 };
--- a/wigeonrill/src/config/section_parsers.cpp
+++ b/wigeonrill/src/config/section_parsers.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint64_t most_queued = 1'000'000;
 constexpr std::uint64_t most_requests_per_second = 10'000'000;
 constexpr std::uint64_t largest_body = 1ULL << 40U;
+constexpr std::uint64_t most_weight = 1'000'000'000;
+constexpr std::uint64_t most_attempts = 100;
+constexpr std::uint64_t most_priority = 1'000;
 constexpr milliseconds longest_limit = 24h;
 
 target parse_target(const std::string& name, checked_object& object) {
@@ -45,6 +48,26 @@
     }
 }
 
+// Reads either "service" or "split".
+void parse_destination(checked_object& object, route& into) {
+    if (!object.has("split")) {
+        into.service = service_name(object.name("service"));
+        return;
+    }
+    auto parts = object.object("split", true);
+    parts.each_member([&into](const std::string& name, checked_object& part) {
+        const auto weight = part.number("weight", 0, most_weight);
+        into.split.push_back({service_name(name), static_cast<std::uint32_t>(weight)});
+    });
+    const bool has_share = std::any_of(into.split.begin(), into.split.end(),
+                                       [](const weighted_service& it) { return it.weight > 0; });
+    if (!has_share) {
+        object.fail("split", "no service has a share", "give one service a weight above 0");
+        return;
+    }
+    into.service = into.split.front().service;
+}
+
 bool is_method(const std::string& text) {
     return !text.empty() &&
            text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZ-") == std::string::npos;
@@ -89,7 +112,7 @@
 route parse_route(const std::string& name, checked_object& object) {
     route it;
     it.name = route_name(name);
-    it.service = service_name(object.name("service"));
+    parse_destination(object, it);
     it.host = object.text("host", "");
     it.methods = object.texts("methods", false);
     it.path_prefix = object.text("path_prefix", it.path_prefix);
@@ -99,6 +122,9 @@
     it.hedge = object.flag("hedge", it.hedge);
     it.max_body_bytes = object.size("max_body", largest_body, it.max_body_bytes);
     it.limits = parse_limits(object.object("limits"));
+    it.attempts = static_cast<std::uint32_t>(object.number("attempts", 0, most_attempts, 0));
+    it.priority = static_cast<std::uint32_t>(object.number("priority", 0, most_priority, 0));
+    it.target_latency = object.duration("target_latency", 0ms, longest_limit, 0ms);
     check_matching(object, it);
     check_policies(object, it);
     return it;
--- a/wigeonrill/src/config/store.cpp
+++ b/wigeonrill/src/config/store.cpp
@@ -55,6 +55,7 @@
     std::vector<rejection> rejections;
     std::optional<error> last_rejection;
     std::optional<change_set> newer_format;
+    bool mismatched{false}; ///< the last offer applies to another content of its base version
 
     [[nodiscard]] std::uint64_t version() const { return current ? current->version : 0; }
     [[nodiscard]] const rejection* find_rejection(const change_set& changes) const;
@@ -225,6 +226,7 @@
     }
     const auto removed = removed_shards(changes);
     if (auto found = check_digest(changes, removed)) {
+        mismatched = changes.base_version != 0;
         return found;
     }
     auto changed = changed_shards(changes);
@@ -261,8 +263,10 @@
         changes.format == format_version) {
         return apply_outcome::base_mismatch;
     }
+    state_->mismatched = false;
     if (auto reason = state_->offer(changes)) {
-        return state_->reject(changes, std::move(*reason));
+        const auto outcome = state_->reject(changes, std::move(*reason));
+        return state_->mismatched ? apply_outcome::base_mismatch : outcome;
     }
     state_->confirmed = now;
     if (state_->newer_format && state_->newer_format->version <= version()) {
--- a/wigeonrill/src/config/units.cpp
+++ b/wigeonrill/src/config/units.cpp
@@ -92,6 +92,23 @@
     return milliseconds{value};
 }
 
+// Parses "2.5s". A fourth decimal would be lost, so it is refused.
+std::optional<milliseconds> parse_decimal_seconds(std::string_view text) {
+    constexpr std::size_t most_decimals = 3;
+    const auto point = text.find('.');
+    if (point == std::string_view::npos || text.back() != 's' ||
+        text.size() - point - 2 > most_decimals) {
+        return std::nullopt;
+    }
+    auto rest = text.substr(point);
+    const auto fraction = take_fraction(rest);
+    const auto whole = parse_quantity(std::string(text.substr(0, point)) + "s", duration_units);
+    if (!fraction || !whole || rest != "s") {
+        return std::nullopt;
+    }
+    return milliseconds{static_cast<std::int64_t>(*whole)} + *fraction;
+}
+
 std::optional<std::chrono::sys_days> parse_date(std::string_view text) {
     const auto year = parse_digits(text, 0, 4);
     const auto month = parse_digits(text, 5, 2);
@@ -132,8 +149,12 @@
     if (const auto count = parse_quantity(text, duration_units)) {
         return milliseconds{static_cast<std::int64_t>(*count)};
     }
+    if (const auto duration = parse_decimal_seconds(text)) {
+        return *duration;
+    }
     return failed(error_kind::invalid_input, "\"" + std::string(text) + "\" is not a duration",
-                  "write a whole number with ms, s, m or h, such as \"250ms\" or \"6h\"");
+                  "write a whole number with ms, s, m or h, such as \"250ms\" or \"6h\", or "
+                  "seconds with up to three decimals, such as \"2.5s\"");
 }
 
 result<std::uint64_t> parse_size(std::string_view text) {
--- a/wigeonrill/src/config/units.h
+++ b/wigeonrill/src/config/units.h
@@ -7,8 +7,9 @@
 
 namespace wigeonrill::config {
 
-/// \brief Parses a duration with a unit: "250ms", "5s", "10m" or "6h".
-/// \returns the duration, or an invalid_input error; signs, fractions and bare numbers are refused
+/// \brief Parses a duration with a unit: "250ms", "5s", "2.5s", "10m" or "6h".
+/// \returns the duration, or an invalid_input error; signs and bare numbers are refused, fractions
+///          of other units than seconds too
 [[nodiscard]] result<milliseconds> parse_duration(std::string_view text);
 
 /// \brief Parses a size with a unit: "512B", "64KiB", "10MiB", "1GiB", or decimal "64kB", "10MB",
--- a/wigeonrill/src/config/validator.cpp
+++ b/wigeonrill/src/config/validator.cpp
@@ -152,11 +152,22 @@
     for (const auto& it : all.services) {
         services.insert(it.name.value);
     }
+    const auto missing = [&services](const route& it, const service_name& name) -> fault {
+        if (services.contains(name.value)) {
+            return std::nullopt;
+        }
+        return refuse("routes." + it.name.value + ".service",
+                      "there is no service \"" + name.value + "\"",
+                      "define the service or correct its name");
+    };
     for (const auto& it : all.routes) {
-        if (!services.contains(it.service.value)) {
-            return refuse("routes." + it.name.value + ".service",
-                          "there is no service \"" + it.service.value + "\"",
-                          "define the service or correct its name");
+        if (auto found = missing(it, it.service)) {
+            return found;
+        }
+        for (const auto& part : it.split) {
+            if (auto found = missing(it, part.service)) {
+                return found;
+            }
         }
     }
     return std::nullopt;
--- a/wigeonrill/src/daemon/application.cpp
+++ b/wigeonrill/src/daemon/application.cpp
@@ -39,7 +39,7 @@
 
 } // namespace
 
-int run(int argc, const char* const* argv) {
+int run(int argc, const char* const* argv, const platform_binding& binding) {
     CLI::App app("Reverse proxy of the wigeonrill fleet.", "wigeonrilld");
     std::string path;
     bool check_only = false;
@@ -64,7 +64,7 @@
         return to_int(exit_code::success);
     }
     stop_signal signals;
-    auto node = running_node::start(*loaded, signals);
+    auto node = running_node::start(*loaded, binding, signals);
     if (!node) {
         std::cerr << "wigeonrilld: " << to_string(node.error()) << '\n';
         return to_int(exit_code::start);
--- a/wigeonrill/src/daemon/application.h
+++ b/wigeonrill/src/daemon/application.h
@@ -18,8 +18,9 @@
 /// \brief Runs the daemon until it is told to stop.
 /// \param argc number of arguments, with the program's name
 /// \param argv arguments
+/// \param binding the platform whose store the settings may name
 /// \returns the process's exit code, see exit_code
-[[nodiscard]] int run(int argc, const char* const* argv);
+[[nodiscard]] int run(int argc, const char* const* argv, const platform_binding& binding);
 
 } // namespace wigeonrill::daemon
 
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -32,6 +32,12 @@
     config::apply_outcome offer(const config::change_set& changes, std::string_view source);
     /// \brief Sets what to call on this thread after each configuration that is taken over.
     void on_adopted(std::function<void()> listener) { adopted_ = std::move(listener); }
+    /// \brief Takes what this node read from the platform's store, and tells its group.
+    void take_reading(const platform::reading& made);
+    /// \brief Sets what to call on this thread when a peer's reading is in force here.
+    void on_known(std::function<void(instant)> listener) { known_ = std::move(listener); }
+    /// \brief Sets what to call on this thread with this node's rank in its reading group.
+    void on_group(std::function<void(std::size_t)> listener) { ranked_ = std::move(listener); }
     /// \brief Records that the platform or file still has the version in force as its newest.
     void confirm(std::uint64_t version);
     /// \brief One tick; to be called every tick_period.
@@ -51,9 +57,16 @@
     void take(const health::answer& answer);
     void take(const dispatch::decision_record& decision);
     void take(const once::crash_mark& mark);
+    void take(const health::observation& seen) { observed_.push_back(seen); }
+    void tell_observed();
+    void take_peer_reading(const peers::peer_reading& heard);
+    void use_peer_reading();
+    /// \returns true when the version in force has the content that was read
+    [[nodiscard]] bool publish_reading(const platform::reading& made);
     void tell_leaving(const health::answer& answer);
     void take_peer_items();
     void take_members();
+    void set_group(platform::reading_group next);
     void carry_out(const health::monitor_actions& actions);
     void adopt_configuration();
     void publish();
@@ -64,6 +77,11 @@
     health::monitor monitor_;
     std::shared_ptr<const routing::route_table> routes_;
     std::function<void()> adopted_;
+    std::function<void(instant)> known_;
+    std::function<void(std::size_t)> ranked_;
+    platform::reading_group group_;
+    std::optional<peers::peer_reading> heard_;  ///< newest reading of a peer
+    std::vector<health::observation> observed_; ///< since the last tick
     std::map<target_id, instant> leaving_told_; ///< end of the notice that peers got
     std::set<target_id> probed_;                ///< ejected targets whose next answer is a probe's
     bool plans_changed_{true};
--- a/wigeonrill/src/daemon/control_thread.cpp
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -91,6 +91,17 @@
     }
 }
 
+void control_thread::take_fetched(const peers::fetch_request& request,
+                                  const config::change_set& changes) {
+    const auto outcome = loop_.offer(changes, request.from.value);
+    if (outcome == config::apply_outcome::base_mismatch && request.since != 0) {
+        // The peer numbers its parts in another way, because both have read the platform.
+        fetches_.push_back(std::async(std::launch::async, [this, from = request.from] {
+            fetch({from, 0});
+        }));
+    }
+}
+
 void control_thread::fetch(const peers::fetch_request& request) {
     const auto address = parse_endpoint(request.from.value);
     auto changes = address ? peers::fetch_changes(*address, request.since)
@@ -99,7 +110,7 @@
         gossip_->fetch_finished(request.from, answer.has_value());
         gossip_->count_transfer(0, answer ? content_bytes(*answer) : 0);
         if (answer && answer->version > request.since) {
-            loop_.offer(*answer, request.from.value);
+            take_fetched(request, *answer);
         }
     });
 }
--- a/wigeonrill/src/daemon/control_thread.h
+++ b/wigeonrill/src/daemon/control_thread.h
@@ -52,6 +52,7 @@
     void run_tasks();
     void fetch_if_due();
     void fetch(const peers::fetch_request& request);
+    void take_fetched(const peers::fetch_request& request, const config::change_set& changes);
     void wait_for_datagrams(instant until);
 
     control_loop& loop_;
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -42,6 +42,14 @@
     options.head_time = wanted.head_time;
     options.body_idle = wanted.body_idle;
     options.idle = wanted.idle;
+    options.connect_time = wanted.connect_time;
+    return options;
+}
+
+dispatch::core_options core_options_of(const settings& wanted) {
+    dispatch::core_options options;
+    options.shed_may_wait = wanted.shed_may_wait;
+    options.retries = {wanted.retry_share, wanted.retries_per_second, wanted.retry_reserve};
     return options;
 }
 
@@ -67,14 +75,16 @@
 } // namespace
 
 struct running_node::parts {
-    parts(const settings& given, stop_signal& stop)
-        : wanted(given), signals(stop), log(observe::make_stderr_sink(given.log_level)),
-          dispatch_random(random_bits()), peer_random(random_bits()),
-          platform_random(random_bits()), process(new_incarnation(clock, peer_random)),
-          events(*log), dispatcher({given.traffic, incarnation_number(process), {}}, clock,
-                                   dispatch_random, events) {}
+    parts(const settings& given, platform_binding bound, stop_signal& stop)
+        : wanted(given), binding(std::move(bound)), signals(stop),
+          log(observe::make_stderr_sink(given.log_level)), dispatch_random(random_bits()),
+          peer_random(random_bits()), platform_random(random_bits()),
+          process(new_incarnation(clock, peer_random)), events(*log),
+          dispatcher({given.traffic, incarnation_number(process), core_options_of(given)}, clock,
+                     dispatch_random, events) {}
 
     settings wanted;
+    platform_binding binding;
     stop_signal& signals;
     system_clock_source clock;
     std::unique_ptr<observe::log_sink> log;
@@ -93,6 +103,7 @@
     std::unique_ptr<node_pages> pages;
     std::unique_ptr<control_thread> control;
     std::unique_ptr<platform_link> platform;
+    std::unique_ptr<feed_link> feed;
     std::unique_ptr<peers::change_server> changes;
     std::unique_ptr<traffic::server> callers;
     std::unique_ptr<admin_server> admin;
@@ -125,6 +136,9 @@
     gossip_settings.domain = wanted.domain;
     gossip_settings.process = process;
     gossip_settings.seeds = wanted.seeds;
+    // The store lists targets only, and the platform gives each address to one process.
+    gossip_settings.admits_unlisted = wanted.store.has_value();
+    gossip_settings.owns_address = wanted.store.has_value();
     gossip = std::make_unique<peers::gossip_node>(gossip_settings, clock, peer_random);
     link = std::make_unique<peers::peer_link>(*gossip, *network, clock, wanted.secret);
     return {};
@@ -166,6 +180,10 @@
         // A version that came from a peer must not be read from the platform again.
         loop->on_adopted([this] { platform->set_held(); });
     }
+    if (wanted.store) {
+        feed = std::make_unique<feed_link>(wanted, binding.open_store(*wanted.store, clock),
+                                           *control, *loop, clock, platform_random, *log);
+    }
 }
 
 result<void> running_node::parts::start_changes() {
@@ -192,6 +210,9 @@
 
 result<void> running_node::parts::start_servers() {
     auto options = server_options_of(wanted);
+    if (wanted.store) {
+        options.names = binding.headers;
+    }
     options.is_peer = [this](const std::string& ip) { return is_peer(ip); };
     options.log = [this](const std::string& line) {
         log->write(log_level::info, log_part::traffic,
@@ -214,11 +235,12 @@
     // The reader hands tasks to the control thread, which must not run them once the link is gone.
     parts_->control->stop();
     parts_->platform.reset();
+    parts_->feed.reset();
 }
 
-result<std::unique_ptr<running_node>> running_node::start(const settings& wanted,
-                                                          stop_signal& signals) {
-    auto initial = std::make_unique<parts>(wanted, signals);
+result<std::unique_ptr<running_node>>
+running_node::start(const settings& wanted, const platform_binding& binding, stop_signal& signals) {
+    auto initial = std::make_unique<parts>(wanted, binding, signals);
     if (auto opened = initial->open_peers(); !opened) {
         return tl::unexpected<error>(opened.error());
     }
--- a/wigeonrill/src/daemon/running_node.h
+++ b/wigeonrill/src/daemon/running_node.h
@@ -12,8 +12,8 @@
 public:
     /// \brief Reads the configuration, binds the addresses and starts the threads.
     /// \param signals told about a drain request of an operator; must outlive the node
-    [[nodiscard]] static result<std::unique_ptr<running_node>> start(const settings& wanted,
-                                                                     stop_signal& signals);
+    [[nodiscard]] static result<std::unique_ptr<running_node>>
+    start(const settings& wanted, const platform_binding& binding, stop_signal& signals);
 
     running_node(const running_node&) = delete;
     running_node& operator=(const running_node&) = delete;
--- a/wigeonrill/src/daemon/settings.cpp
+++ b/wigeonrill/src/daemon/settings.cpp
@@ -20,14 +20,38 @@
     node.finish();
 }
 
+void read_inventory(config::checked_object inventory, platform::inventory_options& it) {
+    it.floor_share = inventory.fraction("floor_share", 1.0, it.floor_share);
+    it.weight = inventory.choice("weight", config::health_weight_names, std::optional(it.weight));
+    it.cold_start = inventory.duration("cold_start", milliseconds(0), longest, it.cold_start);
+    it.return_time = inventory.duration("return_time", milliseconds(0), longest, it.return_time);
+    inventory.finish();
+}
+
+void read_retries(config::checked_object retries, settings& it) {
+    constexpr double most_share = 10.0;
+    constexpr double most_count = 1e6;
+    it.retry_share = retries.fraction("share", most_share, it.retry_share);
+    it.retries_per_second = retries.fraction("per_second", most_count, it.retries_per_second);
+    it.retry_reserve = retries.fraction("reserve", most_count, it.retry_reserve);
+    it.shed_may_wait = retries.flag("shed_may_wait", it.shed_may_wait);
+    retries.finish();
+}
+
 void read_configuration(config::checked_object source, settings& it) {
     it.configuration_file = source.text("file", std::string{});
     if (source.has("platform")) {
         it.platform = source.addresses("platform");
     }
-    if (it.configuration_file.empty() == it.platform.empty()) {
+    if (source.has("store")) {
+        it.store = source.address("store");
+        read_inventory(source.object("inventory"), it.inventory);
+    }
+    const int sources = (it.configuration_file.empty() ? 0 : 1) + (it.platform.empty() ? 0 : 1) +
+                        (it.store ? 1 : 0);
+    if (sources != 1) {
         source.fail("", "exactly one source of the configuration is needed",
-                    "write either \"file\" or \"platform\"");
+                    "write one of \"file\", \"platform\" and \"store\"");
     }
     it.start_delay = source.duration("start_delay", milliseconds(0), longest, it.start_delay);
     source.finish();
@@ -53,12 +77,28 @@
     it.head_time = limits.duration("head_time", shortest, longest, it.head_time);
     it.body_idle = limits.duration("body_idle", shortest, longest, it.body_idle);
     it.idle = limits.duration("idle", shortest, longest, it.idle);
+    it.connect_time = limits.duration("connect_time", shortest, longest, it.connect_time);
     limits.finish();
 }
 
+// Accepting goes on until the balancer has taken the node out; the end comes before the platform
+// kills the process.
+void divide_grace(milliseconds grace, settings& it) {
+    constexpr milliseconds margin{250};
+    it.accept_for = grace / 2;
+    it.finish_within = grace - it.accept_for - margin;
+}
+
 void read_shutdown(config::checked_object shutdown, settings& it) {
     it.accept_for = shutdown.duration("accept_for", milliseconds(0), longest, it.accept_for);
     it.finish_within = shutdown.duration("finish_within", shortest, longest, it.finish_within);
+    if (shutdown.has("grace")) {
+        if (shutdown.has("accept_for") || shutdown.has("finish_within")) {
+            shutdown.fail("grace", "replaces \"accept_for\" and \"finish_within\"",
+                          "write either \"grace\" or the other two");
+        }
+        divide_grace(shutdown.duration("grace", milliseconds(1'000), longest), it);
+    }
     shutdown.finish();
 }
 
@@ -77,6 +117,7 @@
     read_peers(root.object("peers"), it);
     read_limits(root.object("limits"), it);
     read_shutdown(root.object("shutdown"), it);
+    read_retries(root.object("retries"), it);
     read_log(root.object("log"), it);
     root.finish();
     if (context.failure) {
--- a/wigeonrill/src/daemon/settings.h
+++ b/wigeonrill/src/daemon/settings.h
@@ -16,6 +16,8 @@
 
     std::string configuration_file; ///< empty: the platform's service is used
     std::vector<endpoint> platform; ///< servers of the platform's configuration service
+    std::optional<endpoint> store;  ///< the platform's store of targets and rules, in their place
+    platform::inventory_options inventory; ///< what the store's records leave open
     /// The first call to the platform comes at random within this time, so that a mass restart
     /// does not make all nodes call at once.
     milliseconds start_delay{30'000};
@@ -29,10 +31,16 @@
     milliseconds head_time{10'000};
     milliseconds body_idle{15'000};
     milliseconds idle{60'000};
+    milliseconds connect_time{1'000}; ///< for a connection to a target
 
     milliseconds accept_for{5'000};      ///< accepting goes on this long after a stop began
     milliseconds finish_within{600'000}; ///< requests may take this long to finish after that
 
+    double retry_share{0.1};        ///< extra sends per request of a service
+    double retries_per_second{0.5}; ///< extra sends beside them
+    double retry_reserve{10.0};     ///< most extra sends that can be saved up
+    bool shed_may_wait{true};       ///< shed requests wait when no extra send is left
+
     observe::log_level log_level{observe::log_level::info};
 };
 
--- a/wigeonrill/src/daemon/traffic_events.cpp
+++ b/wigeonrill/src/daemon/traffic_events.cpp
@@ -54,6 +54,17 @@
     queue_.push(mark);
 }
 
+void traffic_events::on_observation(const health::observation& seen) {
+    if (log_.enabled(observe::log_level::info)) {
+        log_.write(observe::log_level::info, observe::log_part::health,
+                   observe::log_line("Target observed.")
+                       .with("service", seen.service.value)
+                       .with("target", seen.target.value)
+                       .with("kind", enum_name(health::observation_kind_names, seen.kind)));
+    }
+    queue_.push(seen);
+}
+
 void traffic_events::on_decision(const dispatch::decision_record& decision) {
     if (log_.enabled(observe::log_level::info)) {
         log_.write(observe::log_level::info, observe::log_part::route, line_of(decision));
--- a/wigeonrill/src/daemon/traffic_events.h
+++ b/wigeonrill/src/daemon/traffic_events.h
@@ -8,7 +8,8 @@
 namespace wigeonrill::daemon {
 
 /// \brief What traffic threads tell the control thread.
-using traffic_event = std::variant<health::answer, dispatch::decision_record, once::crash_mark>;
+using traffic_event =
+    std::variant<health::answer, dispatch::decision_record, once::crash_mark, health::observation>;
 
 /// \brief Writes a log line for each decision and queues the events for the control thread.
 ///
@@ -21,6 +22,7 @@
     void on_answer(const health::answer& answer) override;
     void on_decision(const dispatch::decision_record& decision) override;
     void on_crash_mark(const once::crash_mark& mark) override;
+    void on_observation(const health::observation& seen) override;
 
     /// \brief Takes the events since the last call, oldest first.
     [[nodiscard]] std::vector<traffic_event> take_all() { return queue_.take_all(); }
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -11,10 +11,24 @@
 
 } // namespace
 
+service_name choose_service(const config::route& route, double draw) {
+    std::uint64_t total = 0;
+    for (const auto& it : route.split) {
+        total += it.weight;
+    }
+    auto rest = draw * static_cast<double>(total);
+    for (const auto& it : route.split) {
+        rest -= static_cast<double>(it.weight);
+        if (rest < 0.0) {
+            return it.service;
+        }
+    }
+    return route.service;
+}
+
 decision_core::decision_core(endpoint own, std::uint64_t incarnation, moment started,
-                             policy_factory make_policy, random_source& random)
-    : make_policy_(std::move(make_policy)), random_(random),
-      gate_(std::move(own), incarnation, started) {}
+                             core_options options, random_source& random)
+    : options_(std::move(options)), random_(random), gate_(std::move(own), incarnation, started) {}
 
 void decision_core::set_view(routing::view_ptr view,
                              std::shared_ptr<const routing::route_table> table, instant now) {
@@ -51,6 +65,7 @@
 }
 
 void decision_core::tick(instant now) {
+    observe_late(now);
     for (auto& [name, service] : services_) {
         drain(*service, now);
     }
@@ -69,7 +84,8 @@
     }
     auto& service = services_[name];
     if (!service) {
-        service = std::make_unique<service_state>(make_policy_());
+        service = std::make_unique<service_state>(options_.make_policy());
+        service->retries = options_.retries;
     }
     service->sync(generation_, *it);
     return service.get();
@@ -111,6 +127,7 @@
         return false;
     }
     record.route = match.route;
+    record.service_used = choose_service(*match.route, random_.uniform());
     record.deadline = std::min(record.deadline, record.info.arrived + record.route->limits.total);
     return true;
 }
@@ -130,7 +147,7 @@
 }
 
 bool decision_core::find_service(request_record& record, moment at) {
-    record.service = service_of(record.route->service);
+    record.service = service_of(record.service_used);
     if (record.service == nullptr || !record.service->any_eligible(at.now)) {
         refuse(record, refusal_kind::no_target, outcome_of(record), at.now, seconds(2));
         return false;
@@ -240,7 +257,7 @@
     decision.attempt = record.attempts;
     if (record.route != nullptr) {
         decision.route = record.route->name;
-        decision.service = record.route->service;
+        decision.service = record.service_used;
         step.route = *record.route;
     }
     step.deadline = record.deadline;
@@ -318,7 +335,7 @@
     std::vector<outstanding_request> found;
     for (const auto& [id, record] : records_) {
         if (record.place && record.sent && !record.head_passed) {
-            found.push_back({record.route->service, record.place->id, record.route->name,
+            found.push_back({record.service_used, record.place->id, record.route->name,
                              *record.sent, record.fingerprint, id});
         }
     }
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -8,7 +8,22 @@
 namespace wigeonrill::dispatch {
 
 /// \brief Something to tell the event sink.
-using event = std::variant<health::answer, decision_record, once::crash_mark>;
+using event = std::variant<health::answer, decision_record, once::crash_mark, health::observation>;
+
+/// \brief What a decision_core is made with.
+struct core_options {
+    /// \brief Makes the placement policy of a service.
+    using policy_factory = std::function<std::unique_ptr<routing::placement_policy>()>;
+
+    /// A shed request for which the retry budget has nothing left waits instead of being refused.
+    bool shed_may_wait{true};
+    policy_factory make_policy{[] { return std::make_unique<routing::two_random_choices>(); }};
+    admission::request_budget retries{admission::make_retry_budget()}; ///< of each service
+};
+
+/// \brief Draws the service of one request in proportion to the weights of its route.
+/// \param draw uniform in [0, 1)
+[[nodiscard]] service_name choose_service(const config::route& route, double draw);
 
 /// \brief Decisions on requests as a state machine: no thread, lock or clock. Not thread-safe.
 ///
@@ -16,14 +31,11 @@
 /// named by take_ready() when it gets one, and should be polled again at wake_at().
 class decision_core {
 public:
-    /// \brief Makes the placement policy of a service.
-    using policy_factory = std::function<std::unique_ptr<routing::placement_policy>()>;
-
     /// \param own traffic address of this process
     /// \param incarnation number that no other process of this address ever has
     /// \param started reading of the clocks at the start
-    decision_core(endpoint own, std::uint64_t incarnation, moment started,
-                  policy_factory make_policy, random_source& random);
+    decision_core(endpoint own, std::uint64_t incarnation, moment started, core_options options,
+                  random_source& random);
 
     /// \brief Takes over a view and places waiting requests on new targets.
     /// \param table routes of the view's snapshot
@@ -44,6 +56,8 @@
     [[nodiscard]] instant wake_at(std::uint64_t id, instant now) const;
     /// \returns true when the request may be written to its target now
     [[nodiscard]] bool may_send(std::uint64_t id, moment at);
+    /// \returns true when another target can get a request whose target is silent
+    [[nodiscard]] bool may_replace(std::uint64_t id, instant now);
     /// \brief Takes the result of an attempt.
     /// \returns true when poll() has or will have a next step, false to pass the answer on
     [[nodiscard]] bool ended(std::uint64_t id, const traffic::attempt_result& attempt, moment at);
@@ -62,6 +76,9 @@
         containment_.add(mark, now);
     }
 
+    /// \brief Takes what another node saw of a target.
+    void observe(const health::observation& seen, instant now);
+
     /// \returns events since the last call
     [[nodiscard]] std::vector<event> take_events() { return std::exchange(events_, {}); }
     /// \returns waiting requests that got a step since the last call
@@ -99,17 +116,27 @@
     void expire(service_state& service, instant now);
     void refuse_waiting(service_state& service, refusal_kind kind, instant now);
 
+    /// Adds what an attempt says about its target, and tells it when it is news.
+    void observe(request_record& record, const traffic::attempt_result& attempt, instant now);
+    void add_observation(const request_record& record, health::observation_kind kind, instant now);
+    /// Notes the requests whose answers are overdue.
+    void observe_late(instant now);
+    [[nodiscard]] bool try_another(request_record& record, const traffic::attempt_result& attempt,
+                                   moment at);
     void release(request_record& record, const traffic::attempt_result& attempt, instant now);
     void report(const request_record& record, const traffic::attempt_result& attempt);
     void after_failure(request_record& record, const traffic::attempt_result& attempt, moment at);
     void after_forward(request_record& record, const traffic::attempt_result& attempt, instant now);
     [[nodiscard]] bool may_retry(const request_record& record,
                                  const traffic::attempt_result& attempt, moment at) const;
+    /// \returns true when the route allows that one more target runs the request
+    /// \param runs number of targets that may have run it
+    [[nodiscard]] static bool may_run_again(const request_record& record, std::uint32_t runs);
     void mark_crash(const request_record& record, const target_id& target, wall_time wall);
     [[nodiscard]] std::optional<seconds> retry_after(const request_record& record);
     [[nodiscard]] traffic::outcome outcome_of(const request_record& record) const;
 
-    policy_factory make_policy_;
+    core_options options_;
     random_source& random_;
     routing::view_ptr view_;
     std::uint64_t generation_{0}; ///< counts the views
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds first_pause{20};
 // Time for which a target that says it is leaving gets nothing, until a view leaves it out.
 constexpr seconds draining_time{30};
+// The same for a target whose address another one has: a view without it is on its way.
+constexpr seconds misdirected_time{4};
 
 bool is_answer(health::answer_kind kind) {
     return kind == health::answer_kind::ok || kind == health::answer_kind::server_error;
@@ -71,6 +73,7 @@
         gate_.on_send(*record.key);
     }
     record.sent = at.now;
+    record.late = false;
     return true;
 }
 
@@ -90,9 +93,13 @@
         return true;
     }
     report(record, attempt);
+    observe(record, attempt, at.now);
     if (is_answer(attempt.kind)) {
         record.place->limiter.on_answer();
         containment_.on_success(record.fingerprint, at.wall);
+        if (attempt.kind == health::answer_kind::server_error && try_another(record, attempt, at)) {
+            return true;
+        }
         record.head_passed = true;
         return false;
     }
@@ -110,8 +117,11 @@
     if (attempt.draining) {
         place.draining_until = attempt.ended + draining_time;
     }
+    if (attempt.misdirected) {
+        place.draining_until = attempt.ended + misdirected_time;
+    }
     health::answer answer;
-    answer.service = record.route->service;
+    answer.service = record.service_used;
     answer.target = place.id;
     answer.route = record.route->name;
     answer.sent = record.sent.value_or(attempt.sent);
@@ -124,6 +134,49 @@
     events_.emplace_back(std::move(answer));
 }
 
+void decision_core::observe(request_record& record, const traffic::attempt_result& attempt,
+                            instant now) {
+    using health::observation_kind;
+    if (attempt.kind == health::answer_kind::ok) {
+        const auto latency = attempt.ended - record.sent.value_or(attempt.sent);
+        if (!record.late && latency <= record.service->late_after(*record.route)) {
+            add_observation(record, observation_kind::good, now);
+        }
+        record.service->learn_latency(record.route->name, latency);
+    } else if (attempt.kind != health::answer_kind::cancelled) {
+        add_observation(record, observation_kind::failed, now);
+    }
+}
+
+void decision_core::add_observation(const request_record& record, health::observation_kind kind,
+                                    instant now) {
+    // Successes of targets that nobody suspects are the usual case and not worth a message.
+    constexpr double suspected = 0.2;
+    const auto& target = record.place->id;
+    const bool news = kind != health::observation_kind::good ||
+                      record.service->spell_probability(target, now) > suspected;
+    record.service->observe(target, kind, now);
+    if (news) {
+        events_.emplace_back(health::observation{record.service_used, target, kind});
+    }
+}
+
+void decision_core::observe(const health::observation& seen, instant now) {
+    if (const auto it = services_.find(seen.service); it != services_.end()) {
+        it->second->observe(seen.target, seen.kind, now);
+    }
+}
+
+void decision_core::observe_late(instant now) {
+    for (auto& [id, record] : records_) {
+        const bool waits = record.place && record.sent && !record.head_passed && !record.late;
+        if (waits && now - *record.sent > record.service->late_after(*record.route)) {
+            record.late = true;
+            add_observation(record, health::observation_kind::late, now);
+        }
+    }
+}
+
 void decision_core::mark_crash(const request_record& record, const target_id& target,
                                wall_time wall) {
     const once::crash_mark mark{record.fingerprint, target, wall};
@@ -158,7 +211,7 @@
         "retry after " + std::string(enum_name(health::answer_kind_names, attempt.kind));
     if (retry && record.service->retries.take(at.now)) {
         seek_place(record, at);
-    } else if (retry && is_shed(attempt.kind)) {
+    } else if (retry && is_shed(attempt.kind) && options_.shed_may_wait) {
         // It waits like a request that found no place, so a busy moment is no refusal.
         const auto pause =
             std::chrono::duration<double, std::milli>(first_pause) *
@@ -172,10 +225,41 @@
     drain(*record.service, at.now);
 }
 
+bool decision_core::may_run_again(const request_record& record, std::uint32_t runs) {
+    const auto most = record.route->attempts > 0 ? record.route->attempts : most_losses;
+    return !at_most_once(record) && runs < most;
+}
+
+bool decision_core::may_replace(std::uint64_t id, instant now) {
+    const auto& record = record_of(id);
+    if (record.forwarding || !record.place) {
+        return true;
+    }
+    return !stopping_ && record.info.body_replayable && may_run_again(record, record.losses + 1) &&
+           record.service->retries.available(now) &&
+           record.service->has_place_besides(record.place->id, now);
+}
+
+// A failure that a target answered is replaced by another target's answer, while there is one with
+// a free place: the answer at hand is better than a wait.
+bool decision_core::try_another(request_record& record, const traffic::attempt_result& attempt,
+                                moment at) {
+    if (!may_run_again(record, record.losses + 1) || !may_retry(record, attempt, at) ||
+        !record.service->has_place_besides(record.place->id, at.now) ||
+        !record.service->retries.take(at.now)) {
+        return false;
+    }
+    release(record, attempt, at.now);
+    ++record.losses;
+    record.sent.reset();
+    record.reason = "retry after server_error";
+    seek_place(record, at);
+    return true;
+}
+
 bool decision_core::may_retry(const request_record& record, const traffic::attempt_result& attempt,
                               moment at) const {
-    const bool repeatable =
-        was_not_run(attempt) || (!at_most_once(record) && record.losses < most_losses);
+    const bool repeatable = was_not_run(attempt) || may_run_again(record, record.losses);
     const bool sendable = record.info.body_replayable || !attempt.request_bytes_sent;
     const bool wanted =
         attempt.kind != health::answer_kind::cancelled && !attempt.answer_bytes_passed;
--- a/wigeonrill/src/dispatch/event_sink.h
+++ b/wigeonrill/src/dispatch/event_sink.h
@@ -23,6 +23,8 @@
     virtual void on_decision(const decision_record& decision) = 0;
     /// \brief This node saw a target die with a request in flight; to be gossiped.
     virtual void on_crash_mark(const once::crash_mark& mark) = 0;
+    /// \brief An answer that says something new about a target; other nodes should hear it at once.
+    virtual void on_observation(const health::observation& seen) = 0;
 };
 
 } // namespace wigeonrill::dispatch
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -10,20 +10,12 @@
     return request.method == "POST" && request.path == key_path;
 }
 
-decision_core::policy_factory or_default(const decision_core::policy_factory& factory) {
-    if (factory) {
-        return factory;
-    }
-    return [] { return std::make_unique<routing::two_random_choices>(); };
-}
-
 } // namespace
 
 request_dispatcher::request_dispatcher(dispatcher_options options, const clock_source& clock,
                                        random_source& random, event_sink& sink)
     : options_(std::move(options)), clock_(clock), sink_(sink),
-      core_(options_.own_address, options_.incarnation, read(clock),
-            or_default(options_.make_policy), random) {}
+      core_(options_.own_address, options_.incarnation, read(clock), options_.core, random) {}
 
 void request_dispatcher::set_view(routing::view_ptr view) {
     WIGEONRILL_ASSERT(view != nullptr && view->configuration != nullptr,
@@ -76,6 +68,11 @@
     core_.add_crash_mark(mark, clock_.wall_now());
 }
 
+void request_dispatcher::observe(const health::observation& seen) {
+    const std::lock_guard guard(mutex_);
+    core_.observe(seen, clock_.now());
+}
+
 std::size_t request_dispatcher::keys() const {
     const std::lock_guard guard(mutex_);
     return core_.keys();
@@ -107,6 +104,11 @@
     return core_.may_send(request.id, read(clock_));
 }
 
+bool request_dispatcher::may_replace(const traffic::request_info& request) {
+    const std::lock_guard guard(mutex_);
+    return core_.may_replace(request.id, clock_.now());
+}
+
 std::optional<traffic::step> request_dispatcher::ended(const traffic::request_info& request,
                                                        const traffic::attempt_result& attempt) {
     std::unique_lock lock(mutex_);
@@ -176,6 +178,8 @@
             sink_.on_answer(*answer);
         } else if (const auto* decision = std::get_if<decision_record>(&it)) {
             sink_.on_decision(*decision);
+        } else if (const auto* seen = std::get_if<health::observation>(&it)) {
+            sink_.on_observation(*seen);
         } else {
             sink_.on_crash_mark(std::get<once::crash_mark>(it));
         }
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -9,9 +9,9 @@
 
 /// \brief Identity of this process towards callers and other nodes.
 struct dispatcher_options {
-    endpoint own_address;                      ///< traffic address of this node
-    std::uint64_t incarnation{0};              ///< differs between all processes of this address
-    decision_core::policy_factory make_policy; ///< empty: two random choices
+    endpoint own_address;         ///< traffic address of this node
+    std::uint64_t incarnation{0}; ///< differs between all processes of this address
+    core_options core;
 };
 
 /// \brief Thread-safe shell over decision_core: one mutex, and one condition per waiting request.
@@ -39,11 +39,14 @@
     /// \brief Records that platform or a peer confirmed the configuration in force. Without a
     ///        confirmation within owner_lease this node runs no keys made by callers.
     void set_confirmed(wall_time when);
+    /// \brief Takes what another node saw of a target.
+    void observe(const health::observation& seen);
     /// \brief Takes a crash mark that a peer reported.
     void add_crash_mark(const once::crash_mark& mark);
 
     [[nodiscard]] traffic::step first(const traffic::request_info& request) override;
     [[nodiscard]] bool may_send(const traffic::request_info& request) override;
+    [[nodiscard]] bool may_replace(const traffic::request_info& request) override;
     [[nodiscard]] std::optional<traffic::step>
     ended(const traffic::request_info& request, const traffic::attempt_result& attempt) override;
     void finished(const traffic::request_info& request, bool whole,
--- a/wigeonrill/src/dispatch/request_record.h
+++ b/wigeonrill/src/dispatch/request_record.h
@@ -12,6 +12,7 @@
     traffic::request_info info;
     routing::view_ptr view; ///< keeps the route alive
     const config::route* route{nullptr};
+    service_name service_used; ///< of the route, or the part of its split that was drawn
     service_state* service{nullptr};
     std::uint64_t fingerprint{0};
     instant deadline{};
@@ -19,7 +20,7 @@
     place_ptr place;                    ///< held place, null: none
     std::vector<target_id> tried;       ///< targets that shed or failed
     std::uint32_t attempts{0};          ///< sends to targets
-    std::uint32_t losses{0};            ///< attempts that may have run
+    std::uint32_t losses{0};            ///< attempts that may have run, without an answer to pass
     std::optional<once::dedup_key> key; ///< that it holds or waits for
     bool holds_key{false};              ///< it alone may run the key
     bool waits_for_key{false};          ///< another request holds the key
@@ -28,6 +29,7 @@
     std::optional<moment> chosen;       ///< when the present step was decided
     std::optional<instant> sent;        ///< when the present attempt was allowed to write
     bool head_passed{false};            ///< an answer is being passed on
+    bool late{false};                   ///< the answer to the present attempt is overdue
     std::string reason{"first"};        ///< of the present placement
 
     std::optional<instant> queued;      ///< since when it waits
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -9,6 +9,11 @@
 // A weight of 0 would make the target's relative load infinite.
 constexpr double least_weight = 0.001;
 
+// A target that is more likely ill than not gets work only when no other has a free place.
+constexpr double most_suspicion = 0.5;
+// Among suspected targets, a difference below this is within the error of the model.
+constexpr double equal_suspicion = 0.1;
+
 bool contains(std::span<const target_id> all, const target_id& one) {
     return std::ranges::find(all, one) != all.end();
 }
@@ -92,6 +97,58 @@
     }
 }
 
+void service_state::keep_least_suspected(instant now) {
+    double limit = 1.0;
+    for (const auto position : positions_) {
+        limit = std::min(limit, eligible_[position].place->spell.probability(now));
+    }
+    limit = std::max(limit + equal_suspicion, most_suspicion);
+    std::size_t kept = 0;
+    for (std::size_t i = 0; i < positions_.size(); ++i) {
+        if (eligible_[positions_[i]].place->spell.probability(now) <= limit) {
+            positions_[kept] = positions_[i];
+            candidates_[kept] = candidates_[i];
+            ++kept;
+        }
+    }
+    positions_.resize(kept);
+    candidates_.resize(kept);
+}
+
+void service_state::observe(const target_id& target, health::observation_kind kind, instant now) {
+    if (const auto it = known_.find(target); it != known_.end()) {
+        it->second->spell.add(kind, now);
+    }
+}
+
+double service_state::spell_probability(const target_id& target, instant now) const {
+    const auto it = known_.find(target);
+    return it == known_.end() ? 0.0 : it->second->spell.probability(now);
+}
+
+bool service_state::has_place_besides(const target_id& target, instant now) const {
+    return std::ranges::any_of(eligible_, [&](const share& it) {
+        return it.place->id != target && now >= it.place->draining_until &&
+               it.place->limiter.has_place(now) &&
+               it.place->spell.probability(now) <= most_suspicion;
+    });
+}
+
+void service_state::learn_latency(const route_name& route, nanoseconds latency) {
+    latencies_[route].add(latency);
+}
+
+nanoseconds service_state::late_after(const config::route& route) const {
+    constexpr double late_ratio = 2.5;
+    constexpr milliseconds least{100};
+    const auto it = latencies_.find(route.name);
+    if (it == latencies_.end() || !it->second.is_usable()) {
+        return route.target_latency.count() > 0 ? route.target_latency : route.limits.first_byte;
+    }
+    const auto late = std::chrono::duration<double, std::nano>(it->second.mean()) * late_ratio;
+    return std::max<nanoseconds>(std::chrono::duration_cast<nanoseconds>(late), least);
+}
+
 placement service_state::place(std::span<const target_id> avoid, instant now,
                                random_source& random) {
     const bool all_tried = std::ranges::all_of(eligible_, [&](const share& it) {
@@ -101,6 +158,7 @@
     if (candidates_.empty()) {
         return {};
     }
+    keep_least_suspected(now);
     const auto chosen = positions_[policy_->choose(candidates_, random)];
     const auto& place = eligible_[chosen].place;
     place->limiter.acquire();
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -37,6 +37,18 @@
     /// \returns null: no probe is wanted now
     [[nodiscard]] place_ptr take_probe(instant now);
 
+    /// \brief Adds what this or another node saw of a target; unknown targets are ignored.
+    void observe(const target_id& target, health::observation_kind kind, instant now);
+    /// \returns the probability that a target is in a spell of failures, 0 when it is unknown
+    [[nodiscard]] double spell_probability(const target_id& target, instant now) const;
+    /// \returns true when another target than this one is probably healthy and has a free place
+    [[nodiscard]] bool has_place_besides(const target_id& target, instant now) const;
+
+    /// \brief Records the latency of a prompt success.
+    void learn_latency(const route_name& route, nanoseconds latency);
+    /// \returns the age at which a request of a route counts as late
+    [[nodiscard]] nanoseconds late_after(const config::route& route) const;
+
     /// \returns true when a target may get work, now or later
     [[nodiscard]] bool any_eligible(instant now) const;
     /// \returns the next time at which a target's hold ends, or the given time if that is earlier
@@ -59,12 +71,15 @@
     [[nodiscard]] bool is_eligible(const place_ptr& place) const;
     [[nodiscard]] bool usable(const share& it, std::span<const target_id> avoid, instant now) const;
     void collect(std::span<const target_id> avoid, instant now);
+    /// Keeps the candidates that are least likely in a spell of failures.
+    void keep_least_suspected(instant now);
 
     std::unique_ptr<routing::placement_policy> policy_;
     std::uint64_t generation_{0};
     std::vector<share> eligible_;
     std::vector<wanted_probe> probes_; ///< few: one per ejected target at most
     std::unordered_map<target_id, place_ptr> known_;
+    std::unordered_map<route_name, routing::latency_mean> latencies_; ///< of prompt successes
     std::vector<routing::placement_candidate> candidates_; ///< reused, to allocate nothing
     std::vector<std::size_t> positions_;                   ///< of candidates_ in eligible_
 };
--- a/wigeonrill/src/dispatch/target_place.h
+++ b/wigeonrill/src/dispatch/target_place.h
@@ -14,6 +14,7 @@
     std::uint32_t slots{1};
     routing::concurrency_limiter limiter{1};
     routing::load_hint hint;
+    health::spell_estimate spell;
     instant draining_until{instant::min()}; ///< the target itself said that it is leaving
 };
 
--- a/wigeonrill/src/peers/codec.cpp
+++ b/wigeonrill/src/peers/codec.cpp
@@ -102,6 +102,14 @@
     return out;
 }
 
+wire::Observation to_wire(const health::observation& item) {
+    wire::Observation out;
+    out.service_name = item.service.value;
+    out.target_name = item.target.value;
+    out.kind = static_cast<std::int8_t>(item.kind);
+    return out;
+}
+
 void fill_header(wire::Message& out, const message& content) {
     out.protocol = protocol_number;
     out.kind = static_cast<std::int8_t>(content.kind);
@@ -146,6 +154,11 @@
                                      [&](const auto& it) { return to_wire(it, wall_now); });
     out.__isset.evidence =
         append(content.evidence, out.evidence, [](const auto& it) { return to_wire(it); });
+    out.__isset.observations =
+        append(content.observations, out.observations, [](const auto& it) { return to_wire(it); });
+    if (content.reading) {
+        out.__set_reading_age_ms(to_milliseconds(now - *content.reading));
+    }
     return out;
 }
 
@@ -207,6 +220,16 @@
     return out;
 }
 
+std::optional<health::observation> from_wire(const wire::Observation& item) {
+    const bool known_kind =
+        item.kind >= 0 && item.kind <= static_cast<int>(health::observation_kind::late);
+    if (!valid_name(item.target_name) || !valid_name(item.service_name) || !known_kind) {
+        return std::nullopt;
+    }
+    return health::observation{service_name(item.service_name), target_id(item.target_name),
+                               static_cast<health::observation_kind>(item.kind)};
+}
+
 // Items with values that this build doesn't know are left out; the rest of the message counts.
 template <typename WireItems, typename Items, typename Convert>
 void collect(const WireItems& items, Items& out, const Convert& convert) {
@@ -218,10 +241,10 @@
 }
 
 bool valid_header(const wire::Message& in, wall_time wall_now) {
-    return in.kind >= 0 && in.kind <= static_cast<int>(message_kind::verdict) &&
+    return in.kind >= 0 && in.kind <= static_cast<int>(message_kind::observation) &&
            in.started_ms > 0 && valid_process(in.started_ms, in.nonce, in.epoch, wall_now) &&
            in.config_version >= 0 && in.sequence > 0 && in.echo >= 0 &&
-           in.domain.size() <= max_name_bytes && in.confirmed_ms >= 0;
+           in.domain.size() <= max_name_bytes && in.confirmed_ms >= 0 && in.reading_age_ms >= 0;
 }
 
 message from_wire(const wire::Message& in, const node_id& from, instant now, wall_time wall_now) {
@@ -244,6 +267,10 @@
     collect(in.verdicts, out.verdicts, [&](const auto& it) { return from_wire(it, now); });
     collect(in.crash_marks, out.marks, [&](const auto& it) { return from_wire(it, wall_now); });
     collect(in.evidence, out.evidence, [&](const auto& it) { return from_wire(it, from); });
+    collect(in.observations, out.observations, [](const auto& it) { return from_wire(it); });
+    if (in.__isset.reading_age_ms) {
+        out.reading = now - milliseconds(in.reading_age_ms);
+    }
     return out;
 }
 
@@ -350,6 +377,10 @@
     return 21 + item.target.value.size();
 }
 
+std::size_t size_bound(const health::observation& item) {
+    return 10 + item.service.value.size() + item.target.value.size();
+}
+
 std::size_t size_bound(const health::evidence_report& item) {
     return 36 + item.service.value.size() + item.target.value.size();
 }
--- a/wigeonrill/src/peers/fetch_scheduler.cpp
+++ b/wigeonrill/src/peers/fetch_scheduler.cpp
@@ -8,8 +8,8 @@
 constexpr std::uint32_t peers_at_start = 2;
 // A node that can't reach 8 peers stops waiting for peers; the platform is the other source.
 constexpr std::size_t max_asked_at_start = 8;
-// Spreads the nodes that hear of a version in one gossip round over half a round.
-constexpr milliseconds news_delay{250};
+// Spreads the nodes that hear of a version at once from the node that read it.
+constexpr milliseconds news_delay{150};
 // Spreads the first requests of a mass restart.
 constexpr milliseconds start_delay{1'000};
 constexpr milliseconds first_backoff{500};
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -24,6 +24,8 @@
 constexpr double urgent_per_second = 4;
 constexpr double urgent_burst = 12;
 constexpr std::size_t urgent_room = 160;
+// Names of 64 bytes each still fit one datagram.
+constexpr std::size_t observations_per_message = 7;
 
 std::size_t gossip_room(double level, const domain_name& domain) {
     constexpr std::size_t most = max_datagram_bytes - header_size_bound;
@@ -142,6 +144,29 @@
     }
 }
 
+void gossip_node::announce_reading(const std::vector<node_id>& to, instant when) {
+    for (const auto& it : to) {
+        message content;
+        content.kind = message_kind::reading;
+        content.reading = when;
+        send(it, std::move(content), clock_.now());
+    }
+}
+
+void gossip_node::announce(const std::vector<health::observation>& seen,
+                           const std::vector<node_id>& to) {
+    for (std::size_t first = 0; first < seen.size(); first += observations_per_message) {
+        const auto last = std::min(first + observations_per_message, seen.size());
+        for (const auto& it : to) {
+            message content;
+            content.kind = message_kind::observation;
+            content.observations.assign(seen.begin() + static_cast<std::ptrdiff_t>(first),
+                                        seen.begin() + static_cast<std::ptrdiff_t>(last));
+            send(it, std::move(content), clock_.now());
+        }
+    }
+}
+
 void gossip_node::announce_leaving() {
     if (self_.state == member_state::leaving) {
         return;
@@ -233,6 +258,7 @@
     add(content.verdicts);
     add(content.marks);
     add(content.evidence);
+    add(content.observations);
     bucket_.charge(bytes);
     outgoing_.push_back({to, std::move(content), bytes});
 }
--- a/wigeonrill/src/peers/gossip_node.h
+++ b/wigeonrill/src/peers/gossip_node.h
@@ -14,6 +14,17 @@
     incarnation process;            ///< of this process
     std::vector<endpoint> seeds;    ///< peers to talk to before the platform's list is known
     double bytes_per_second{8'000}; ///< budget of all control traffic that this node sends
+    /// There is no list of nodes: whoever sends a valid message is a member.
+    bool admits_unlisted{false};
+    /// No other process can have this node's address, so a newer incarnation that peers know there
+    /// is its own past under another wall clock.
+    bool owns_address{false};
+};
+
+/// \brief A peer's own reading of the platform.
+struct peer_reading {
+    std::uint64_t version{0}; ///< newest version at that time, in force at the peer
+    instant when{};           ///< start of its call
 };
 
 /// \brief Received items, for the modules that act on them.
@@ -21,6 +32,8 @@
     std::vector<health::evidence_report> evidence; ///< reporter and its domain are set
     std::vector<health::verdict> verdicts;
     std::vector<once::crash_mark> marks;
+    std::vector<health::observation> observations;
+    std::optional<peer_reading> reading; ///< the newest one
 };
 
 /// \brief A live node, as a candidate for aggregator.
@@ -94,6 +107,11 @@
     void announce(const health::verdict& item, const std::vector<node_id>& reporters);
     /// \brief Spreads a crash mark.
     void announce(const once::crash_mark& item);
+    /// \brief Tells peers that this node has read the platform and has its newest version in force.
+    /// \param when start of the call
+    void announce_reading(const std::vector<node_id>& to, instant when);
+    /// \brief Tells peers what answers of this node said about targets.
+    void announce(const std::vector<health::observation>& seen, const std::vector<node_id>& to);
     /// \brief Tells the fleet that this node stops; several peers hear it at once.
     void announce_leaving();
     ///@}
--- a/wigeonrill/src/peers/gossip_rounds.cpp
+++ b/wigeonrill/src/peers/gossip_rounds.cpp
@@ -159,12 +159,16 @@
 
 bool gossip_node::accept_header(const node_id& from, const message& content, instant now) {
     auto* sender = members_.find(from);
+    const member_record record{from, content.domain, content.process, content.epoch,
+                               content.leaving ? member_state::leaving : member_state::alive};
+    if (sender == nullptr && settings_.admits_unlisted) {
+        note_merge(from, members_.merge(record, now), now);
+        sender = members_.find(from);
+    }
     if (sender == nullptr) {
         counters_.drop(drop_reason::unknown_sender);
         return false;
     }
-    const member_record record{from, content.domain, content.process, content.epoch,
-                               content.leaving ? member_state::leaving : member_state::alive};
     if (content.process < sender->record.process) {
         counters_.drop(drop_reason::stale_process);
         if (content.kind == message_kind::gossip_request) {
@@ -237,6 +241,11 @@
             urgent = urgent || it.state == health::target_state::leaving;
         }
     }
+    inbox_.observations.insert(inbox_.observations.end(), content.observations.begin(),
+                               content.observations.end());
+    if (content.reading && (!inbox_.reading || inbox_.reading->when < *content.reading)) {
+        inbox_.reading = peer_reading{content.config_version, *content.reading};
+    }
     for (const auto& it : content.marks) {
         if (digest_.learn(it, clock_.wall_now())) {
             inbox_.marks.push_back(it);
@@ -260,7 +269,13 @@
 
 void gossip_node::learn_self(const member_record& record) {
     if (record.process > self_.process) {
-        superseded_ = true;
+        if (!settings_.owns_address) {
+            superseded_ = true;
+            return;
+        }
+        self_.process = {record.process.started_ms + 1, self_.process.nonce};
+        digest_.refresh(self_.id);
+        urgent_news_ = true;
         return;
     }
     const bool about_us = record.process == self_.process && record.epoch >= self_.epoch;
--- a/wigeonrill/src/peers/message.h
+++ b/wigeonrill/src/peers/message.h
@@ -21,15 +21,19 @@
     gossip_request, ///< digest that wants an answer; also the request to join
     gossip_reply,   ///< digest in answer to a request
     evidence,       ///< evidence reports for an aggregator
-    verdict         ///< verdicts from their judge to the reporters
+    verdict,        ///< verdicts from their judge to the reporters
+    reading,        ///< the sender has read the platform's newest version
+    observation     ///< observations of targets
 };
 
 /// \brief Names of the message kinds.
-inline constexpr enum_name_table<message_kind, 4> message_kind_names{{
+inline constexpr enum_name_table<message_kind, 6> message_kind_names{{
     {message_kind::gossip_request, "gossip_request"},
     {message_kind::gossip_reply, "gossip_reply"},
     {message_kind::evidence, "evidence"},
     {message_kind::verdict, "verdict"},
+    {message_kind::reading, "reading"},
+    {message_kind::observation, "observation"},
 }};
 
 /// \brief Belief about one node, as it travels in gossip.
@@ -61,6 +65,8 @@
     std::vector<health::verdict> verdicts; ///< only in gossip and verdict
     std::vector<once::crash_mark> marks;   ///< only in gossip
     std::vector<health::evidence_report> evidence; ///< reporter fields are set by the receiver
+    std::optional<instant> reading;                ///< when the sender read the platform itself
+    std::vector<health::observation> observations;
 
     friend bool operator==(const message&, const message&) = default;
 };
--- a/wigeonrill/src/peers/messages.thrift
+++ b/wigeonrill/src/peers/messages.thrift
@@ -43,6 +43,13 @@
   6: optional i32 others_ratio_milli
 }
 
+// What one answer said about a target.
+struct Observation {
+  1: string service_name
+  2: string target_name
+  3: i8 kind
+}
+
 // Every datagram is one Message. The sender's id is the source address of the datagram.
 struct Message {
   1: i16 protocol
@@ -63,6 +70,9 @@
   14: optional list<Verdict> verdicts
   15: optional list<CrashMark> crash_marks
   16: optional list<Evidence> evidence
+  // Age of the sender's own reading of the platform, whose newest version it has in force.
+  17: optional i32 reading_age_ms
+  18: optional list<Observation> observations
 }
 
 struct Shard {
--- a/wigeonrill/src/traffic/caller_request.cpp
+++ b/wigeonrill/src/traffic/caller_request.cpp
@@ -14,16 +14,16 @@
     return tl::unexpected<framing_fault>(framing_fault{status, type, std::move(text)});
 }
 
-/// Reads Request-Timeout-Ms; false when it is not a number.
-bool read_timeout(const message_head& head, milliseconds& limit) {
-    const auto text = head.value("Request-Timeout-Ms");
-    if (head.count("Request-Timeout-Ms") == 0) {
+/// Reads the caller's deadline; false when it is not a number.
+bool read_timeout(const message_head& head, const std::string& name, milliseconds& limit) {
+    const auto text = head.value(name);
+    if (head.count(name) == 0) {
         return true;
     }
     std::uint32_t ms = 0;
     const auto* last = text.data() + text.size();
     const auto [end, ec] = std::from_chars(text.data(), last, ms);
-    if (ec != std::errc{} || end != last || head.count("Request-Timeout-Ms") != 1) {
+    if (ec != std::errc{} || end != last || head.count(name) != 1) {
         return false;
     }
     limit = std::min(limit, milliseconds{ms});
@@ -46,8 +46,9 @@
         return refuse(400, "bad-key", "Idempotency-Key and Workspace may be given only once.");
     }
     milliseconds limit = context.options.request_time;
-    if (!read_timeout(head, limit)) {
-        return refuse(400, "bad-timeout", "Request-Timeout-Ms must be one number, once.");
+    const auto& names = context.options.names;
+    if (!read_timeout(head, names.deadline, limit)) {
+        return refuse(400, "bad-timeout", names.deadline + " must be one number, once.");
     }
     if (head.count("Expect") > 0 && !equal_ignoring_case(head.value("Expect"), "100-continue")) {
         return refuse(417, "expectation", "The only known expectation is 100-continue.");
@@ -59,6 +60,7 @@
     request.waits_for_continue = head.count("Expect") > 0 && head.minor_version > 0;
     auto& info = request.info;
     info.id = context.next_id.fetch_add(1);
+    info.name = names.request_id.empty() ? "" : head.value(names.request_id);
     info.method = head.method;
     info.host = std::move(target->host);
     info.path = std::move(target->path);
--- a/wigeonrill/src/traffic/caller_stream.cpp
+++ b/wigeonrill/src/traffic/caller_stream.cpp
@@ -19,10 +19,8 @@
 
 std::string problem_text(const refusal& reason) {
     const nlohmann::ordered_json problem{
-        {"type", "/.wigeonrill/problems/" + reason.type},
-        {"title", reason.title},
-        {"status", reason.status},
-        {"detail", reason.detail},
+        {"type", "/.wigeonrill/problems/" + reason.type},          {"title", reason.title},
+        {"status", truthful_status(reason.status, reason.result)}, {"detail", reason.detail},
         {"outcome", enum_name(outcome_names, reason.result)},
     };
     // The detail may quote bytes of the request that are not UTF-8.
@@ -111,8 +109,8 @@
     const bool to_head = request != nullptr && request->info.method == "HEAD";
     const auto body = problem_text(reason);
     message_head head;
-    head.status = reason.status;
-    head.reason = reason_phrase(reason.status);
+    head.status = truthful_status(reason.status, reason.result);
+    head.reason = reason_phrase(head.status);
     head.add("Content-Type", "application/problem+json");
     head.add("Content-Length", std::to_string(body.size()));
     head.add("Wigeonrill-Outcome", std::string(enum_name(outcome_names, reason.result)));
--- a/wigeonrill/src/traffic/dispatcher.h
+++ b/wigeonrill/src/traffic/dispatcher.h
@@ -10,6 +10,7 @@
 /// \brief What the decisions need to know about a request. Bodies are not part of it.
 struct request_info {
     std::uint64_t id{0}; ///< unique in this process
+    std::string name;    ///< the caller's name of the request, for logs; empty: none
     std::string method;
     std::string host; ///< Host header without the port
     std::string path; ///< path without the query, percent-encoding as received
@@ -60,6 +61,7 @@
     bool answer_bytes_passed{false}; ///< the caller already got a part of the answer
     int status{0};                   ///< status of the answer's head, 0: none
     bool draining{false};
+    bool misdirected{false}; ///< another target has the address
     std::int32_t reported_load{-1};
     instant sent{};
     instant ended{}; ///< head of the answer, or the failure
@@ -82,6 +84,10 @@
     /// \returns false when the request must not be sent any more (deadline passed, pause)
     [[nodiscard]] virtual bool may_send(const request_info& request) = 0;
 
+    /// \brief Called when a target has been silent for the route's `first_byte`.
+    /// \returns true when another target can get the request at once; false to go on waiting
+    [[nodiscard]] virtual bool may_replace(const request_info& request) = 0;
+
     /// \brief Reports the head of an answer or a failed attempt and asks what to do next.
     ///
     /// An answer of at most 64 KB is reported once it was read whole. A larger one is reported at
--- a/wigeonrill/src/traffic/refusal.h
+++ b/wigeonrill/src/traffic/refusal.h
@@ -29,6 +29,20 @@
     std::optional<seconds> retry_after; ///< only where a later attempt can succeed
 };
 
+/// \returns true for a status by which callers understand that the request did not and won't run
+[[nodiscard]] constexpr bool promises_not_run(int status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/// \brief Status that says no more than is known: 502 in place of a promise when a target may have
+///        run the request, and 503 in place of 502 or 504 when none has.
+[[nodiscard]] constexpr int truthful_status(int status, outcome result) {
+    if (result == outcome::unknown) {
+        return promises_not_run(status) ? 502 : status;
+    }
+    return status == 502 || status == 504 ? 503 : status;
+}
+
 } // namespace wigeonrill::traffic
 
 #endif
--- a/wigeonrill/src/traffic/server.h
+++ b/wigeonrill/src/traffic/server.h
@@ -18,7 +18,8 @@
     milliseconds body_idle{15'000};    ///< silence allowed between two pieces of a caller's body
     milliseconds idle{60'000};         ///< silence allowed between two requests
     milliseconds connect_time{1'000};  ///< for a connection to a target
-    milliseconds request_time{60'000}; ///< deadline of requests without Request-Timeout-Ms
+    milliseconds request_time{60'000}; ///< deadline of requests that state none
+    header_names names;
     /// Says whether an address belongs to a node of the fleet; only nodes may mark a request as
     /// forwarded. Called on traffic threads. Empty: no address does.
     std::function<bool(const std::string& ip)> is_peer;
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -15,12 +15,33 @@
 /// Answers up to this size are read whole before any of it is passed on, so that one that breaks
 /// off can be replaced by another attempt or a refusal.
 constexpr std::uint64_t held_answer_bytes = 65'536;
+/// The same for an answer that another target can replace: repeating costs the caller less than a
+/// download that ends halfway. 128 of them fit half of a small VM's memory.
+constexpr std::uint64_t held_repeatable_bytes = 1'048'576;
+
+/// Late answers to other requests that are skipped on one connection before it is given up.
+constexpr int most_skipped_answers = 3;
 
 /// A connection used within this time is taken to be alive for work that must not be sent twice.
 constexpr milliseconds recently_used{1'000};
 /// A connection that was idle longer is not used for any work.
 constexpr milliseconds still_usable{5'000};
 
+/// Adds running and waiting requests of a load report; -1: there is none.
+std::int32_t read_load(std::string_view text) {
+    std::int32_t running = -1;
+    const auto* last = text.data() + text.size();
+    const auto [end, ec] = std::from_chars(text.data(), last, running);
+    if (ec != std::errc{} || running < 0) {
+        return -1;
+    }
+    std::int32_t waiting = 0;
+    if (end != last && *end == ',') {
+        std::from_chars(end + 1, last, waiting);
+    }
+    return running + std::max(waiting, 0);
+}
+
 } // namespace
 
 void target_attempt::run() {
@@ -99,7 +120,11 @@
         head.add("Host", to_string(plan_->address));
     }
     const auto left = std::chrono::floor<milliseconds>(deadline_ - context_->clock->now());
-    head.set("Request-Timeout-Ms", std::to_string(std::max<std::int64_t>(left.count(), 0)));
+    const auto& names = context_->options.names;
+    head.set(names.deadline, std::to_string(std::max<std::int64_t>(left.count(), 0)));
+    if (plan_->kind == step_kind::send && !names.expected_target.empty()) {
+        head.set(names.expected_target, plan_->target.value);
+    }
     if (plan_->kind == step_kind::forward) {
         head.set(std::string(from_node_field), "1");
         head.set(std::string(caller_field), request_->info.caller);
@@ -167,23 +192,64 @@
         return false;
     }
     note_head();
+    if (!is_signed()) {
+        return fail(answer_kind::malformed);
+    }
     const auto& check = connection_->reader().check();
     length_ = check.content_length();
-    if (check.done() || length_.value_or(held_answer_bytes + 1) <= held_answer_bytes) {
+    const auto limit = plan_->route.repeat == config::repeat_policy::idempotent
+                           ? held_repeatable_bytes
+                           : held_answer_bytes;
+    if (check.done() || length_.value_or(limit + 1) <= limit) {
         return hold_answer();
     }
     return true;
 }
 
+bool target_attempt::is_signed() const {
+    const auto& name = context_->options.names.signature;
+    const bool success = head_.status >= 200 && head_.status < 300;
+    return name.empty() || plan_->kind != step_kind::send || !success || head_.count(name) == 1;
+}
+
+bool target_attempt::names_other_request() const {
+    const auto& name = context_->options.names.request_id;
+    return !name.empty() && plan_->kind == step_kind::send && head_.count(name) > 0 &&
+           head_.value(name) != request_->info.name;
+}
+
+bool target_attempt::skip_answer() {
+    std::array<char, piece_bytes> waste{};
+    while (!connection_->reader().check().done()) {
+        std::size_t n = 0;
+        const auto reading = connection_->reader().read_body(waste.data(), waste.size(), n,
+                                                             deadline_, caller_->fd());
+        if (reading != status::ok) {
+            return fail(reading);
+        }
+    }
+    return connection_->reader().check().keep_alive() || fail(status::ended);
+}
+
+target_attempt::status target_attempt::wait_for_answer() {
+    auto& reader = connection_->reader();
+    const auto now = context_->clock->now();
+    const auto first_byte = std::min(deadline_, now + plan_->route.limits.first_byte);
+    const auto reading = reader.wait_first_byte(first_byte, caller_->fd());
+    // Without another target, the silent one may still answer in time.
+    const bool goes_on = reading == status::timed_out && first_byte < deadline_ &&
+                         !context_->decisions->may_replace(request_->info);
+    return goes_on ? reader.wait_first_byte(deadline_, caller_->fd()) : reading;
+}
+
 bool target_attempt::read_final_head() {
     auto& reader = connection_->reader();
+    int skipped = 0;
     for (;;) {
         reader.begin(
             make_answer_check({context_->options.max_head_bytes, std::nullopt}, to_head()));
-        const auto now = context_->clock->now();
-        const auto first_byte = std::min(deadline_, now + plan_->route.limits.first_byte);
-        auto reading = reader.wait_first_byte(first_byte, caller_->fd());
-        if (reading == status::timed_out && first_byte == deadline_) {
+        auto reading = wait_for_answer();
+        if (reading == status::timed_out && context_->clock->now() >= deadline_) {
             return fail(answer_kind::cancelled);
         }
         if (reading == status::ok) {
@@ -194,6 +260,17 @@
             return fail(reading);
         }
         head_ = reader.check().head();
+        if (names_other_request()) {
+            // A target's second answer to an earlier request; ours comes behind it.
+            if (++skipped > most_skipped_answers) {
+                return fail(answer_kind::malformed);
+            }
+            if (!skip_answer()) {
+                return false;
+            }
+            answer_began_ = false;
+            continue;
+        }
         if (head_.status >= 200) {
             result_.ended = context_->clock->now();
             return true;
@@ -213,7 +290,8 @@
     std::array<char, 4096> piece{};
     while (!connection_->reader().check().done()) {
         std::size_t n = 0;
-        const auto limit = context_->clock->now() + plan_->route.limits.body_idle;
+        const auto limit =
+            std::min(deadline_, context_->clock->now() + plan_->route.limits.body_idle);
         const auto reading =
             connection_->reader().read_body(piece.data(), piece.size(), n, limit, caller_->fd());
         if (reading != status::ok) {
@@ -244,22 +322,28 @@
 }
 
 void target_attempt::note_head() {
+    const auto& names = context_->options.names;
     result_.status = head_.status;
-    result_.draining = head_.value("Target-Draining") == "1";
-    const auto load = head_.value("Target-Load");
-    std::int32_t n = -1;
-    const auto [end, ec] = std::from_chars(load.data(), load.data() + load.size(), n);
-    result_.reported_load = ec == std::errc{} && n >= 0 ? n : -1;
-    const bool shed = head_.status == 503 &&
-                      (head_.count("Retry-After") > 0 || head_.value("Target-Shed") == "1");
+    result_.draining = !names.draining.empty() && head_.value(names.draining) == "1";
+    result_.misdirected = !names.expected_target.empty() && head_.status == 421;
+    result_.reported_load = read_load(head_.value(names.load));
     // The refusal of another node is an answer; it does not speak about a target's slots.
-    if (shed && plan_->kind == step_kind::send) {
+    if (was_not_run() && plan_->kind == step_kind::send) {
         result_.kind = answer_kind::shed;
     } else {
         result_.kind = head_.status >= 500 ? answer_kind::server_error : answer_kind::ok;
     }
 }
 
+bool target_attempt::was_not_run() const {
+    const auto& names = context_->options.names;
+    const bool refused =
+        head_.status == 503 || head_.status == 429 || head_.status == 421 || head_.status == 408;
+    const bool stated = head_.value(names.not_run) == "1" || result_.misdirected;
+    return refused && (stated || (names.retry_after_means_not_run && head_.status == 503 &&
+                                  head_.count("Retry-After") > 0));
+}
+
 bool target_attempt::fail(answer_kind kind) {
     result_.kind = kind;
     result_.ended = context_->clock->now();
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -49,8 +49,19 @@
     [[nodiscard]] std::string head_text() const;
     [[nodiscard]] bool read_answer();
     [[nodiscard]] bool read_final_head();
+    /// \brief Waits for the first byte of an answer.
+    [[nodiscard]] status wait_for_answer();
     [[nodiscard]] bool hold_answer();
     [[nodiscard]] bool is_complete() const;
+    /// \returns false for a success that no target has signed
+    [[nodiscard]] bool is_signed() const;
+    /// \returns true when the head read belongs to another request's answer
+    [[nodiscard]] bool names_other_request() const;
+    /// \brief Reads the rest of an answer that belongs to another request.
+    /// \returns false when the connection can't carry another answer
+    [[nodiscard]] bool skip_answer();
+    /// \returns true when the target states that it did not run the request
+    [[nodiscard]] bool was_not_run() const;
     void note_head();
     [[nodiscard]] bool fail(health::answer_kind kind);
     [[nodiscard]] bool fail(status reading);
