Share work by trust and tell news of targets at once

Callers also got 503 for broken ways to a target.

Change: the share of a target falls with the sixth power of its health's probability; observations carry load reports of busy targets; a datagram to itself wakes the control thread; failed connections are tried elsewhere without the retry budget and are not told to others; a silent target is replaced only when its answer is overdue; lateness counts less than a failure.

--- a/test/dispatch/spell_test.cpp
+++ b/test/dispatch/spell_test.cpp
@@ -90,6 +90,8 @@
 TEST(spell, silent_target_is_replaced_only_by_a_free_one) {
     const auto request = node->request("GET", "/stock");
     const auto first = send(request);
+    CHECK_FALSE(node->dispatcher->may_replace(request)); // its answer is not overdue yet
+    node->clock.advance(std::chrono::milliseconds(5'100));
     CHECK(node->dispatcher->may_replace(request));
     for (const char* it : {"t0", "t1", "t2"}) {
         if (it != first) {
@@ -100,6 +102,23 @@
     CHECK_FALSE(node->dispatcher->may_replace(request));
 }
 
+// Guards against nodes that all try a target again at once when its spell may have ended.
+TEST(spell, returning_target_gets_a_small_share) {
+    CHECK_FALSE(send(node->request("POST", "/runs/0")).empty());
+    node->dispatcher->observe({service_name("print"), target_id("t1"), observation_kind::failed});
+    node->dispatcher->observe({service_name("print"), target_id("t1"), observation_kind::failed});
+    node->clock.advance(seconds(5)); // its probability is a little below even odds
+    int tried = 0;
+    for (int i = 0; i < 200; ++i) {
+        const auto order = node->request("POST", "/runs/1");
+        tried += send(order) == "t1" ? 1 : 0;
+        // A cancelled order says nothing of its target.
+        CHECK(node->dispatcher->ended(order, node->attempt(answer_kind::cancelled)).has_value());
+        node->dispatcher->finished(order, false, nullptr);
+    }
+    CHECK(tried < 20);
+}
+
 // Guards against a hanging target that takes orders until their deadlines pass.
 TEST(spell, overdue_answer_makes_a_target_suspect) {
     snapshot->routes.at(1).target_latency = seconds(1);
--- a/wigeonrill/gen-cpp/messages_types.cpp
+++ b/wigeonrill/gen-cpp/messages_types.cpp
@@ -759,6 +759,11 @@
 void Observation::__set_kind(const int8_t val) {
   this->kind = val;
 }
+
+void Observation::__set_load(const int32_t val) {
+  this->load = val;
+__isset.load = true;
+}
 std::ostream& operator<<(std::ostream& out, const Observation& obj)
 {
   obj.printTo(out);
@@ -811,6 +816,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->load);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -840,6 +853,11 @@
   xfer += oprot->writeByte(this->kind);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.load) {
+    xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->load);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -850,6 +868,7 @@
   swap(a.service_name, b.service_name);
   swap(a.target_name, b.target_name);
   swap(a.kind, b.kind);
+  swap(a.load, b.load);
   swap(a.__isset, b.__isset);
 }
 
@@ -857,12 +876,14 @@
   service_name = other8.service_name;
   target_name = other8.target_name;
   kind = other8.kind;
+  load = other8.load;
   __isset = other8.__isset;
 }
 Observation& Observation::operator=(const Observation& other9) {
   service_name = other9.service_name;
   target_name = other9.target_name;
   kind = other9.kind;
+  load = other9.load;
   __isset = other9.__isset;
   return *this;
 }
@@ -872,6 +893,7 @@
   out << "service_name=" << to_string(service_name);
   out << ", " << "target_name=" << to_string(target_name);
   out << ", " << "kind=" << to_string(kind);
+  out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wigeonrill/gen-cpp/messages_types.h
+++ b/wigeonrill/gen-cpp/messages_types.h
@@ -342,10 +342,11 @@
 std::ostream& operator<<(std::ostream& out, const Evidence& obj);
 
 typedef struct _Observation__isset {
-  _Observation__isset() : service_name(false), target_name(false), kind(false) {}
+  _Observation__isset() : service_name(false), target_name(false), kind(false), load(false) {}
   bool service_name :1;
   bool target_name :1;
   bool kind :1;
+  bool load :1;
 } _Observation__isset;
 
 class Observation : public virtual ::apache::thrift::TBase {
@@ -356,13 +357,15 @@
   Observation() noexcept
               : service_name(),
                 target_name(),
-                kind(0) {
+                kind(0),
+                load(0) {
   }
 
   virtual ~Observation() noexcept;
   std::string service_name;
   std::string target_name;
   int8_t kind;
+  int32_t load;
 
   _Observation__isset __isset;
 
@@ -372,6 +375,8 @@
 
   void __set_kind(const int8_t val);
 
+  void __set_load(const int32_t val);
+
   bool operator == (const Observation & rhs) const
   {
     if (!(service_name == rhs.service_name))
@@ -380,6 +385,10 @@
       return false;
     if (!(kind == rhs.kind))
       return false;
+    if (__isset.load != rhs.__isset.load)
+      return false;
+    else if (__isset.load && !(load == rhs.load))
+      return false;
     return true;
   }
   bool operator != (const Observation &rhs) const {
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -169,9 +169,10 @@
 
 void control_loop::run_once() {
     const auto now = parts_.clock.now();
-    take_traffic_events();
-    tell_observed();
-    take_peer_items();
+    if (parts_.gossip != nullptr && ticks_ % ticks_between_members == 0) {
+        take_members();
+    }
+    exchange_news();
     for (const auto& it : parts_.dispatcher.outstanding()) {
         monitor_.on_outstanding(it.service, it.target, it.route, now - it.sent, it.request);
     }
@@ -185,6 +186,12 @@
     ++ticks_;
 }
 
+void control_loop::exchange_news() {
+    take_traffic_events();
+    tell_observed();
+    take_peer_items();
+}
+
 void control_loop::take_traffic_events() {
     for (const auto& event : parts_.events.take_all()) {
         std::visit([this](const auto& it) { take(it); }, event);
@@ -248,9 +255,6 @@
         return;
     }
     const auto now = parts_.clock.now();
-    if (ticks_ % ticks_between_members == 0) {
-        take_members();
-    }
     if (const auto confirmed = parts_.gossip->confirmed(); confirmed > store_.confirmed()) {
         store_.confirm(store_.version(), confirmed);
         parts_.dispatcher.set_confirmed(confirmed);
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -40,6 +40,9 @@
     void on_group(std::function<void(std::size_t)> listener) { ranked_ = std::move(listener); }
     /// \brief Records that the platform or file still has the version in force as its newest.
     void confirm(std::uint64_t version);
+    /// \brief Tells peers what traffic threads have seen, and takes what peers tell. Called
+    ///        between ticks too, because requests meanwhile go to the targets concerned.
+    void exchange_news();
     /// \brief One tick; to be called every tick_period.
     void run_once();
 
--- a/wigeonrill/src/daemon/control_thread.cpp
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -77,6 +77,8 @@
             std::this_thread::sleep_for(rest);
         } else {
             link_->receive(rest);
+            loop_.exchange_news();
+            link_->flush();
         }
     }
 }
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -131,6 +131,7 @@
         return tl::unexpected<error>(opened.error());
     }
     network = std::move(*opened);
+    events.on_urgent([this] { network->wake(); });
     peers::gossip_settings gossip_settings;
     gossip_settings.address = *wanted.peer;
     gossip_settings.domain = wanted.domain;
--- a/wigeonrill/src/daemon/traffic_events.cpp
+++ b/wigeonrill/src/daemon/traffic_events.cpp
@@ -63,6 +63,9 @@
                        .with("kind", enum_name(health::observation_kind_names, seen.kind)));
     }
     queue_.push(seen);
+    if (urgent_) {
+        urgent_();
+    }
 }
 
 void traffic_events::on_decision(const dispatch::decision_record& decision) {
--- a/wigeonrill/src/daemon/traffic_events.h
+++ b/wigeonrill/src/daemon/traffic_events.h
@@ -24,6 +24,9 @@
     void on_crash_mark(const once::crash_mark& mark) override;
     void on_observation(const health::observation& seen) override;
 
+    /// \brief Sets what to call after an event that other nodes should hear at once. Called before
+    ///        any traffic thread runs.
+    void on_urgent(std::function<void()> listener) { urgent_ = std::move(listener); }
     /// \brief Takes the events since the last call, oldest first.
     [[nodiscard]] std::vector<traffic_event> take_all() { return queue_.take_all(); }
     /// \returns the number of events lost because the control thread was too slow
@@ -32,6 +35,7 @@
 private:
     observe::log_sink& log_;
     event_queue<traffic_event> queue_;
+    std::function<void()> urgent_;
 };
 
 } // namespace wigeonrill::daemon
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -118,7 +118,9 @@
 
     /// Adds what an attempt says about its target, and tells it when it is news.
     void observe(request_record& record, const traffic::attempt_result& attempt, instant now);
-    void add_observation(const request_record& record, health::observation_kind kind, instant now);
+    /// \param load requests in the target as it reported, -1: not reported
+    void add_observation(request_record& record, health::observation_kind kind, std::int32_t load,
+                         instant now);
     /// Notes the requests whose answers are overdue.
     void observe_late(instant now);
     [[nodiscard]] bool try_another(request_record& record, const traffic::attempt_result& attempt,
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -137,33 +137,51 @@
 void decision_core::observe(request_record& record, const traffic::attempt_result& attempt,
                             instant now) {
     using health::observation_kind;
-    if (attempt.kind == health::answer_kind::ok) {
-        const auto latency = attempt.ended - record.sent.value_or(attempt.sent);
-        if (!record.late && latency <= record.service->late_after(*record.route)) {
-            add_observation(record, observation_kind::good, now);
-        }
+    const bool ok = attempt.kind == health::answer_kind::ok;
+    const auto latency = attempt.ended - record.sent.value_or(attempt.sent);
+    if (ok) {
+        const bool prompt = !record.late && latency <= record.service->late_after(*record.route);
+        add_observation(record, prompt ? observation_kind::good : observation_kind::late,
+                        attempt.reported_load, now);
         record.service->learn_latency(record.route->name, latency);
+    } else if (attempt.kind == health::answer_kind::connect_failed) {
+        // Only this node's way to the target may be broken, so others aren't told.
+        record.service->observe(record.place->id, observation_kind::failed, now);
+    } else if (attempt.kind == health::answer_kind::silent) {
+        add_observation(record, observation_kind::late, -1, now);
     } else if (attempt.kind != health::answer_kind::cancelled) {
-        add_observation(record, observation_kind::failed, now);
+        add_observation(record, observation_kind::failed, attempt.reported_load, now);
     }
 }
 
-void decision_core::add_observation(const request_record& record, health::observation_kind kind,
-                                    instant now) {
+void decision_core::add_observation(request_record& record, health::observation_kind kind,
+                                    std::int32_t load, instant now) {
     // Successes of targets that nobody suspects are the usual case and not worth a message.
     constexpr double suspected = 0.2;
-    const auto& target = record.place->id;
-    const bool news = kind != health::observation_kind::good ||
-                      record.service->spell_probability(target, now) > suspected;
-    record.service->observe(target, kind, now);
-    if (news) {
-        events_.emplace_back(health::observation{record.service_used, target, kind});
+    auto& place = *record.place;
+    const bool first_late = kind == health::observation_kind::late && !record.late;
+    const bool judged = kind != health::observation_kind::late || first_late;
+    const bool busy = load > static_cast<std::int32_t>(place.slots);
+    const bool load_news = load >= 0 && (busy || place.told_busy);
+    const bool spell_news = kind == health::observation_kind::failed || first_late ||
+                            (judged && place.spell.probability(now) > suspected);
+    record.late = record.late || first_late;
+    if (judged) {
+        place.spell.add(kind, now);
+    }
+    if (load_news || spell_news) {
+        place.told_busy = busy;
+        // A late answer was told when it became late; only its load is new.
+        events_.emplace_back(
+            health::observation{record.service_used, place.id,
+                                judged ? kind : health::observation_kind::load_only, load});
     }
 }
 
 void decision_core::observe(const health::observation& seen, instant now) {
     if (const auto it = services_.find(seen.service); it != services_.end()) {
         it->second->observe(seen.target, seen.kind, now);
+        it->second->learn_load(seen.target, seen.load, now);
     }
 }
 
@@ -171,8 +189,7 @@
     for (auto& [id, record] : records_) {
         const bool waits = record.place && record.sent && !record.head_passed && !record.late;
         if (waits && now - *record.sent > record.service->late_after(*record.route)) {
-            record.late = true;
-            add_observation(record, health::observation_kind::late, now);
+            add_observation(record, health::observation_kind::late, -1, now);
         }
     }
 }
@@ -209,7 +226,9 @@
     const bool retry = may_retry(record, attempt, at);
     record.reason =
         "retry after " + std::string(enum_name(health::answer_kind_names, attempt.kind));
-    if (retry && record.service->retries.take(at.now)) {
+    // No target sees an attempt without a connection, so it costs no capacity.
+    const bool is_free = attempt.kind == health::answer_kind::connect_failed;
+    if (retry && (is_free || record.service->retries.take(at.now))) {
         seek_place(record, at);
     } else if (retry && is_shed(attempt.kind) && options_.shed_may_wait) {
         // It waits like a request that found no place, so a busy moment is no refusal.
@@ -235,8 +254,10 @@
     if (record.forwarding || !record.place) {
         return true;
     }
-    return !stopping_ && record.info.body_replayable && may_run_again(record, record.losses + 1) &&
-           record.service->retries.available(now) &&
+    const bool overdue =
+        record.sent && now - *record.sent > record.service->late_after(*record.route);
+    return overdue && !stopping_ && record.info.body_replayable &&
+           may_run_again(record, record.losses + 1) && record.service->retries.available(now) &&
            record.service->has_place_besides(record.place->id, now);
 }
 
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -1,6 +1,7 @@
 #include "wigeonrill/dispatch.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wigeonrill::dispatch {
 
@@ -9,10 +10,17 @@
 // A weight of 0 would make the target's relative load infinite.
 constexpr double least_weight = 0.001;
 
-// A target that is more likely ill than not gets work only when no other has a free place.
+// A target that is more likely ill than not replaces no silent or failed one.
 constexpr double most_suspicion = 0.5;
-// Among suspected targets, a difference below this is within the error of the model.
-constexpr double equal_suspicion = 0.1;
+
+// Share of new work by the probability that a target is in a spell of failures: about 7 in 10 of a
+// full share while nothing is known, 1 in 60 at even odds. A target whose spell may have ended is
+// so tried by one node and not by all at once, and when all are suspected, all get work.
+double trust(double probability) {
+    constexpr double steepness = 6.0;
+    constexpr double least = 1e-6; // keeps a relative load finite
+    return std::max(std::pow(1.0 - probability, steepness), least);
+}
 
 bool contains(std::span<const target_id> all, const target_id& one) {
     return std::ranges::find(all, one) != all.end();
@@ -90,40 +98,24 @@
     for (std::size_t i = 0; i < eligible_.size(); ++i) {
         const auto& it = eligible_[i];
         if (usable(it, avoid, now)) {
-            candidates_.push_back({static_cast<double>(it.place->slots) * it.weight,
+            const double share = it.weight * trust(it.place->spell.probability(now));
+            candidates_.push_back({static_cast<double>(it.place->slots) * share,
                                    it.place->limiter.outstanding(), it.place->hint.at(now)});
             positions_.push_back(i);
         }
     }
 }
 
-void service_state::keep_least_suspected(instant now) {
-    double limit = 1.0;
-    for (const auto position : positions_) {
-        limit = std::min(limit, eligible_[position].place->spell.probability(now));
-    }
-    limit = std::max(limit + equal_suspicion, most_suspicion);
-    std::size_t kept = 0;
-    for (std::size_t i = 0; i < positions_.size(); ++i) {
-        if (eligible_[positions_[i]].place->spell.probability(now) <= limit) {
-            positions_[kept] = positions_[i];
-            candidates_[kept] = candidates_[i];
-            ++kept;
-        }
-    }
-    positions_.resize(kept);
-    candidates_.resize(kept);
-}
-
 void service_state::observe(const target_id& target, health::observation_kind kind, instant now) {
     if (const auto it = known_.find(target); it != known_.end()) {
         it->second->spell.add(kind, now);
     }
 }
 
-double service_state::spell_probability(const target_id& target, instant now) const {
-    const auto it = known_.find(target);
-    return it == known_.end() ? 0.0 : it->second->spell.probability(now);
+void service_state::learn_load(const target_id& target, std::int32_t load, instant now) {
+    if (const auto it = known_.find(target); it != known_.end()) {
+        it->second->hint.report(load, it->second->slots, now);
+    }
 }
 
 bool service_state::has_place_besides(const target_id& target, instant now) const {
@@ -158,7 +150,6 @@
     if (candidates_.empty()) {
         return {};
     }
-    keep_least_suspected(now);
     const auto chosen = positions_[policy_->choose(candidates_, random)];
     const auto& place = eligible_[chosen].place;
     place->limiter.acquire();
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -39,8 +39,8 @@
 
     /// \brief Adds what this or another node saw of a target; unknown targets are ignored.
     void observe(const target_id& target, health::observation_kind kind, instant now);
-    /// \returns the probability that a target is in a spell of failures, 0 when it is unknown
-    [[nodiscard]] double spell_probability(const target_id& target, instant now) const;
+    /// \brief Takes a load report that another node got; below 0: none.
+    void learn_load(const target_id& target, std::int32_t load, instant now);
     /// \returns true when another target than this one is probably healthy and has a free place
     [[nodiscard]] bool has_place_besides(const target_id& target, instant now) const;
 
@@ -71,8 +71,6 @@
     [[nodiscard]] bool is_eligible(const place_ptr& place) const;
     [[nodiscard]] bool usable(const share& it, std::span<const target_id> avoid, instant now) const;
     void collect(std::span<const target_id> avoid, instant now);
-    /// Keeps the candidates that are least likely in a spell of failures.
-    void keep_least_suspected(instant now);
 
     std::unique_ptr<routing::placement_policy> policy_;
     std::uint64_t generation_{0};
--- a/wigeonrill/src/dispatch/target_place.h
+++ b/wigeonrill/src/dispatch/target_place.h
@@ -15,6 +15,7 @@
     routing::concurrency_limiter limiter{1};
     routing::load_hint hint;
     health::spell_estimate spell;
+    bool told_busy{false};                  ///< other nodes were last told that requests wait in it
     instant draining_until{instant::min()}; ///< the target itself said that it is leaving
 };
 
--- a/wigeonrill/src/health/spell_estimate.cpp
+++ b/wigeonrill/src/health/spell_estimate.cpp
@@ -13,7 +13,7 @@
 constexpr double failed_ratio = 50.0;
 constexpr double good_ratio = 0.2;
 // Healthy service times have a tail, so lateness says less than a failure.
-constexpr double late_ratio = 15.0;
+constexpr double late_ratio = 5.0;
 // Bounds the memory: no number of failures makes the return slower, and no number of successes the
 // next detection.
 constexpr double most_probability = 0.99;
@@ -27,6 +27,8 @@
         return failed_ratio;
     case observation_kind::late:
         return late_ratio;
+    case observation_kind::load_only:
+        return 1.0;
     }
     return 1.0;
 }
--- a/wigeonrill/src/peers/codec.cpp
+++ b/wigeonrill/src/peers/codec.cpp
@@ -107,6 +107,9 @@
     out.service_name = item.service.value;
     out.target_name = item.target.value;
     out.kind = static_cast<std::int8_t>(item.kind);
+    if (item.load >= 0) {
+        out.__set_load(item.load);
+    }
     return out;
 }
 
@@ -222,12 +225,13 @@
 
 std::optional<health::observation> from_wire(const wire::Observation& item) {
     const bool known_kind =
-        item.kind >= 0 && item.kind <= static_cast<int>(health::observation_kind::late);
+        item.kind >= 0 && item.kind <= static_cast<int>(health::observation_kind::load_only);
     if (!valid_name(item.target_name) || !valid_name(item.service_name) || !known_kind) {
         return std::nullopt;
     }
     return health::observation{service_name(item.service_name), target_id(item.target_name),
-                               static_cast<health::observation_kind>(item.kind)};
+                               static_cast<health::observation_kind>(item.kind),
+                               item.__isset.load ? std::max(item.load, -1) : -1};
 }
 
 // Items with values that this build doesn't know are left out; the rest of the message counts.
--- a/wigeonrill/src/peers/messages.thrift
+++ b/wigeonrill/src/peers/messages.thrift
@@ -48,6 +48,8 @@
   1: string service_name
   2: string target_name
   3: i8 kind
+  // Requests in the target as it reported; absent: not reported.
+  4: optional i32 load
 }
 
 // Every datagram is one Message. The sender's id is the source address of the datagram.
--- a/wigeonrill/src/peers/transport.h
+++ b/wigeonrill/src/peers/transport.h
@@ -28,6 +28,8 @@
     /// \param wait longest time to wait; zero: doesn't wait
     /// \returns the datagram, or nothing; one that is too long is cut to max_datagram_bytes + 1
     [[nodiscard]] virtual std::optional<datagram> receive(milliseconds wait) = 0;
+    /// \brief Ends a wait in receive(). Safe from another thread.
+    virtual void wake() {}
 };
 
 } // namespace wigeonrill::peers
--- a/wigeonrill/src/peers/udp_transport.cpp
+++ b/wigeonrill/src/peers/udp_transport.cpp
@@ -22,6 +22,7 @@
 
 struct udp_transport::socket {
     Poco::Net::DatagramSocket handle;
+    Poco::Net::SocketAddress address; ///< own
     std::array<char, max_datagram_bytes + 1> buffer{};
 };
 
@@ -34,6 +35,7 @@
         auto bound = std::make_unique<socket>();
         bound->handle.bind(to_poco(address), false);
         bound->handle.setBlocking(false);
+        bound->address = bound->handle.address();
         bound->handle.setReceiveBufferSize(receive_buffer_bytes);
         return std::unique_ptr<udp_transport>(new udp_transport(std::move(bound)));
     } catch (const Poco::Exception& ex) {
@@ -62,8 +64,8 @@
         auto& buffer = socket_->buffer;
         const int size =
             socket_->handle.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), from);
-        if (size < 0) {
-            return std::nullopt;
+        if (size < 0 || from == socket_->address) {
+            return std::nullopt; // wake() sends to this socket itself.
         }
         return datagram{from_poco(from),
                         std::string(buffer.data(), static_cast<std::size_t>(size))};
@@ -73,6 +75,15 @@
     }
 }
 
+void udp_transport::wake() {
+    try {
+        const char nothing = 0;
+        socket_->handle.sendTo(&nothing, 0, socket_->address);
+    } catch (const Poco::Exception&) {
+        return; // The wait ends with its time; nothing is lost but up to one tick.
+    }
+}
+
 endpoint udp_transport::local() const {
     return from_poco(socket_->handle.address());
 }
--- a/wigeonrill/src/peers/udp_transport.h
+++ b/wigeonrill/src/peers/udp_transport.h
@@ -18,6 +18,7 @@
 
     bool send(const endpoint& to, std::string_view bytes) override;
     [[nodiscard]] std::optional<datagram> receive(milliseconds wait) override;
+    void wake() override;
     /// \returns the bound address
     [[nodiscard]] endpoint local() const;
 
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -19,6 +19,9 @@
 /// download that ends halfway. 128 of them fit half of a small VM's memory.
 constexpr std::uint64_t held_repeatable_bytes = 1'048'576;
 
+/// How often a silent target's request looks for another target.
+constexpr milliseconds silence_check_period{100};
+
 /// Late answers to other requests that are skipped on one connection before it is given up.
 constexpr int most_skipped_answers = 3;
 
@@ -235,11 +238,14 @@
     auto& reader = connection_->reader();
     const auto now = context_->clock->now();
     const auto first_byte = std::min(deadline_, now + plan_->route.limits.first_byte);
-    const auto reading = reader.wait_first_byte(first_byte, caller_->fd());
+    auto reading = reader.wait_first_byte(first_byte, caller_->fd());
     // Without another target, the silent one may still answer in time.
-    const bool goes_on = reading == status::timed_out && first_byte < deadline_ &&
-                         !context_->decisions->may_replace(request_->info);
-    return goes_on ? reader.wait_first_byte(deadline_, caller_->fd()) : reading;
+    while (reading == status::timed_out && context_->clock->now() < deadline_ &&
+           !context_->decisions->may_replace(request_->info)) {
+        const auto next = std::min(deadline_, context_->clock->now() + silence_check_period);
+        reading = reader.wait_first_byte(next, caller_->fd());
+    }
+    return reading;
 }
 
 bool target_attempt::read_final_head() {
