--- a/test/platform/inventory_test.cpp
+++ b/test/platform/inventory_test.cpp
@@ -89,7 +89,7 @@
     start();
     it.apply({6, {target("a", 6, "10.0.0.1:1", "print", true, 1, 2)}}, now);
     it.apply({7, {target("a", 7, "10.0.0.9:1", "print", false, 2, 1)}}, now);
-    STRCMP_EQUAL("b a ", ids().c_str() == std::string("a b ") ? "b a " : "");
+    STRCMP_EQUAL("a b ", ids().c_str());
     it.apply({8, {target("a", 8, "10.0.0.1:1", "print", false, 1, 3)}}, now);
     STRCMP_EQUAL("10.0.0.9", it.configuration()->services.at(0).targets.at(0).address.ip.c_str());
 }
@@ -206,6 +206,7 @@
 // Guards against two first nodes in one group, and against a group that is too large to tell.
 TEST(reading_group, ranks_differ_and_large_fleets_are_divided) {
     std::vector<node_id> live;
+    live.reserve(3'700);
     for (int i = 0; i < 36; ++i) {
         live.emplace_back("10.0.0." + std::to_string(i) + ":7000");
     }
--- a/test/routing/placement_policy_test.cpp
+++ b/test/routing/placement_policy_test.cpp
@@ -53,8 +53,9 @@
     routing::load_hint hint;
     const instant start{};
     hint.report(1'000'000, 6, start);
-    DOUBLES_EQUAL(12.0, hint.at(start + seconds(1)), 0.0);
-    DOUBLES_EQUAL(0.0, hint.at(start + seconds(3)), 0.0);
+    DOUBLES_EQUAL(12.0, hint.at(start), 0.0);
+    DOUBLES_EQUAL(6.0, hint.at(start + milliseconds(500)), 1e-9);
+    DOUBLES_EQUAL(0.0, hint.at(start + seconds(1)), 0.0);
     hint.report(-1, 6, start + seconds(4));
     DOUBLES_EQUAL(0.0, hint.at(start + seconds(4)), 0.0);
 }
--- a/test/users_platform/records_test.cpp
+++ b/test/users_platform/records_test.cpp
@@ -39,6 +39,12 @@
     R"("traffic_split":[{"service":"s2","weight":90},{"service":"s1","weight":10}],"attempts":3}},)"
     R"("services":{"s1":{},"s2":{}},"limits":{"max_body_bytes":1000}})";
 
+std::string record_with(const std::string& address, const std::string& slots,
+                        const std::string& state) {
+    return R"({"address":")" + address + R"(","info":{"service":"s1","zone":"z","capacity":)" +
+           slots + R"(},"status":{"state":")" + state + R"(","sequence":1}})";
+}
+
 const platform::feed_record& only_record(const result<users_platform::store_page>& decoded) {
     CHECK(decoded.has_value());
     LONGS_EQUAL(1, decoded->page.records.size());
@@ -90,19 +96,14 @@
 
 // Guards against a record of another writer that is used, or that hides the valid ones.
 TEST(records, names_what_it_cant_read) {
-    const std::vector<std::string> wrong{
-        "not json",
-        "{}",
-        "[]",
-        "7",
-        R"({"address":"10.0.0.1:1","info":{"service":"s1","zone":"z","capacity":"6"},)"
-        R"("status":{"state":"ready","sequence":1}})",
-        R"({"address":"10.0.0.1:1","info":{"service":"s1","zone":"z","capacity":0},)"
-        R"("status":{"state":"ready","sequence":1}})",
-        R"({"address":"host:1","info":{"service":"s1","zone":"z","capacity":6},)"
-        R"("status":{"state":"ready","sequence":1}})",
-        R"({"address":"10.0.0.1:1","info":{"service":"s1","zone":"z","capacity":6},)"
-        R"("status":{"state":"resting","sequence":1}})"};
+    const std::vector<std::string> wrong{"not json",
+                                         "{}",
+                                         "[]",
+                                         "7",
+                                         record_with("10.0.0.1:1", R"("6")", "ready"),
+                                         record_with("10.0.0.1:1", "0", "ready"),
+                                         record_with("host:1", "6", "ready"),
+                                         record_with("10.0.0.1:1", "6", "resting")};
     for (const auto& it : wrong) {
         const auto decoded = users_platform::decode_page(
             page(item("servers/bad", it) + "," + item("servers/good", target)));
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -77,7 +77,7 @@
 struct running_node::parts {
     parts(const settings& given, platform_binding bound, stop_signal& stop)
         : wanted(given), binding(std::move(bound)), signals(stop),
-          log(observe::make_stderr_sink(given.log_level)), dispatch_random(random_bits()),
+          log(observe::make_stdout_sink(given.log_level)), dispatch_random(random_bits()),
           peer_random(random_bits()), platform_random(random_bits()),
           process(new_incarnation(clock, peer_random)), events(*log),
           dispatcher({given.traffic, incarnation_number(process), core_options_of(given)}, clock,
--- a/wigeonrill/src/daemon/traffic_events.cpp
+++ b/wigeonrill/src/daemon/traffic_events.cpp
@@ -24,6 +24,9 @@
 observe::log_line line_of(const dispatch::decision_record& decision) {
     observe::log_line line(sentence_of(decision.kind));
     line.with("request", static_cast<std::int64_t>(decision.request));
+    if (!decision.name.empty()) {
+        line.with("id", decision.name);
+    }
     if (!decision.route.value.empty()) {
         line.with("route", decision.route.value).with("service", decision.service.value);
     }
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -248,6 +248,7 @@
 
 void decision_core::decide(request_record& record, traffic::step step, decision_record decision) {
     decision.request = record.info.id;
+    decision.name = record.info.name;
     decision.kind = step.kind;
     decision.address = step.address;
     decision.target = step.target;
--- a/wigeonrill/src/dispatch/decision_record.h
+++ b/wigeonrill/src/dispatch/decision_record.h
@@ -10,6 +10,7 @@
 /// \brief One decision on a request, with what its log line needs.
 struct decision_record {
     std::uint64_t request{0};
+    std::string name; ///< the caller's name of the request; empty: none
     traffic::step_kind kind{traffic::step_kind::refuse};
     route_name route;                                   ///< empty: no route matched
     service_name service;                               ///< empty: no route matched
--- a/wigeonrill/src/observe/log_sink.cpp
+++ b/wigeonrill/src/observe/log_sink.cpp
@@ -1,5 +1,6 @@
 #include "wigeonrill/observe.h"
 
+#include <cstdio>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -25,13 +26,15 @@
     return spdlog::level::info;
 }
 
-class stderr_sink final : public log_sink {
+class stdout_sink final : public log_sink {
 public:
-    explicit stderr_sink(log_level lowest)
+    explicit stdout_sink(log_level lowest)
         : pool_(std::make_shared<spdlog::details::thread_pool>(queue_lines, 1)),
           logger_(std::make_shared<spdlog::async_logger>(
-              "wigeonrill", std::make_shared<spdlog::sinks::stderr_sink_mt>(), pool_,
+              "wigeonrill", std::make_shared<spdlog::sinks::stdout_sink_mt>(), pool_,
               spdlog::async_overflow_policy::overrun_oldest)) {
+        // Whole lines reach a pipe at once, so that a killed process leaves what it decided.
+        std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
         logger_->set_pattern("%Y-%m-%dT%H:%M:%S.%f%z %l %v");
         logger_->set_level(to_spdlog(lowest));
         logger_->flush_on(spdlog::level::warn);
@@ -54,8 +57,8 @@
 
 } // namespace
 
-std::unique_ptr<log_sink> make_stderr_sink(log_level lowest) {
-    return std::make_unique<stderr_sink>(lowest);
+std::unique_ptr<log_sink> make_stdout_sink(log_level lowest) {
+    return std::make_unique<stdout_sink>(lowest);
 }
 
 void memory_sink::write(log_level /*level*/, log_part part, const log_line& line) {
--- a/wigeonrill/src/observe/log_sink.h
+++ b/wigeonrill/src/observe/log_sink.h
@@ -23,12 +23,12 @@
     [[nodiscard]] virtual std::uint64_t dropped() const = 0;
 };
 
-/// \brief Sink that writes to standard error from a thread of its own (spdlog).
+/// \brief Sink that writes to standard output from a thread of its own (spdlog).
 ///
 /// Its queue is bounded; when it is full the oldest lines are dropped and counted, since a slow
 /// reader of the log must not stall requests.
 /// \param lowest least important level to write
-[[nodiscard]] std::unique_ptr<log_sink> make_stderr_sink(log_level lowest);
+[[nodiscard]] std::unique_ptr<log_sink> make_stdout_sink(log_level lowest);
 
 /// \brief Sink that keeps lines in memory, for tests.
 class memory_sink final : public log_sink {
--- a/wigeonrill/src/routing/load_hint.cpp
+++ b/wigeonrill/src/routing/load_hint.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr seconds hint_lifetime{2};
+// Targets work off what waits in them within about this time.
+constexpr std::chrono::duration<double> hint_lifetime{1.0};
 
 } // namespace
 
@@ -19,7 +20,11 @@
 }
 
 double load_hint::at(instant now) const {
-    return reported_ != instant::min() && now - reported_ <= hint_lifetime ? load_ : 0.0;
+    if (reported_ == instant::min()) {
+        return 0.0;
+    }
+    const std::chrono::duration<double> age = now - reported_;
+    return load_ * std::clamp(1.0 - age / hint_lifetime, 0.0, 1.0);
 }
 
 } // namespace wigeonrill::routing
--- a/wigeonrill/src/routing/load_hint.h
+++ b/wigeonrill/src/routing/load_hint.h
@@ -9,7 +9,7 @@
 
 /// \brief Load that a target reported with an answer. It may lag or be wrong.
 ///
-/// The hint counts for 2 s only and for at most twice the slots, so that neither a stale nor a
+/// The hint fades within 1 s and counts for at most twice the slots, so that neither a stale nor a
 /// false report can keep a target out of use or replace the count of this process's own requests.
 class load_hint {
 public:
--- a/wigeonrill/src/traffic/exchange.cpp
+++ b/wigeonrill/src/traffic/exchange.cpp
@@ -113,7 +113,9 @@
     may_have_run_ =
         may_have_run_ || (result.request_bytes_sent && result.kind != answer_kind::shed);
     if (result.kind != answer_kind::ok && result.kind != answer_kind::server_error) {
-        context_->log("request " + std::to_string(request_->info.id) + ": attempt ended " +
+        const auto& name = request_->info.name;
+        context_->log("request " + std::to_string(request_->info.id) +
+                      (name.empty() ? "" : " id=" + name) + ": attempt ended " +
                       std::string(enum_name(health::answer_kind_names, result.kind)));
     }
 }
