Place requests by expected cost, with what other nodes have in each target

A node sees a tenth of a request a second per target, so its own counts say nothing of which targets are full; load headers tell it a service time later. Failing targets were learned of, but a success anywhere was not.

Change: each node tells its group how many requests it has in a target when it sends and when it ends (health::observation::outstanding, routing::peer_load, a budget of its own in bytes per second), and the end of a good answer carries the success. routing::least_cost takes the target of least expected wait, risk of failure, cold start and way to another domain. A service that fails 9 in 100 answers uses all its targets evenly (health::failure_share), since otherwise idle ones stay idle at low load. The load field of observations is gone. Settings: placement.policy, placement.count_budget; the product's default stays two random choices without counts.

--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -31,6 +31,12 @@
 
 constexpr std::array<const char*, 3> domain_names{"edi-1", "edi-2", "edi-3"};
 
+std::string loopback(int port) {
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
 std::string binary(const std::string& name) {
     const char* folder = std::getenv("WIGEONRILL_BIN");
     return std::string(folder != nullptr ? folder : "build/bin") + "/" + name;
@@ -46,12 +52,6 @@
     return ports;
 }
 
-std::string loopback(int port) {
-    return "127.0.0.1:" + std::to_string(port);
-}
-
-} // namespace
-
 answer send(int port, const request& wanted) {
     answer got;
     try {
--- a/test/fleet/fleet.h
+++ b/test/fleet/fleet.h
@@ -97,6 +97,12 @@
     std::vector<std::unique_ptr<process>> nodes_;
 };
 
+/// \returns path of a program of this build
+[[nodiscard]] std::string binary(const std::string& name);
+
+/// \returns loopback ports that are free now
+[[nodiscard]] std::vector<int> free_ports(int count);
+
 /// \brief Polls a condition.
 /// \returns true once it holds, false after the limit
 [[nodiscard]] bool eventually(const std::function<bool()>& condition, int limit_s);
--- /dev/null
+++ b/test/fleet/users_site.cpp
@@ -0,0 +1,321 @@
+#include "test/fleet/users_site.h"
+
+#include <Poco/Base64Encoder.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/TemporaryFile.h>
+#include <Poco/URI.h>
+#include <condition_variable>
+#include <fstream>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace fleet_test {
+
+namespace {
+
+namespace net = Poco::Net;
+using nlohmann::json;
+using handling = std::function<void(net::HTTPServerRequest&, net::HTTPServerResponse&)>;
+
+class handler final : public net::HTTPRequestHandler {
+public:
+    explicit handler(handling todo) : todo_(std::move(todo)) {}
+    void handleRequest(net::HTTPServerRequest& request,
+                       net::HTTPServerResponse& response) override {
+        todo_(request, response);
+    }
+
+private:
+    handling todo_;
+};
+
+class factory final : public net::HTTPRequestHandlerFactory {
+public:
+    explicit factory(handling todo) : todo_(std::move(todo)) {}
+    net::HTTPRequestHandler* createRequestHandler(const net::HTTPServerRequest&) override {
+        return new handler(todo_); // NOLINT(cppcoreguidelines-owning-memory): POCO deletes it
+    }
+
+private:
+    handling todo_;
+};
+
+std::unique_ptr<net::HTTPServer> serve(const handling& todo) {
+    net::ServerSocket socket(net::SocketAddress("127.0.0.1", 0));
+    auto server =
+        std::make_unique<net::HTTPServer>(new factory(todo), socket, new net::HTTPServerParams);
+    server->start();
+    return server;
+}
+
+void send_text(net::HTTPServerResponse& response, int status, const std::string& body) {
+    response.setStatusAndReason(static_cast<net::HTTPResponse::HTTPStatus>(status));
+    response.setContentLength64(static_cast<std::int64_t>(body.size()));
+    response.send() << body;
+}
+
+std::string base64(const std::string& text) {
+    std::ostringstream out;
+    Poco::Base64Encoder encoder(out);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << text;
+    encoder.close();
+    return out.str();
+}
+
+/// Keeps records with their revisions and answers list and watch calls.
+class store {
+public:
+    void put(const std::string& key, const std::string& value) {
+        const std::lock_guard lock(mutex_);
+        items_[key] = {base64(value), ++revision_, false};
+        changed_.notify_all();
+    }
+    void remove(const std::string& key) {
+        const std::lock_guard lock(mutex_);
+        items_[key] = {"", ++revision_, true};
+        changed_.notify_all();
+    }
+    void forget() {
+        const std::lock_guard lock(mutex_);
+        forgotten_ = revision_;
+    }
+    void set_down(bool down) {
+        const std::lock_guard lock(mutex_);
+        down_ = down;
+        changed_.notify_all();
+    }
+    void answer(net::HTTPServerRequest& request, net::HTTPServerResponse& response) {
+        std::map<std::string, std::string> query;
+        const Poco::URI uri(request.getURI());
+        for (const auto& [name, value] : uri.getQueryParameters()) {
+            query[name] = value;
+        }
+        std::unique_lock lock(mutex_);
+        if (uri.getPath() == "/v1/kv-watch" && !down_) {
+            watch(query, response, lock);
+        } else if (uri.getPath() == "/v1/kv-range" && !down_) {
+            send_text(response, 200, page("items", 0, false));
+        } else {
+            send_text(response, down_ ? 503 : 404, "{}");
+        }
+    }
+
+private:
+    struct item {
+        std::string value;
+        std::uint64_t revision{0};
+        bool deleted{false};
+    };
+
+    void watch(std::map<std::string, std::string>& query, net::HTTPServerResponse& response,
+               std::unique_lock<std::mutex>& lock) {
+        const auto after = std::stoull(query["after"]);
+        changed_.wait_for(lock, std::chrono::milliseconds(std::stoi(query["wait_ms"])),
+                          [&] { return down_ || revision_ > after; });
+        if (down_ || after < forgotten_) {
+            send_text(response, down_ ? 503 : 410, "{}");
+        } else {
+            send_text(response, 200, page("events", after, true));
+        }
+    }
+
+    std::string page(const char* list, std::uint64_t after, bool with_deleted) const {
+        json made{{list, json::array()}, {"has_more", false}, {"at", revision_}};
+        for (const auto& [key, it] : items_) {
+            if (it.revision > after && it.deleted && with_deleted) {
+                made[list].push_back({{"key", key}, {"revision", it.revision}, {"deleted", true}});
+            } else if (it.revision > after && !it.deleted) {
+                made[list].push_back(
+                    {{"key", key}, {"value", it.value}, {"revision", it.revision}});
+            }
+        }
+        return made.dump();
+    }
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, item> items_;
+    std::uint64_t revision_{100};
+    std::uint64_t forgotten_{0};
+    bool down_{false};
+};
+
+/// One target that signs what it answers.
+class site_target {
+public:
+    void answer(net::HTTPServerRequest& request, net::HTTPServerResponse& response) {
+        const std::lock_guard lock(mutex_);
+        ++requests_;
+        last_.clear();
+        for (const auto& [name, value] : request) {
+            last_[name] = value;
+        }
+        response.set("X-Wigeonrill-Request-Id", request.get("X-Wigeonrill-Request-Id", ""));
+        if (status_ == 503) {
+            response.set("X-Wigeonrill-Not-Executed", "1");
+        } else {
+            response.set("X-Wigeonrill-Response-Signature", "signed");
+        }
+        send_text(response, status_, "answer");
+    }
+    void set_status(int status) {
+        const std::lock_guard lock(mutex_);
+        status_ = status;
+    }
+    int requests() {
+        const std::lock_guard lock(mutex_);
+        return requests_;
+    }
+    std::string last(const std::string& name) {
+        const std::lock_guard lock(mutex_);
+        return last_[name];
+    }
+
+private:
+    std::mutex mutex_;
+    int status_{200};
+    int requests_{0};
+    std::map<std::string, std::string> last_;
+};
+
+// Fills in the braces of the settings template as the platform does.
+std::string fill_in(std::string text, const std::map<std::string, std::string>& values) {
+    for (const auto& [name, value] : values) {
+        const auto brace = "{{" + name + "}}";
+        for (auto at = text.find(brace); at != std::string::npos; at = text.find(brace)) {
+            text.replace(at, brace.size(), value);
+        }
+    }
+    return text;
+}
+
+std::string read_text(const std::string& path) {
+    std::ifstream in(path);
+    std::ostringstream out;
+    out << in.rdbuf();
+    return out.str();
+}
+
+} // namespace
+
+struct users_site::parts {
+    store records;
+    std::vector<std::unique_ptr<site_target>> targets;
+    std::vector<std::unique_ptr<net::HTTPServer>> servers; ///< the store's first
+    int front{0};
+    int ready{0};
+    std::string settings;
+    std::unique_ptr<process> node;
+};
+
+users_site::users_site(int targets) : parts_(std::make_unique<parts>()) {
+    auto& it = *parts_;
+    it.servers.push_back(serve([&it](auto& in, auto& out) { it.records.answer(in, out); }));
+    for (int i = 0; i < targets; ++i) {
+        it.targets.push_back(std::make_unique<site_target>());
+        it.servers.push_back(
+            serve([&target = *it.targets.back()](auto& in, auto& out) { target.answer(in, out); }));
+    }
+    const auto ports = free_ports(3);
+    it.front = ports.at(0);
+    it.ready = ports.at(1);
+    const auto control = "127.0.0.1:" + std::to_string(ports.at(2));
+    it.settings = Poco::TemporaryFile::tempName();
+    std::ofstream(it.settings) << fill_in(
+        read_text("deploy/settings.json.template"),
+        {{"zone", "glas-a"},
+         {"listen.front", "127.0.0.1:" + std::to_string(it.front)},
+         {"listen.ready", "127.0.0.1:" + std::to_string(it.ready)},
+         {"listen.control", control},
+         {"platform.address", "127.0.0.1:" + std::to_string(it.servers.at(0)->port())},
+         {"seeds|json", "[\"" + control + "\"]"},
+         {"bounds.grace_s", "6"}});
+}
+
+users_site::~users_site() {
+    parts_->node.reset();
+    for (auto& it : parts_->servers) {
+        it->stopAll(true);
+    }
+    std::remove(parts_->settings.c_str());
+}
+
+void users_site::start_node() {
+    parts_->node = std::make_unique<process>(
+        binary("wigeonrilld"), std::vector<std::string>{"--settings", parts_->settings});
+    static_cast<void>(eventually(
+        [this] {
+            return send(parts_->ready, {"GET", "/ready"}).status == 200;
+        },
+        10));
+}
+
+int users_site::port() const {
+    return parts_->front;
+}
+
+std::string users_site::key_of(int target) {
+    return "servers/i-" + std::to_string(target);
+}
+
+void users_site::register_target(int target, const std::string& state) {
+    const auto port = parts_->servers.at(static_cast<std::size_t>(target) + 1)->port();
+    const json made{
+        {"address", "127.0.0.1:" + std::to_string(port)},
+        {"born", 1'700'000'000'000 + target},
+        {"info", {{"service", "stock"}, {"version", "v1"}, {"zone", "glas-a"}, {"capacity", 6}}},
+        {"status", {{"state", state}, {"sequence", 4}, {"cold_left_s", 0.0}}}};
+    write(key_of(target), made.dump());
+}
+
+void users_site::write(const std::string& key, const std::string& value) {
+    parts_->records.put(key, value);
+}
+
+void users_site::remove(const std::string& key) {
+    parts_->records.remove(key);
+}
+
+void users_site::publish(const std::string& safe_prefix) {
+    json routes;
+    routes["look"] = {
+        {"host", "h.example"},     {"prefix", safe_prefix}, {"kind", "safe"},     {"timeout_s", 5},
+        {"target_latency_s", 2.0}, {"priority", 2},         {"service", "stock"}, {"attempts", 2}};
+    routes["order"] = routes["look"];
+    routes["order"]["prefix"] = "/order/";
+    routes["order"]["kind"] = "unsafe";
+    write("op/config", json{{"version", 7},
+                            {"routes", routes},
+                            {"services", {{"stock", json::object()}}},
+                            {"limits", {{"max_body_bytes", 1'000'000}}}}
+                           .dump());
+}
+
+void users_site::forget_history() {
+    parts_->records.forget();
+}
+
+void users_site::set_store_down(bool down) {
+    parts_->records.set_down(down);
+}
+
+void users_site::set_status(int target, int status) {
+    parts_->targets.at(static_cast<std::size_t>(target))->set_status(status);
+}
+
+int users_site::requests_at(int target) const {
+    return parts_->targets.at(static_cast<std::size_t>(target))->requests();
+}
+
+std::string users_site::last_header(int target, const std::string& name) const {
+    return parts_->targets.at(static_cast<std::size_t>(target))->last(name);
+}
+
+} // namespace fleet_test
--- /dev/null
+++ b/test/routing/least_cost_test.cpp
@@ -0,0 +1,83 @@
+#include "wigeonrill/routing.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using routing::placement_candidate;
+
+namespace {
+
+placement_candidate candidate(std::uint32_t own, std::uint32_t elsewhere) {
+    placement_candidate made;
+    made.slots = 2;
+    made.outstanding = own;
+    made.elsewhere = elsewhere;
+    return made;
+}
+
+std::size_t choose(const std::vector<placement_candidate>& all) {
+    routing::least_cost policy;
+    seeded_random_source random(7);
+    return policy.choose(all, random);
+}
+
+} // namespace
+
+TEST_GROUP(least_cost){};
+
+// Guards against a second request to a target that others have filled.
+TEST(least_cost, counts_of_other_nodes_weigh_like_own_ones) {
+    LONGS_EQUAL(1, choose({candidate(0, 2), candidate(1, 0)}));
+}
+
+// Guards against an order that prefers a free target in a spell to a short wait.
+TEST(least_cost, waits_rather_than_fails) {
+    auto sick = candidate(0, 0);
+    sick.failure_probability = 0.6;
+    LONGS_EQUAL(1, choose({sick, candidate(0, 3)}));
+    // With a queue of many service times even a doubtful target is worth a try.
+    LONGS_EQUAL(0, choose({sick, candidate(0, 8)}));
+}
+
+// Guards against bytes between failure domains while a near target is as free, and against a near
+// target that fills up for their sake.
+TEST(least_cost, prefers_its_own_domain_while_it_is_free) {
+    auto remote = candidate(0, 0);
+    remote.is_remote = true;
+    LONGS_EQUAL(1, choose({remote, candidate(0, 0)}));
+    LONGS_EQUAL(0, choose({remote, candidate(1, 0)}));
+}
+
+// Guards against work for a cold target while a warm one has a free slot.
+TEST(least_cost, cold_target_comes_after_free_warm_ones) {
+    auto cold = candidate(0, 0);
+    cold.weight = 0.3;
+    LONGS_EQUAL(1, choose({cold, candidate(1, 0)}));
+    LONGS_EQUAL(0, choose({cold, candidate(2, 1)}));
+}
+
+// Guards against a favourite among equals, which 36 nodes would all choose at once.
+TEST(least_cost, equals_are_drawn_at_random) {
+    routing::least_cost policy;
+    seeded_random_source random(7);
+    const std::vector<placement_candidate> all(3, candidate(0, 0));
+    std::vector<int> counts(3);
+    for (int i = 0; i < 900; ++i) {
+        ++counts.at(policy.choose(all, random));
+    }
+    for (const auto n : counts) {
+        CHECK(n > 200);
+    }
+}
+
+// Guards against a target that stays full for others because the message of an end was lost.
+TEST(least_cost, count_that_is_not_repeated_ends) {
+    routing::peer_load load;
+    const instant start{seconds(100)};
+    load.report(node_id("a"), 2, start);
+    load.report(node_id("b"), 1, start + seconds(2));
+    LONGS_EQUAL(3, load.at(start + seconds(2)));
+    LONGS_EQUAL(1, load.at(start + seconds(3)));
+    load.report(node_id("b"), 0, start + seconds(3));
+    LONGS_EQUAL(0, load.at(start + seconds(3)));
+}
--- a/wigeonrill/gen-cpp/messages_types.cpp
+++ b/wigeonrill/gen-cpp/messages_types.cpp
@@ -760,9 +760,9 @@
   this->kind = val;
 }
 
-void Observation::__set_load(const int32_t val) {
-  this->load = val;
-__isset.load = true;
+void Observation::__set_outstanding(const int32_t val) {
+  this->outstanding = val;
+__isset.outstanding = true;
 }
 std::ostream& operator<<(std::ostream& out, const Observation& obj)
 {
@@ -816,10 +816,10 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->load);
-          this->__isset.load = true;
+          xfer += iprot->readI32(this->outstanding);
+          this->__isset.outstanding = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -853,9 +853,9 @@
   xfer += oprot->writeByte(this->kind);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.load) {
-    xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_I32, 4);
-    xfer += oprot->writeI32(this->load);
+  if (this->__isset.outstanding) {
+    xfer += oprot->writeFieldBegin("outstanding", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->outstanding);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -868,7 +868,7 @@
   swap(a.service_name, b.service_name);
   swap(a.target_name, b.target_name);
   swap(a.kind, b.kind);
-  swap(a.load, b.load);
+  swap(a.outstanding, b.outstanding);
   swap(a.__isset, b.__isset);
 }
 
@@ -876,14 +876,14 @@
   service_name = other8.service_name;
   target_name = other8.target_name;
   kind = other8.kind;
-  load = other8.load;
+  outstanding = other8.outstanding;
   __isset = other8.__isset;
 }
 Observation& Observation::operator=(const Observation& other9) {
   service_name = other9.service_name;
   target_name = other9.target_name;
   kind = other9.kind;
-  load = other9.load;
+  outstanding = other9.outstanding;
   __isset = other9.__isset;
   return *this;
 }
@@ -893,7 +893,7 @@
   out << "service_name=" << to_string(service_name);
   out << ", " << "target_name=" << to_string(target_name);
   out << ", " << "kind=" << to_string(kind);
-  out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
+  out << ", " << "outstanding="; (__isset.outstanding ? (out << to_string(outstanding)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wigeonrill/gen-cpp/messages_types.h
+++ b/wigeonrill/gen-cpp/messages_types.h
@@ -342,11 +342,11 @@
 std::ostream& operator<<(std::ostream& out, const Evidence& obj);
 
 typedef struct _Observation__isset {
-  _Observation__isset() : service_name(false), target_name(false), kind(false), load(false) {}
+  _Observation__isset() : service_name(false), target_name(false), kind(false), outstanding(false) {}
   bool service_name :1;
   bool target_name :1;
   bool kind :1;
-  bool load :1;
+  bool outstanding :1;
 } _Observation__isset;
 
 class Observation : public virtual ::apache::thrift::TBase {
@@ -358,14 +358,14 @@
               : service_name(),
                 target_name(),
                 kind(0),
-                load(0) {
+                outstanding(0) {
   }
 
   virtual ~Observation() noexcept;
   std::string service_name;
   std::string target_name;
   int8_t kind;
-  int32_t load;
+  int32_t outstanding;
 
   _Observation__isset __isset;
 
@@ -375,7 +375,7 @@
 
   void __set_kind(const int8_t val);
 
-  void __set_load(const int32_t val);
+  void __set_outstanding(const int32_t val);
 
   bool operator == (const Observation & rhs) const
   {
@@ -385,9 +385,9 @@
       return false;
     if (!(kind == rhs.kind))
       return false;
-    if (__isset.load != rhs.__isset.load)
+    if (__isset.outstanding != rhs.__isset.outstanding)
       return false;
-    else if (__isset.load && !(load == rhs.load))
+    else if (__isset.outstanding && !(outstanding == rhs.outstanding))
       return false;
     return true;
   }
--- a/wigeonrill/health.h
+++ b/wigeonrill/health.h
@@ -10,6 +10,7 @@
 
 #include "src/health/answer.h"
 #include "src/health/evidence_report.h"
+#include "src/health/observation.h"
 #include "src/health/operating_point.h"
 #include "src/health/verdict.h"
 // Needs answer.h.
@@ -19,6 +20,7 @@
 // Needs the records above.
 #include "src/health/evidence_pool.h"
 #include "src/health/failure_baseline.h"
+#include "src/health/failure_share.h"
 #include "src/health/fleet_nodes.h"
 #include "src/health/latency_baseline.h"
 #include "src/health/recovery.h"
--- a/wigeonrill/routing.h
+++ b/wigeonrill/routing.h
@@ -6,6 +6,7 @@
 
 #define WIGEONRILL_ROUTING_MODULE
 
+#include <map>
 #include <span>
 
 #include "health.h"
@@ -13,11 +14,13 @@
 #include "src/routing/concurrency_limiter.h"
 #include "src/routing/latency_mean.h"
 #include "src/routing/load_hint.h"
+#include "src/routing/peer_load.h"
 #include "src/routing/placement_policy.h"
 #include "src/routing/route_path.h"
 #include "src/routing/route_table.h"
 #include "src/routing/view.h"
 // Needs placement_policy.h.
+#include "src/routing/least_cost.h"
 #include "src/routing/least_outstanding.h"
 #include "src/routing/round_robin.h"
 #include "src/routing/two_random_choices.h"
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -62,6 +62,8 @@
     void take(const once::crash_mark& mark);
     void take(const health::observation& seen) { observed_.push_back(seen); }
     void tell_observed();
+    void tell_verdicts();
+    void tell_counts();
     void take_peer_reading(const peers::peer_reading& heard);
     void use_peer_reading();
     /// \returns true when the version in force has the content that was read
--- a/wigeonrill/src/daemon/control_loop_readings.cpp
+++ b/wigeonrill/src/daemon/control_loop_readings.cpp
@@ -65,7 +65,7 @@
 }
 
 void control_loop::tell_observed() {
-    if (parts_.gossip != nullptr && !observed_.empty()) {
+    if (parts_.gossip != nullptr) {
         parts_.gossip->announce(observed_, group_.others);
     }
     observed_.clear();
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -49,6 +49,11 @@
 dispatch::core_options core_options_of(const settings& wanted) {
     dispatch::core_options options;
     options.shed_may_wait = wanted.shed_may_wait;
+    options.own_domain = wanted.domain;
+    options.tell_counts = wanted.count_budget > 0;
+    if (wanted.placement == placement_kind::least_cost) {
+        options.make_policy = [] { return std::make_unique<routing::least_cost>(); };
+    }
     options.retries = {wanted.retry_share, wanted.retries_per_second, wanted.retry_reserve};
     return options;
 }
@@ -138,6 +143,7 @@
     gossip_settings.process = process;
     gossip_settings.seeds = wanted.seeds;
     // The store lists targets only, and the platform gives each address to one process.
+    gossip_settings.count_bytes_per_second = static_cast<double>(wanted.count_budget);
     gossip_settings.admits_unlisted = wanted.store.has_value();
     gossip_settings.owns_address = wanted.store.has_value();
     gossip = std::make_unique<peers::gossip_node>(gossip_settings, clock, peer_random);
--- a/wigeonrill/src/daemon/settings.cpp
+++ b/wigeonrill/src/daemon/settings.cpp
@@ -102,6 +102,16 @@
     shutdown.finish();
 }
 
+// More than this would be a tenth of a link of 100 Mbit/s.
+constexpr std::uint64_t most_count_budget = std::uint64_t{1} << 20U;
+
+void read_placement(config::checked_object placement, settings& it) {
+    it.placement = placement.choice("policy", placement_kind_names,
+                                    std::optional<placement_kind>(it.placement));
+    it.count_budget = placement.size("count_budget", most_count_budget, it.count_budget);
+    placement.finish();
+}
+
 void read_log(config::checked_object log, settings& it) {
     it.log_level = log.choice("level", observe::log_level_names,
                               std::optional<observe::log_level>(it.log_level));
@@ -118,6 +128,7 @@
     read_limits(root.object("limits"), it);
     read_shutdown(root.object("shutdown"), it);
     read_retries(root.object("retries"), it);
+    read_placement(root.object("placement"), it);
     read_log(root.object("log"), it);
     root.finish();
     if (context.failure) {
--- a/wigeonrill/src/daemon/settings.h
+++ b/wigeonrill/src/daemon/settings.h
@@ -7,6 +7,18 @@
 
 namespace wigeonrill::daemon {
 
+/// \brief Ways to choose a target.
+enum class placement_kind : std::uint8_t {
+    two_choices, ///< the less loaded of two random ones, as far as this node knows
+    least_cost   ///< the least expected cost, with what the other nodes tell
+};
+
+/// \brief Names of the placement kinds in settings.
+inline constexpr enum_name_table<placement_kind, 2> placement_kind_names{{
+    {placement_kind::two_choices, "two_choices"},
+    {placement_kind::least_cost, "least_cost"},
+}};
+
 /// \brief Settings of one daemon, from its settings file. See docs/reference/settings.md.
 struct settings {
     domain_name domain;
@@ -41,6 +53,10 @@
     double retry_reserve{10.0};     ///< most extra sends that can be saved up
     bool shed_may_wait{true};       ///< shed requests wait when no extra send is left
 
+    placement_kind placement{placement_kind::two_choices};
+    /// Bytes per second for telling other nodes how many requests this one has in which target.
+    std::uint64_t count_budget{0};
+
     observe::log_level log_level{observe::log_level::info};
 };
 
--- a/wigeonrill/src/daemon/traffic_events.cpp
+++ b/wigeonrill/src/daemon/traffic_events.cpp
@@ -58,7 +58,8 @@
 }
 
 void traffic_events::on_observation(const health::observation& seen) {
-    if (log_.enabled(observe::log_level::info)) {
+    // Counts come with every request; what changes a belief comes without one.
+    if (seen.outstanding < 0 && log_.enabled(observe::log_level::info)) {
         log_.write(observe::log_level::info, observe::log_part::health,
                    observe::log_line("Target observed.")
                        .with("service", seen.service.value)
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -67,6 +67,11 @@
 void decision_core::tick(instant now) {
     observe_late(now);
     for (auto& [name, service] : services_) {
+        if (options_.tell_counts) {
+            for (const auto& it : service->untold(now)) {
+                tell_outstanding(name, *it, now);
+            }
+        }
         drain(*service, now);
     }
     for (const auto id : gate_.waiters()) {
@@ -84,7 +89,7 @@
     }
     auto& service = services_[name];
     if (!service) {
-        service = std::make_unique<service_state>(options_.make_policy());
+        service = std::make_unique<service_state>(options_.make_policy(), options_.own_domain);
         service->retries = options_.retries;
     }
     service->sync(generation_, *it);
@@ -219,6 +224,7 @@
 void decision_core::take_place(request_record& record, placement placed, instant now,
                                instant waited_since) {
     record.place = std::move(placed.place);
+    tell_outstanding(record.service_used, *record.place, now);
     ++record.attempts;
     traffic::step step;
     step.kind = traffic::step_kind::send;
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -17,6 +17,9 @@
 
     /// A shed request for which the retry budget has nothing left waits instead of being refused.
     bool shed_may_wait{true};
+    /// Other nodes are told how many requests this one has in each target.
+    bool tell_counts{false};
+    domain_name own_domain; ///< failure domain of this node; empty: unknown
     policy_factory make_policy{[] { return std::make_unique<routing::two_random_choices>(); }};
     admission::request_budget retries{admission::make_retry_budget()}; ///< of each service
 };
@@ -118,9 +121,11 @@
 
     /// Adds what an attempt says about its target, and tells it when it is news.
     void observe(request_record& record, const traffic::attempt_result& attempt, instant now);
-    /// \param load requests in the target as it reported, -1: not reported
-    void add_observation(request_record& record, health::observation_kind kind, std::int32_t load,
-                         instant now);
+    void add_observation(request_record& record, health::observation_kind kind, instant now);
+    /// Tells other nodes how many requests this node has in a target.
+    /// \param kind what an answer said about the target besides
+    void tell_outstanding(const service_name& service, target_place& place, instant now,
+                          health::observation_kind kind = health::observation_kind::load_only);
     /// Notes the requests whose answers are overdue.
     void observe_late(instant now);
     [[nodiscard]] bool try_another(request_record& record, const traffic::attempt_result& attempt,
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -141,47 +141,55 @@
     const auto latency = attempt.ended - record.sent.value_or(attempt.sent);
     if (ok) {
         const bool prompt = !record.late && latency <= record.service->late_after(*record.route);
-        add_observation(record, prompt ? observation_kind::good : observation_kind::late,
-                        attempt.reported_load, now);
+        add_observation(record, prompt ? observation_kind::good : observation_kind::late, now);
         record.service->learn_latency(record.route->name, latency);
     } else if (attempt.kind == health::answer_kind::connect_failed) {
         // Only this node's way to the target may be broken, so others aren't told.
         record.service->observe(record.place->id, observation_kind::failed, now);
     } else if (attempt.kind == health::answer_kind::silent) {
-        add_observation(record, observation_kind::late, -1, now);
+        add_observation(record, observation_kind::late, now);
     } else if (attempt.kind != health::answer_kind::cancelled) {
-        add_observation(record, observation_kind::failed, attempt.reported_load, now);
+        add_observation(record, observation_kind::failed, now);
     }
 }
 
 void decision_core::add_observation(request_record& record, health::observation_kind kind,
-                                    std::int32_t load, instant now) {
+                                    instant now) {
     // Successes of targets that nobody suspects are the usual case and not worth a message.
     constexpr double suspected = 0.2;
     auto& place = *record.place;
     const bool first_late = kind == health::observation_kind::late && !record.late;
     const bool judged = kind != health::observation_kind::late || first_late;
-    const bool busy = load > static_cast<std::int32_t>(place.slots);
-    const bool load_news = load >= 0 && (busy || place.told_busy);
-    const bool spell_news = kind == health::observation_kind::failed || first_late ||
-                            (judged && place.spell.probability(now) > suspected);
+    const bool news = kind == health::observation_kind::failed || first_late ||
+                      (judged && place.spell.probability(now) > suspected);
     record.late = record.late || first_late;
     if (judged) {
-        place.spell.add(kind, now);
+        record.service->observe(place.id, kind, now);
     }
-    if (load_news || spell_news) {
-        place.told_busy = busy;
-        // A late answer was told when it became late; only its load is new.
-        events_.emplace_back(
-            health::observation{record.service_used, place.id,
-                                judged ? kind : health::observation_kind::load_only, load});
+    if (news) {
+        events_.emplace_back(health::observation{record.service_used, place.id, kind, -1, {}});
     }
+    record.untold_success = kind == health::observation_kind::good && !news;
+}
+
+void decision_core::tell_outstanding(const service_name& service, target_place& place, instant now,
+                                     health::observation_kind kind) {
+    if (!options_.tell_counts) {
+        return;
+    }
+    place.told = place.limiter.outstanding();
+    place.told_at = now;
+    const auto count = static_cast<std::int32_t>(place.told);
+    events_.emplace_back(health::observation{service, place.id, kind, count, {}});
 }
 
 void decision_core::observe(const health::observation& seen, instant now) {
     if (const auto it = services_.find(seen.service); it != services_.end()) {
         it->second->observe(seen.target, seen.kind, now);
-        it->second->learn_load(seen.target, seen.load, now);
+        if (seen.outstanding >= 0) {
+            it->second->learn_load(seen.target, seen.reporter,
+                                   static_cast<std::uint32_t>(seen.outstanding), now);
+        }
     }
 }
 
@@ -189,7 +197,7 @@
     for (auto& [id, record] : records_) {
         const bool waits = record.place && record.sent && !record.head_passed && !record.late;
         if (waits && now - *record.sent > record.service->late_after(*record.route)) {
-            add_observation(record, health::observation_kind::late, -1, now);
+            add_observation(record, health::observation_kind::late, now);
         }
     }
 }
@@ -209,6 +217,7 @@
         record.place->limiter.on_shed(record.sent.value_or(chosen), now, random_.uniform());
     }
     record.place->limiter.release();
+    tell_outstanding(record.service_used, *record.place, now);
     record.tried.push_back(record.place->id);
     record.place.reset();
 }
@@ -313,6 +322,9 @@
     auto* service = record.service;
     if (record.place) {
         record.place->limiter.release();
+        tell_outstanding(record.service_used, *record.place, at.now,
+                         record.untold_success ? health::observation_kind::good
+                                               : health::observation_kind::load_only);
     }
     records_.erase(id);
     if (service != nullptr) {
--- a/wigeonrill/src/dispatch/request_record.h
+++ b/wigeonrill/src/dispatch/request_record.h
@@ -30,6 +30,7 @@
     std::optional<instant> sent;        ///< when the present attempt was allowed to write
     bool head_passed{false};            ///< an answer is being passed on
     bool late{false};                   ///< the answer to the present attempt is overdue
+    bool untold_success{false};         ///< other nodes will hear of it with the next count
     std::string reason{"first"};        ///< of the present placement
 
     std::optional<instant> queued;      ///< since when it waits
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -13,6 +13,10 @@
 // A target that is more likely ill than not replaces no silent or failed one.
 constexpr double most_suspicion = 0.5;
 
+// Targets that just answered well are preferred, which at low load leaves others idle. A service
+// that fails more than this share of its answers uses all of its targets instead.
+constexpr double most_failures = 0.09;
+
 // Share of new work by the probability that a target is in a spell of failures: about 7 in 10 of a
 // full share while nothing is known, 1 in 60 at even odds. A target whose spell may have ended is
 // so tried by one node and not by all at once, and when all are suspected, all get work.
@@ -28,8 +32,9 @@
 
 } // namespace
 
-service_state::service_state(std::unique_ptr<routing::placement_policy> policy)
-    : policy_(std::move(policy)) {}
+service_state::service_state(std::unique_ptr<routing::placement_policy> policy,
+                             domain_name own_domain)
+    : policy_(std::move(policy)), own_domain_(std::move(own_domain)) {}
 
 void service_state::sync(std::uint64_t generation, const routing::service_view& view) {
     if (generation_ == generation) {
@@ -58,6 +63,7 @@
     }
     place->address = target.address;
     place->slots = target.slots;
+    place->domain = target.domain;
     place->limiter.set_slots(target.slots);
     return place;
 }
@@ -92,15 +98,31 @@
            !contains(avoid, it.place->id);
 }
 
+routing::placement_candidate service_state::candidate_of(const share& it, instant now) const {
+    const auto& place = *it.place;
+    routing::placement_candidate made;
+    made.failure_probability = place.spell.probability(now);
+    made.capacity = static_cast<double>(place.slots) * it.weight * trust(made.failure_probability);
+    if (failures_.at(now) > most_failures) {
+        made.failure_probability =
+            std::max(made.failure_probability, health::spell_estimate::usual_probability);
+    }
+    made.outstanding = place.limiter.outstanding();
+    made.reported = place.hint.at(now);
+    made.slots = place.slots;
+    made.elsewhere = place.elsewhere.at(now);
+    made.weight = it.weight;
+    made.is_remote = !own_domain_.value.empty() && place.domain != own_domain_;
+    return made;
+}
+
 void service_state::collect(std::span<const target_id> avoid, instant now) {
     candidates_.clear();
     positions_.clear();
     for (std::size_t i = 0; i < eligible_.size(); ++i) {
         const auto& it = eligible_[i];
         if (usable(it, avoid, now)) {
-            const double share = it.weight * trust(it.place->spell.probability(now));
-            candidates_.push_back({static_cast<double>(it.place->slots) * share,
-                                   it.place->limiter.outstanding(), it.place->hint.at(now)});
+            candidates_.push_back(candidate_of(it, now));
             positions_.push_back(i);
         }
     }
@@ -109,13 +131,27 @@
 void service_state::observe(const target_id& target, health::observation_kind kind, instant now) {
     if (const auto it = known_.find(target); it != known_.end()) {
         it->second->spell.add(kind, now);
+        failures_.add(kind, now);
     }
 }
 
-void service_state::learn_load(const target_id& target, std::int32_t load, instant now) {
+void service_state::learn_load(const target_id& target, const node_id& peer, std::uint32_t count,
+                               instant now) {
     if (const auto it = known_.find(target); it != known_.end()) {
-        it->second->hint.report(load, it->second->slots, now);
+        it->second->elsewhere.report(peer, count, now);
+    }
+}
+
+std::vector<place_ptr> service_state::untold(instant now) const {
+    std::vector<place_ptr> found;
+    for (const auto& [id, it] : known_) {
+        const auto count = it->limiter.outstanding();
+        const bool old = now - it->told_at >= routing::peer_load::repeat_interval;
+        if (count != it->told || (count > 0 && old)) {
+            found.push_back(it);
+        }
     }
+    return found;
 }
 
 bool service_state::has_place_besides(const target_id& target, instant now) const {
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -17,7 +17,9 @@
 class service_state {
 public:
     /// \param policy chooses among targets with a free place
-    explicit service_state(std::unique_ptr<routing::placement_policy> policy);
+    /// \param own_domain failure domain of this node; empty: unknown
+    explicit service_state(std::unique_ptr<routing::placement_policy> policy,
+                           domain_name own_domain = domain_name());
 
     /// \brief Takes over the eligible targets of a view; limits of known targets stay.
     /// \param generation number of the view; the same view again costs nothing
@@ -38,9 +40,12 @@
     [[nodiscard]] place_ptr take_probe(instant now);
 
     /// \brief Adds what this or another node saw of a target; unknown targets are ignored.
+    ///        Every answer of this node must be added, so that the share of failures is true.
     void observe(const target_id& target, health::observation_kind kind, instant now);
-    /// \brief Takes a load report that another node got; below 0: none.
-    void learn_load(const target_id& target, std::int32_t load, instant now);
+    /// \brief Takes the number of requests that a peer has in a target.
+    void learn_load(const target_id& target, const node_id& peer, std::uint32_t count, instant now);
+    /// \returns the places whose own requests other nodes don't know, or not for sure any more
+    [[nodiscard]] std::vector<place_ptr> untold(instant now) const;
     /// \returns true when another target than this one is probably healthy and has a free place
     [[nodiscard]] bool has_place_besides(const target_id& target, instant now) const;
 
@@ -71,9 +76,12 @@
     [[nodiscard]] bool is_eligible(const place_ptr& place) const;
     [[nodiscard]] bool usable(const share& it, std::span<const target_id> avoid, instant now) const;
     void collect(std::span<const target_id> avoid, instant now);
+    [[nodiscard]] routing::placement_candidate candidate_of(const share& it, instant now) const;
 
     std::unique_ptr<routing::placement_policy> policy_;
+    domain_name own_domain_;
     std::uint64_t generation_{0};
+    health::failure_share failures_; ///< of all targets
     std::vector<share> eligible_;
     std::vector<wanted_probe> probes_; ///< few: one per ejected target at most
     std::unordered_map<target_id, place_ptr> known_;
--- a/wigeonrill/src/dispatch/target_place.h
+++ b/wigeonrill/src/dispatch/target_place.h
@@ -15,7 +15,10 @@
     routing::concurrency_limiter limiter{1};
     routing::load_hint hint;
     health::spell_estimate spell;
-    bool told_busy{false};                  ///< other nodes were last told that requests wait in it
+    routing::peer_load elsewhere; ///< requests of other nodes
+    domain_name domain;
+    std::uint32_t told{0}; ///< own requests as last told to other nodes
+    instant told_at{instant::min()};
     instant draining_until{instant::min()}; ///< the target itself said that it is leaving
 };
 
--- a/wigeonrill/src/peers/codec.cpp
+++ b/wigeonrill/src/peers/codec.cpp
@@ -107,8 +107,8 @@
     out.service_name = item.service.value;
     out.target_name = item.target.value;
     out.kind = static_cast<std::int8_t>(item.kind);
-    if (item.load >= 0) {
-        out.__set_load(item.load);
+    if (item.outstanding >= 0) {
+        out.__set_outstanding(item.outstanding);
     }
     return out;
 }
@@ -223,7 +223,7 @@
     return out;
 }
 
-std::optional<health::observation> from_wire(const wire::Observation& item) {
+std::optional<health::observation> from_wire(const wire::Observation& item, const node_id& from) {
     const bool known_kind =
         item.kind >= 0 && item.kind <= static_cast<int>(health::observation_kind::load_only);
     if (!valid_name(item.target_name) || !valid_name(item.service_name) || !known_kind) {
@@ -231,7 +231,8 @@
     }
     return health::observation{service_name(item.service_name), target_id(item.target_name),
                                static_cast<health::observation_kind>(item.kind),
-                               item.__isset.load ? std::max(item.load, -1) : -1};
+                               item.__isset.outstanding ? std::max(item.outstanding, -1) : -1,
+                               from};
 }
 
 // Items with values that this build doesn't know are left out; the rest of the message counts.
@@ -271,7 +272,7 @@
     collect(in.verdicts, out.verdicts, [&](const auto& it) { return from_wire(it, now); });
     collect(in.crash_marks, out.marks, [&](const auto& it) { return from_wire(it, wall_now); });
     collect(in.evidence, out.evidence, [&](const auto& it) { return from_wire(it, from); });
-    collect(in.observations, out.observations, [](const auto& it) { return from_wire(it); });
+    collect(in.observations, out.observations, [&](const auto& it) { return from_wire(it, from); });
     if (in.__isset.reading_age_ms) {
         out.reading = now - milliseconds(in.reading_age_ms);
     }
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -42,6 +42,8 @@
                              settings_.process, 0, member_state::alive},
       members_(self_.id),
       bucket_(settings_.bytes_per_second, settings_.bytes_per_second * burst_seconds, clock.now()),
+      counts_(settings_.count_bytes_per_second, settings_.count_bytes_per_second * burst_seconds,
+              clock.now()),
       replies_(replies_per_second, reply_burst, clock.now()),
       urgent_(urgent_per_second, urgent_burst, clock.now()), fetches_(random, clock.now()) {
     update_listed(clock.now());
@@ -153,8 +155,12 @@
     }
 }
 
-void gossip_node::announce(const std::vector<health::observation>& seen,
-                           const std::vector<node_id>& to) {
+void gossip_node::announce(std::vector<health::observation> seen, const std::vector<node_id>& to) {
+    // Peers drop a count that isn't repeated, so nothing is wrong for long when some aren't told.
+    counts_.refill(clock_.now());
+    if (counts_.level() <= 0.0) {
+        std::erase_if(seen, [](const auto& it) { return it.outstanding >= 0; });
+    }
     for (std::size_t first = 0; first < seen.size(); first += observations_per_message) {
         const auto last = std::min(first + observations_per_message, seen.size());
         for (const auto& it : to) {
@@ -259,10 +265,16 @@
     add(content.marks);
     add(content.evidence);
     add(content.observations);
-    bucket_.charge(bytes);
+    budget_of(content).charge(bytes);
     outgoing_.push_back({to, std::move(content), bytes});
 }
 
+token_bucket& gossip_node::budget_of(const message& content) {
+    const bool counts = std::ranges::any_of(content.observations,
+                                            [](const auto& it) { return it.outstanding >= 0; });
+    return counts ? counts_ : bucket_;
+}
+
 std::vector<outgoing> gossip_node::take_outgoing() {
     return std::exchange(outgoing_, {});
 }
@@ -284,12 +296,13 @@
 }
 
 void gossip_node::count_sent(const outgoing& sent, std::size_t bytes) {
-    bucket_.refund(sent.charged);
+    auto& budget = budget_of(sent.content);
+    budget.refund(sent.charged);
     if (bytes == 0) {
         ++counters_.send_failures;
         return;
     }
-    bucket_.charge(bytes + datagram_overhead_bytes);
+    budget.charge(bytes + datagram_overhead_bytes);
     ++counters_.datagrams_sent;
     counters_.bytes_sent += bytes + datagram_overhead_bytes;
 }
--- a/wigeonrill/src/peers/gossip_node.h
+++ b/wigeonrill/src/peers/gossip_node.h
@@ -9,11 +9,12 @@
 
 /// \brief What a gossip_node knows from its settings.
 struct gossip_settings {
-    endpoint address;               ///< of this node's peer port, as others reach it
-    domain_name domain;             ///< failure domain of this node
-    incarnation process;            ///< of this process
-    std::vector<endpoint> seeds;    ///< peers to talk to before the platform's list is known
-    double bytes_per_second{8'000}; ///< budget of all control traffic that this node sends
+    endpoint address;                 ///< of this node's peer port, as others reach it
+    domain_name domain;               ///< failure domain of this node
+    incarnation process;              ///< of this process
+    std::vector<endpoint> seeds;      ///< peers to talk to before the platform's list is known
+    double bytes_per_second{8'000};   ///< budget of all control traffic that this node sends
+    double count_bytes_per_second{0}; ///< budget of counts of requests in targets, beside it
     /// There is no list of nodes: whoever sends a valid message is a member.
     bool admits_unlisted{false};
     /// No other process can have this node's address, so a newer incarnation that peers know there
@@ -110,8 +111,9 @@
     /// \brief Tells peers that this node has read the platform and has its newest version in force.
     /// \param when start of the call
     void announce_reading(const std::vector<node_id>& to, instant when);
-    /// \brief Tells peers what answers of this node said about targets.
-    void announce(const std::vector<health::observation>& seen, const std::vector<node_id>& to);
+    /// \brief Tells peers what answers of this node said about targets, and how many requests it
+    ///        has in them. Observations with a count are left out beyond the budget for counts.
+    void announce(std::vector<health::observation> seen, const std::vector<node_id>& to);
     /// \brief Tells the fleet that this node stops; several peers hear it at once.
     void announce_leaving();
     ///@}
@@ -171,6 +173,7 @@
     [[nodiscard]] std::uint32_t attempts_allowed() const;
     void send_gossip(const node_id& to, message_kind kind, instant now, bool with_record = false);
     void send(const node_id& to, message content, instant now);
+    [[nodiscard]] token_bucket& budget_of(const message& content);
     void flush_evidence(instant now);
     [[nodiscard]] bool accept_header(const node_id& from, const message& content, instant now);
     void learn_config(member& sender, const message& content);
@@ -192,6 +195,7 @@
     digest_builder digest_;
     evidence_queue evidence_;
     token_bucket bucket_;  ///< bytes
+    token_bucket counts_;  ///< bytes of counts of requests in targets
     token_bucket replies_; ///< messages
     token_bucket urgent_;  ///< changes of members that are passed on at once
     fetch_scheduler fetches_;
--- a/wigeonrill/src/peers/messages.thrift
+++ b/wigeonrill/src/peers/messages.thrift
@@ -48,8 +48,9 @@
   1: string service_name
   2: string target_name
   3: i8 kind
-  // Requests in the target as it reported; absent: not reported.
-  4: optional i32 load
+  // 4 was the load that the target reported.
+  // Requests of the sender in the target; absent: not told.
+  5: optional i32 outstanding
 }
 
 // Every datagram is one Message. The sender's id is the source address of the datagram.
--- /dev/null
+++ b/wigeonrill/src/routing/least_cost.cpp
@@ -0,0 +1,47 @@
+#include "wigeonrill/routing.h"
+
+#include <algorithm>
+
+namespace wigeonrill::routing {
+
+namespace {
+
+// A lost answer costs the caller as much as a wait of this many service times.
+constexpr double failure_cost = 6.0;
+// Many targets slow down when they are nearly full, so work is spread before they are.
+constexpr double full_cost = 0.5;
+// Bytes between failure domains are paid for; a way inside the domain is worth half of the slots.
+constexpr double remote_cost = 0.15;
+// A cold target takes about twice the time.
+constexpr double cold_cost = 1.0;
+
+} // namespace
+
+double expected_cost(const placement_candidate& it) {
+    const double slots = std::max(1.0, static_cast<double>(it.slots));
+    const double load = std::max(static_cast<double>(it.outstanding) + it.elsewhere, it.reported);
+    const double waiting = std::max(0.0, load + 1.0 - slots) / slots;
+    return waiting + full_cost * load / slots + failure_cost * it.failure_probability +
+           cold_cost * (1.0 - it.weight) + (it.is_remote ? remote_cost : 0.0);
+}
+
+std::size_t least_cost::choose(std::span<const placement_candidate> candidates,
+                               random_source& random) {
+    WIGEONRILL_ASSERT(!candidates.empty(), "choose needs at least one candidate");
+    std::size_t best = 0;
+    double least = expected_cost(candidates[0]);
+    std::uint64_t equals = 1;
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+        const double cost = expected_cost(candidates[i]);
+        if (cost < least) {
+            best = i;
+            least = cost;
+            equals = 1;
+        } else if (cost == least && random.below(++equals) == 0) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+} // namespace wigeonrill::routing
--- a/wigeonrill/src/routing/placement_policy.h
+++ b/wigeonrill/src/routing/placement_policy.h
@@ -12,6 +12,11 @@
     double capacity{1.0};         ///< slots x weight, above 0
     std::uint32_t outstanding{0}; ///< requests of this process in the target
     double reported{0.0};         ///< load hint of the target, 0 when there is none
+    std::uint32_t slots{1};
+    std::uint32_t elsewhere{0};      ///< requests of other nodes in the target, as they told
+    double weight{1.0};              ///< below 1: it is cold or kept for the floor only
+    double failure_probability{0.0}; ///< that it is in a spell of failures
+    bool is_remote{false};           ///< it is in another failure domain
 };
 
 /// \returns (outstanding + reported load) / capacity, the order of candidates
