--- a/test/peers/fake_fleet.h
+++ b/test/peers/fake_fleet.h
@@ -116,7 +116,7 @@
     }
     static node_id id(std::size_t i) { return node_id(to_string(address(i))); }
 
-    static constexpr int count_budget = 4'000; ///< bytes per second
+    static constexpr std::int64_t count_budget = 4'000; ///< bytes per second
 
     gossip_settings settings(std::size_t i, std::uint32_t nonce) const {
         gossip_settings out;
@@ -127,7 +127,7 @@
             static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since).count()),
             nonce};
         out.seeds = {address(0), address(1)};
-        out.count_bytes_per_second = count_budget;
+        out.count_bytes_per_second = static_cast<double>(count_budget);
         return out;
     }
     std::unique_ptr<fake_node> make(std::size_t i, std::uint32_t nonce) {
