Keep the stand-in of the users' site alive for its server threads

POCO's server threads go on with a call after stopAll(), and a watch of the store waits up to 0.4 s, so the handler used the store of the test before. Reasoned from the code and the two crashes; no core was kept.

Ruled out: the daemon. It is another process and the fault was the test program's; only test/fleet/users_site.cpp runs threads in it.

Change: handlers share the ownership of the store and of the targets.

Conclusion: a fault of the new test code, not of the product.

--- a/test/fleet/users_site.cpp
+++ b/test/fleet/users_site.cpp
@@ -206,8 +206,9 @@
 } // namespace
 
 struct users_site::parts {
-    store records;
-    std::vector<std::unique_ptr<site_target>> targets;
+    // Threads of the servers may still answer a call when this object is gone, so they share these.
+    std::shared_ptr<store> records{std::make_shared<store>()};
+    std::vector<std::shared_ptr<site_target>> targets;
     std::vector<std::unique_ptr<net::HTTPServer>> servers; ///< the store's first
     int front{0};
     int ready{0};
@@ -217,11 +218,11 @@
 
 users_site::users_site(int targets) : parts_(std::make_unique<parts>()) {
     auto& it = *parts_;
-    it.servers.push_back(serve([&it](auto& in, auto& out) { it.records.answer(in, out); }));
+    it.servers.push_back(serve([all = it.records](auto& in, auto& out) { all->answer(in, out); }));
     for (int i = 0; i < targets; ++i) {
-        it.targets.push_back(std::make_unique<site_target>());
+        it.targets.push_back(std::make_shared<site_target>());
         it.servers.push_back(
-            serve([&target = *it.targets.back()](auto& in, auto& out) { target.answer(in, out); }));
+            serve([target = it.targets.back()](auto& in, auto& out) { target->answer(in, out); }));
     }
     const auto ports = free_ports(3);
     it.front = ports.at(0);
@@ -252,7 +253,7 @@
         binary("wigeonrilld"), std::vector<std::string>{"--settings", parts_->settings});
     static_cast<void>(eventually(
         [this] {
-            return send(parts_->ready, {"GET", "/ready"}).status == 200;
+            return send(parts_->ready, {"GET", "/ready", {}, ""}).status == 200;
         },
         10));
 }
@@ -276,11 +277,11 @@
 }
 
 void users_site::write(const std::string& key, const std::string& value) {
-    parts_->records.put(key, value);
+    parts_->records->put(key, value);
 }
 
 void users_site::remove(const std::string& key) {
-    parts_->records.remove(key);
+    parts_->records->remove(key);
 }
 
 void users_site::publish(const std::string& safe_prefix) {
@@ -299,11 +300,11 @@
 }
 
 void users_site::forget_history() {
-    parts_->records.forget();
+    parts_->records->forget();
 }
 
 void users_site::set_store_down(bool down) {
-    parts_->records.set_down(down);
+    parts_->records->set_down(down);
 }
 
 void users_site::set_status(int target, int status) {
