--- a/test/fleet/users_site.cpp
+++ b/test/fleet/users_site.cpp
@@ -1,6 +1,6 @@
 #include "test/fleet/users_site.h"
+#include "test/base64.h"
 
-#include <Poco/Base64Encoder.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
@@ -60,21 +60,12 @@
     response.send() << body;
 }
 
-std::string base64(const std::string& text) {
-    std::ostringstream out;
-    Poco::Base64Encoder encoder(out);
-    encoder.rdbuf()->setLineLength(0);
-    encoder << text;
-    encoder.close();
-    return out.str();
-}
-
 /// Keeps records with their revisions and answers list and watch calls.
 class store {
 public:
     void put(const std::string& key, const std::string& value) {
         const std::lock_guard lock(mutex_);
-        items_[key] = {base64(value), ++revision_, false};
+        items_[key] = {wigeonrill::test::base64(value), ++revision_, false};
         changed_.notify_all();
     }
     void remove(const std::string& key) {
--- a/test/users_platform/records_test.cpp
+++ b/test/users_platform/records_test.cpp
@@ -1,7 +1,6 @@
 #include "platform/records.h"
 
-#include <Poco/Base64Encoder.h>
-#include <sstream>
+#include "test/base64.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -10,17 +9,8 @@
 
 namespace {
 
-std::string base64(const std::string& text) {
-    std::ostringstream out;
-    Poco::Base64Encoder encoder(out);
-    encoder.rdbuf()->setLineLength(0);
-    encoder << text;
-    encoder.close();
-    return out.str();
-}
-
 std::string item(const std::string& key, const std::string& value) {
-    return R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","revision":7})";
+    return R"({"key":")" + key + R"(","value":")" + test::base64(value) + R"(","revision":7})";
 }
 
 std::string page(const std::string& items) {
