--- a/test/peers/reading_news_test.cpp
+++ b/test/peers/reading_news_test.cpp
@@ -71,10 +71,10 @@
     fake_fleet fleet(2);
     fleet.list_all();
     fleet.run(seconds(2));
-    const health::observation count{service_name("stock"), target_id("t1"),
-                                    health::observation_kind::load_only, 1, {}};
-    const health::observation failure{service_name("stock"), target_id("t1"),
-                                      health::observation_kind::failed, -1, {}};
+    const health::observation count{
+        service_name("stock"), target_id("t1"), health::observation_kind::load_only, 1, {}};
+    const health::observation failure{
+        service_name("stock"), target_id("t1"), health::observation_kind::failed, -1, {}};
     for (int i = 0; i < 200; ++i) {
         fleet.at(0).announce({count, failure}, {fake_fleet::id(1)});
         fleet.nodes.at(0)->link.flush();
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -10,8 +10,8 @@
 // A weight of 0 would make the target's relative load infinite.
 constexpr double least_weight = 0.001;
 
-// Probabilities of a spell up to this one count alike. Otherwise those that just answered well would
-// get all work at low load and the others none, and healthy capacity must stay in use.
+// Probabilities of a spell up to this one count alike. Otherwise those that just answered well
+// would get all work at low load and the others none, and healthy capacity must stay in use.
 constexpr double unsuspected = 0.25;
 
 // A target that is more likely ill than not replaces no silent or failed one.
