End an outage of the store with the first answer to any node

Cause: two beliefs that only the node's own calls could change. A node whose call had failed while its data was over 1 s old took the store to be in an outage until its own next successful call, although readings of peers arrived 0.1 s later; since these kept its data fresh, that call came 12 s later, and it then kept two deleted targets as lapsed. Its content got the store's revision as version, as the peers' content without them did, so it refused theirs as a conflict, and its own, after the return time, as not newer.

Ruled out: late versions (all nodes had version 373 after 1.1 s) and requests placed before it (placed 1.6 s after).

Now the first reading by a peer after the outage began ends it, at the time of that reading, and content without lapsed targets has a newer version than content with some at the same revision. The log says when an outage is assumed, on what evidence, and when it ends.

Tests: with the old rule in place of the new one, answer_to_a_peer_ends_an_outage, return_time_starts_with_the_first_answer_to_any_node and content_without_lapsed_targets_has_a_newer_version failed.

--- a/test/daemon/store_readings_test.cpp
+++ b/test/daemon/store_readings_test.cpp
@@ -36,9 +36,9 @@
     return std::make_shared<const config::snapshot>(built);
 }
 
-platform::store_reading reading(std::uint64_t as_of, int targets) {
+platform::store_reading reading(std::uint64_t version, int targets) {
     platform::store_reading built;
-    built.as_of = as_of;
+    built.version = version;
     built.configuration = content(targets);
     return built;
 }
--- a/test/platform/inventory_test.cpp
+++ b/test/platform/inventory_test.cpp
@@ -147,6 +147,45 @@
     STRCMP_EQUAL("a ", ids().c_str());
 }
 
+// Guards against a node that takes the store to be in an outage long after peers read it again. In
+// such a run, nodes kept targets that had left and sent them requests for seconds.
+TEST(inventory, answer_to_a_peer_ends_an_outage) {
+    start();
+    it.record_read_failure(now, now + 2s);
+    it.record_answer_to_peer(now + 3s);
+    it.apply({6, {deleted("a", 6)}}, now + 12s);
+    STRCMP_EQUAL("b ", ids().c_str());
+}
+
+// Guards against a late message about a reading before the outage that ends the outage, and against
+// a return time that starts only with this node's own next call.
+TEST(inventory, return_time_starts_with_the_first_answer_to_any_node) {
+    start();
+    it.record_read_failure(now, now + 2s);
+    it.record_answer_to_peer(now - 1s);
+    it.apply({6, {}}, now + 3s);
+    it.record_read_failure(now + 3s, now + 5s);
+    it.record_answer_to_peer(now + 6s);
+    it.apply({8, {deleted("a", 8)}}, now + 7s);
+    STRCMP_EQUAL("a b ", ids().c_str());
+    CHECK(it.next_expiry() == now + 8s);
+}
+
+// Guards against two contents under one version: the node that still had the lapsed target refused
+// its peers' content without it, and sent requests to a target that had left.
+TEST(inventory, content_without_lapsed_targets_has_a_newer_version) {
+    start();
+    it.record_read_failure(now, now + 2s);
+    it.apply({7, {deleted("a", 7)}}, now + 4s);
+    const auto with_lapsed_target = it.version();
+    it.expire(now + 6s);
+    LONGS_EQUAL(7, it.as_of());
+    CHECK(with_lapsed_target < it.version());
+    const auto without = it.version();
+    it.apply({8, {deleted("b", 8)}}, now + 20s);
+    CHECK(without < it.version());
+}
+
 // Guards against keeping targets that were deleted in a part of the history that the store no
 // longer has, so that no change reports the deletion.
 TEST(inventory, full_list_removes_targets_it_lacks) {
--- a/wigeonrill/src/daemon/control_loop_readings.cpp
+++ b/wigeonrill/src/daemon/control_loop_readings.cpp
@@ -26,7 +26,7 @@
 bool control_loop::apply_store_content(const platform::store_reading& latest) {
     const auto current = store_.current();
     auto next = *latest.configuration;
-    next.version = latest.as_of;
+    next.version = latest.version;
     if (current) {
         next.published = current->published;
         const auto version = std::exchange(next.version, current->version);
--- a/wigeonrill/src/platform/feed_thread.cpp
+++ b/wigeonrill/src/platform/feed_thread.cpp
@@ -34,6 +34,7 @@
 void feed_reader_thread::mark_up_to_date(instant when) {
     const std::lock_guard lock(mutex_);
     schedule_.mark_up_to_date(when);
+    first_peer_reading_ = first_peer_reading_.value_or(when);
 }
 
 void feed_reader_thread::set_configuration_in_force(config::snapshot_ptr configuration) {
@@ -68,6 +69,7 @@
     }
     if (!outcome.failure) {
         outcome.configuration = inventory_.configuration();
+        outcome.version = inventory_.version();
     }
     outcome.as_of = inventory_.as_of();
     outcome.notes = inventory_.take_notes();
@@ -88,6 +90,9 @@
         const auto last_read_at = schedule_.up_to_date_at().value_or(clock_->now());
         const auto wait = schedule_.max_wait();
         inventory_.set_configuration_in_force(configuration_in_force_);
+        if (const auto when = std::exchange(first_peer_reading_, std::nullopt)) {
+            inventory_.record_answer_to_peer(*when);
+        }
         lock.unlock();
         const auto outcome = read_store(last_read_at, wait);
         lock.lock();
--- a/wigeonrill/src/platform/feed_thread.h
+++ b/wigeonrill/src/platform/feed_thread.h
@@ -12,6 +12,7 @@
     /// Configuration built from the store's records. Null when the call failed or the operator's
     /// rules have not been read yet.
     config::snapshot_ptr configuration;
+    std::uint64_t version{0};     ///< version of the configuration, see inventory::version()
     std::uint64_t as_of{0};       ///< revision of the store up to which all changes are included
     instant when{};               ///< the configuration includes every change made before this time
     std::optional<error> failure; ///< reason of the failure; empty when the call succeeded
@@ -60,11 +61,13 @@
     inventory inventory_;          ///< used by the thread only
     int calls_since_full_list_{0}; ///< used by the thread only
     bool full_list_due_{true};     ///< the next call lists all records; used by the thread only
-    std::mutex mutex_;             ///< protects schedule_, configuration_in_force_ and stopping_
+    std::mutex mutex_;             ///< protects the members below except thread_
     std::condition_variable
         wake_up_; ///< ends the pause between two calls when the thread must stop
     read_schedule schedule_;
     config::snapshot_ptr configuration_in_force_;
+    /// First reading by a peer since this node's last call.
+    std::optional<instant> first_peer_reading_;
     bool stopping_{false};
     std::thread thread_;
 };
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// The content of a revision without lapsed targets, and the one with some of them.
+constexpr std::uint64_t versions_per_revision = 2;
+
 // Whether the candidate was written by an earlier process of the target, or earlier by the same
 // process.
 bool is_older(const target_registration& candidate, const target_registration& known) {
@@ -63,9 +66,7 @@
 }
 
 void inventory::apply(const feed_page& changes, instant now) {
-    if (std::exchange(in_outage_, false)) {
-        outage_ended_at_ = now;
-    }
+    end_outage(now);
     for (const auto& it : changes.records) {
         apply_record(it, now);
     }
@@ -74,7 +75,36 @@
 }
 
 void inventory::record_read_failure(instant last_read_at, instant now) {
-    in_outage_ = in_outage_ || now - last_read_at >= options_.outage_time;
+    if (in_outage_ || now - last_read_at < options_.outage_time) {
+        return;
+    }
+    in_outage_ = true;
+    last_answer_before_outage_ = last_read_at;
+    const auto age = std::chrono::duration_cast<milliseconds>(now - last_read_at);
+    notes_.push_back({true, "The store answers no node; lapsed targets are kept.", "",
+                      "last answer " + std::to_string(age.count()) + " ms ago", as_of_});
+}
+
+void inventory::record_answer_to_peer(instant when) {
+    if (when > last_answer_before_outage_) {
+        end_outage(when);
+    }
+}
+
+void inventory::end_outage(instant when) {
+    if (std::exchange(in_outage_, false)) {
+        outage_ended_at_ = when;
+        notes_.push_back({false, "The store answers again.", "", "", as_of_});
+    }
+}
+
+bool inventory::has_lapsed_targets() const {
+    return std::ranges::any_of(targets_,
+                               [](const auto& it) { return it.second.lapsed_at.has_value(); });
+}
+
+std::uint64_t inventory::version() const {
+    return as_of_ * versions_per_revision + (has_lapsed_targets() ? 0 : 1);
 }
 
 bool inventory::in_return_window(instant now) const {
@@ -92,10 +122,9 @@
 }
 
 std::optional<instant> inventory::next_expiry() const {
-    const bool any = std::ranges::any_of(
-        targets_, [](const auto& it) { return it.second.lapsed_at.has_value(); });
-    return any && outage_ended_at_ ? std::optional(*outage_ended_at_ + options_.return_time)
-                                   : std::nullopt;
+    return has_lapsed_targets() && outage_ended_at_
+               ? std::optional(*outage_ended_at_ + options_.return_time)
+               : std::nullopt;
 }
 
 void inventory::expire(instant now) {
@@ -207,7 +236,7 @@
 
 config::snapshot inventory::build() const {
     config::snapshot built;
-    built.version = as_of_;
+    built.version = version();
     std::map<service_name, config::service> services;
     for (const auto& name : rules_->services) {
         services[name].name = name;
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -47,6 +47,9 @@
     /// \brief Records that the store could not be read, which may mean an outage.
     /// \param last_read_at latest time at which any node read the store, as far as this node knows
     void record_read_failure(instant last_read_at, instant now);
+    /// \brief Records that the store answered a peer, which ends an outage that began before.
+    /// \param when start of the peer's call
+    void record_answer_to_peer(instant when);
     /// \brief Sets the configuration in force. It may come from a peer that read the store later
     ///        than this node.
     void set_configuration_in_force(config::snapshot_ptr configuration) {
@@ -60,6 +63,10 @@
 
     /// \returns the revision up to which all changes are included, 0 before the first read
     [[nodiscard]] std::uint64_t as_of() const { return as_of_; }
+    /// \returns the version of the configuration. It grows with as_of(). Without lapsed targets it
+    ///          is newer than with some at the same revision, because all nodes build the same
+    ///          content then, while those that are kept differ between nodes.
+    [[nodiscard]] std::uint64_t version() const;
     /// \returns the configuration, or null before the operator's rules are known
     [[nodiscard]] config::snapshot_ptr configuration();
     /// \returns the messages added since the last call
@@ -82,6 +89,8 @@
     void remove_target(const feed_record& record, instant now);
     void add_note(const char* what, const known_target& about, const std::string& key,
                   std::uint64_t revision);
+    void end_outage(instant when);
+    [[nodiscard]] bool has_lapsed_targets() const;
     /// \returns whether the store is in an outage, or return_time after one has not passed yet
     [[nodiscard]] bool in_return_window(instant now) const;
     [[nodiscard]] bool is_in_force(const target_registration& target) const;
@@ -94,7 +103,8 @@
     std::map<std::string, known_target> targets_; ///< by the key of their record
     std::optional<operator_rules> rules_;
     bool in_outage_{false};                  ///< the store has not answered for outage_time
-    std::optional<instant> outage_ended_at_; ///< first answer after the last outage
+    instant last_answer_before_outage_{};    ///< last answer to any node before the last outage
+    std::optional<instant> outage_ended_at_; ///< first answer to any node after the last outage
     config::snapshot_ptr configuration_in_force_;
     config::snapshot_ptr configuration_; ///< result of the last build()
     bool changed_since_build_{false};
