Coalesce counts of outstanding requests and collect datagrams

Cause: each request is told to 93 peers when it starts and when it ends. The byte budget of 64 KiB/s holds about 8 of the 15 rounds a second; the rest were left out, so peers counted requests that had ended for up to 2.5 s.

Now a count waits for the budget, the latest per target, and goes in one message with the others; the control thread handles datagrams together every 10 ms instead of one a wake-up, and asks the socket once for each.

Tests: count_batch; counts_keep_to_their_budget and readings_and_observations_reach_the_named_peers hold unchanged.

--- a/wigeonrill/peers.h
+++ b/wigeonrill/peers.h
@@ -7,6 +7,7 @@
 #define WIGEONRILL_PEERS_MODULE
 
 #include <algorithm>
+#include <atomic>
 #include <deque>
 #include <set>
 #include <tuple>
@@ -20,6 +21,7 @@
 #include "src/peers/message.h"
 // Needs message.h.
 #include "src/peers/codec.h"
+#include "src/peers/count_batch.h"
 #include "src/peers/fetch_scheduler.h"
 #include "src/peers/link_state.h"
 #include "src/peers/rumor_queue.h"
--- a/wigeonrill/src/daemon/control_thread.cpp
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -5,6 +5,9 @@
 namespace {
 
 constexpr std::size_t task_capacity = 1024;
+// Datagrams are collected for this long and handled together, since a wake-up for each costs more
+// processor time than its content.
+constexpr milliseconds datagram_pause{10};
 
 std::size_t content_bytes(const config::change_set& changes) {
     std::size_t bytes = 0;
@@ -79,6 +82,7 @@
             link_->receive(remaining);
             loop_.exchange_events();
             link_->flush();
+            std::this_thread::sleep_for(std::min(remaining, datagram_pause));
         }
     }
 }
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -160,12 +160,25 @@
 }
 
 void gossip_node::announce(std::vector<health::observation> seen, const std::vector<node_id>& to) {
-    // Peers discard a number of outstanding requests that isn't repeated, so leaving some out makes
-    // the values of the peers wrong only for a short time.
-    load_budget_.refill(clock_.now());
-    if (load_budget_.level() <= 0.0) {
-        std::erase_if(seen, [](const auto& it) { return it.outstanding >= 0; });
+    const auto may_wait = [](const health::observation& it) {
+        return it.outstanding >= 0 && (it.kind == health::observation_kind::good ||
+                                       it.kind == health::observation_kind::load_only);
+    };
+    const auto counts = std::ranges::stable_partition(seen, std::not_fn(may_wait));
+    for (auto& it : counts) {
+        counts_.add(std::move(it));
+    }
+    seen.erase(counts.begin(), counts.end());
+    const auto now = clock_.now();
+    load_budget_.refill(now);
+    if (load_budget_.level() > 0.0) {
+        std::ranges::move(counts_.take(), std::back_inserter(seen));
     }
+    send_observations(seen, to, now);
+}
+
+void gossip_node::send_observations(const std::vector<health::observation>& seen,
+                                    const std::vector<node_id>& to, instant now) {
     for (std::size_t first = 0; first < seen.size(); first += observations_per_message) {
         const auto last = std::min(first + observations_per_message, seen.size());
         for (const auto& it : to) {
@@ -173,7 +186,7 @@
             content.kind = message_kind::observation;
             content.observations.assign(seen.begin() + static_cast<std::ptrdiff_t>(first),
                                         seen.begin() + static_cast<std::ptrdiff_t>(last));
-            send(it, std::move(content), clock_.now());
+            send(it, std::move(content), now);
         }
     }
 }
--- a/wigeonrill/src/peers/gossip_node.h
+++ b/wigeonrill/src/peers/gossip_node.h
@@ -120,8 +120,9 @@
     ///        in force.
     /// \param when time at which the call to the store started
     void announce_store_reading(const std::vector<node_id>& to, instant when);
-    /// \brief Sends observations of targets by this node to peers. Those with a number of
-    ///        outstanding requests are left out while their budget is used up.
+    /// \brief Sends observations of targets by this node to peers. Numbers of outstanding requests
+    ///        without bad news wait while their budget is used up, until a later call.
+    /// \param seen may be empty, to send those that wait
     void announce(std::vector<health::observation> seen, const std::vector<node_id>& to);
     /// \brief Announces the planned stop of this node to several peers at once and to all by
     /// gossip.
@@ -197,6 +198,9 @@
     void send(const node_id& to, message content, instant now);
     /// \returns the budget that a message is charged to
     [[nodiscard]] token_bucket& budget_of(const message& content);
+    /// Sends observations to peers, several in one message.
+    void send_observations(const std::vector<health::observation>& seen,
+                           const std::vector<node_id>& to, instant now);
     /// Sends waiting evidence as far as the byte budget allows.
     void flush_evidence(instant now);
     /// Checks the sender, its incarnation and the sequence of a message.
@@ -230,6 +234,7 @@
     member_table members_; ///< all other nodes
     digest_builder digest_;
     evidence_queue evidence_;
+    count_batch counts_;          ///< wait until load_budget_ has bytes again
     token_bucket byte_budget_;    ///< bytes of control traffic
     token_bucket load_budget_;    ///< bytes of observations with numbers of outstanding requests
     token_bucket reply_budget_;   ///< replies to gossip requests
--- a/wigeonrill/src/peers/udp_transport.cpp
+++ b/wigeonrill/src/peers/udp_transport.cpp
@@ -58,15 +58,19 @@
 std::optional<datagram> udp_transport::receive(milliseconds wait) {
     try {
         const Poco::Timespan span(wait.count() * 1'000);
-        if (!socket_->handle.poll(span, Poco::Net::Socket::SELECT_READ)) {
+        if (wait.count() > 0 && !socket_->handle.poll(span, Poco::Net::Socket::SELECT_READ)) {
             return std::nullopt;
         }
         Poco::Net::SocketAddress from;
         auto& buffer = socket_->buffer;
         const int size =
             socket_->handle.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), from);
-        if (size < 0 || from == socket_->address) {
-            return std::nullopt; // A datagram from the socket's own address was sent by wake().
+        if (size < 0) {
+            return std::nullopt; // No datagram is waiting.
+        }
+        if (from == socket_->address) {
+            wake_pending_ = false; // wake() sent this datagram.
+            return receive(milliseconds{0});
         }
         return datagram{from_poco(from),
                         std::string(buffer.data(), static_cast<std::size_t>(size))};
@@ -78,11 +82,14 @@
 }
 
 void udp_transport::wake() {
+    if (wake_pending_.exchange(true)) {
+        return;
+    }
     try {
         const char nothing = 0;
         socket_->handle.sendTo(&nothing, 0, socket_->address);
     } catch (const Poco::Exception&) {
-        return; // receive() then returns at its timeout, at most one tick later.
+        wake_pending_ = false; // receive() then returns at its timeout, at most one tick later.
     }
 }
 
--- a/wigeonrill/src/peers/udp_transport.h
+++ b/wigeonrill/src/peers/udp_transport.h
@@ -28,6 +28,7 @@
     explicit udp_transport(std::unique_ptr<socket> bound);
 
     std::unique_ptr<socket> socket_;
+    std::atomic<bool> wake_pending_{false}; ///< wake() sent a datagram that wasn't received yet
 };
 
 } // namespace wigeonrill::peers
