Give up endless bytes that are no answer

A caller of a target that sends interim answers without end, or a head byte by byte, waited for the route's total time (30 s) and got 504; another target wasn't tried. A target that sends on after a whole answer kept its connection until the next request used the pool.

Cause: the limit for the first byte ends with any byte, and started again with each interim answer; idle connections were looked at only when one was taken or returned.

Now a head must be complete 2 s after its first byte, at most 16 interim answers are accepted, the limit for the first byte counts from the end of the request, a late answer to another request may take 2 s, and the main thread closes idle connections with input each second.

--- a/test/traffic/scripted_target.cpp
+++ b/test/traffic/scripted_target.cpp
@@ -89,6 +89,11 @@
     return static_cast<int>(sockets_.size());
 }
 
+int scripted_target::closed_connections() const {
+    const std::lock_guard lock(mutex_);
+    return closed_connections_;
+}
+
 void scripted_target::wait_closed(int count) {
     std::unique_lock lock(mutex_);
     closed_.wait(lock, [&] { return closed_connections_ >= count; });
@@ -106,6 +111,13 @@
     }
 }
 
+void scripted_target::repeat(Poco::Net::StreamSocket& socket, const scripted_answer& answer) {
+    while (!stopping_) {
+        std::this_thread::sleep_for(answer.interval);
+        socket.sendBytes(answer.repeated.data(), static_cast<int>(answer.repeated.size()));
+    }
+}
+
 void scripted_target::serve(Poco::Net::StreamSocket socket) {
     std::string buffered;
     for (;;) {
@@ -125,6 +137,10 @@
         }
         try {
             socket.sendBytes(answer.bytes.data(), static_cast<int>(answer.bytes.size()));
+            if (!answer.repeated.empty()) {
+                repeat(socket, answer);
+                break;
+            }
             if (answer.close) {
                 socket.shutdown();
                 socket.close();
--- a/test/traffic/scripted_target.h
+++ b/test/traffic/scripted_target.h
@@ -10,9 +10,11 @@
 
 /// Reaction of the target to one request.
 struct scripted_answer {
-    std::string bytes;  ///< written unchanged, valid HTTP or not
-    bool close{false};  ///< close the connection afterwards
-    bool silent{false}; ///< write nothing and wait until the other side closes
+    std::string bytes;        ///< written unchanged, valid HTTP or not
+    bool close{false};        ///< close the connection afterwards
+    bool silent{false};       ///< write nothing and wait until the other side closes
+    std::string repeated{};   ///< written after `bytes` again and again until the other side closes
+    milliseconds interval{0}; ///< pause before each repetition
 };
 
 /// Target that reads complete requests and answers with the bytes that a function returns.
@@ -29,12 +31,15 @@
     [[nodiscard]] endpoint address() const;
     [[nodiscard]] std::vector<std::string> requests() const;
     [[nodiscard]] int connections() const;
+    [[nodiscard]] int closed_connections() const;
     /// Waits until the other side has closed that many connections.
     void wait_closed(int count);
 
 private:
     void accept_connections();
     void serve(Poco::Net::StreamSocket socket);
+    /// Writes the repeated part of an answer until the other side closes the connection.
+    void repeat(Poco::Net::StreamSocket& socket, const scripted_answer& answer);
 
     script answers_;
     Poco::Net::ServerSocket listener_;
--- a/wigeonrill/src/daemon/application.cpp
+++ b/wigeonrill/src/daemon/application.cpp
@@ -28,6 +28,7 @@
             node.confirm_file_version();
             next_confirmation = now + file_confirmation_period;
         }
+        node.close_unusable_connections();
         const auto request = signals.wait_for_request(signal_wait);
         if (request == process_request::reload) {
             node.reload();
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -301,6 +301,10 @@
     }
 }
 
+void running_node::close_unusable_connections() {
+    components_->traffic_server->close_unusable_connections();
+}
+
 void running_node::reload() {
     auto& it = *components_;
     if (const auto read = it.read_file(); !read) {
--- a/wigeonrill/src/daemon/running_node.h
+++ b/wigeonrill/src/daemon/running_node.h
@@ -23,6 +23,9 @@
     /// \brief Confirms the version of the configuration file, if the node has one. Must be called
     ///        periodically, because no platform confirms that version.
     void confirm_file_version();
+    /// \brief Closes idle connections to targets that can't be used again. Must be called
+    ///        periodically.
+    void close_unusable_connections();
     /// \brief Reads the configuration file again, if the node has one. When it is invalid, the
     ///        version in force stays.
     void reload();
--- a/wigeonrill/src/traffic/server.cpp
+++ b/wigeonrill/src/traffic/server.cpp
@@ -132,6 +132,9 @@
 result<void> server::start() {
     return impl_->start();
 }
+void server::close_unusable_connections() {
+    impl_->context.pool.close_unusable();
+}
 void server::begin_drain() {
     impl_->context.draining = true;
 }
--- a/wigeonrill/src/traffic/server.h
+++ b/wigeonrill/src/traffic/server.h
@@ -46,6 +46,9 @@
     /// \returns an error of kind unavailable when the address can't be bound
     [[nodiscard]] result<void> start();
 
+    /// \brief Closes idle connections to targets that expired or on which bytes arrived. To be
+    ///        called about every second, so that a target that sends on is let go without traffic.
+    void close_unusable_connections();
     /// \brief Makes the server close each connection after its next answer. New connections are
     /// still accepted.
     void begin_drain();
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -24,6 +24,13 @@
 /// while a target is silent.
 constexpr milliseconds silence_check_period{100};
 
+/// Longest time from the first byte of an answer's head to its end, and for the body of a late
+/// answer to another request. Lost packets are repeated several times within it.
+constexpr milliseconds max_head_time{2'000};
+
+/// Number of interim answers to one request that are accepted.
+constexpr int max_interim_answers = 16;
+
 /// Number of late answers to other requests that are skipped before the connection is closed.
 constexpr int max_skipped_answers = 3;
 
@@ -230,12 +237,16 @@
 
 bool target_attempt::skip_answer() {
     std::array<char, transfer_buffer_bytes> discarded{};
+    const auto limit = std::min(deadline_, context_->clock->now() + max_head_time);
     while (!connection_->reader().parser().done()) {
         std::size_t n = 0;
         const auto reading = connection_->reader().read_body(discarded.data(), discarded.size(), n,
-                                                             deadline_, caller_->fd());
+                                                             limit, caller_->fd());
         if (reading != status::ok) {
-            return fail(reading);
+            return fail_unfinished(reading);
+        }
+        if (context_->clock->now() >= limit) {
+            return fail_unfinished(status::timed_out);
         }
     }
     return connection_->reader().parser().keep_alive() || fail(status::ended);
@@ -243,8 +254,8 @@
 
 target_attempt::status target_attempt::wait_for_answer() {
     auto& reader = connection_->reader();
-    const auto now = context_->clock->now();
-    const auto first_byte = std::min(deadline_, now + plan_->route.limits.first_byte);
+    const auto first_byte =
+        std::min(deadline_, answer_expected_since_ + plan_->route.limits.first_byte);
     auto reading = reader.wait_first_byte(first_byte, caller_->fd());
     // If no other target can take the request, the silent one may still answer in time.
     while (reading == status::timed_out && context_->clock->now() < deadline_ &&
@@ -257,7 +268,9 @@
 
 bool target_attempt::read_final_head() {
     auto& reader = connection_->reader();
+    answer_expected_since_ = context_->clock->now();
     int skipped = 0;
+    int interim = 0;
     for (;;) {
         reader.begin(make_answer_parser({context_->options.max_head_bytes, std::nullopt},
                                         is_head_request()));
@@ -267,7 +280,11 @@
         }
         if (reading == status::ok) {
             answer_started_ = true;
-            reading = reader.read_head(deadline_, caller_->fd());
+            const auto limit = std::min(deadline_, context_->clock->now() + max_head_time);
+            reading = reader.read_head(limit, caller_->fd());
+            if (reading != status::ok) {
+                return fail_unfinished(reading);
+            }
         }
         if (reading != status::ok) {
             return fail(reading);
@@ -291,6 +308,9 @@
         if (head_.status == 101) {
             return fail(answer_kind::malformed); // The Upgrade field was not sent to the target.
         }
+        if (++interim > max_interim_answers) {
+            return fail(answer_kind::malformed);
+        }
         // This node sends 100 itself. HTTP/1.0 has no interim answers.
         if (head_.status != 100 && request_->head.minor_version > 0) {
             caller_->send_interim(head_);
@@ -367,6 +387,14 @@
     return false;
 }
 
+bool target_attempt::fail_unfinished(status reading) {
+    const bool deadline_passed = context_->clock->now() >= deadline_;
+    if (reading == status::timed_out) {
+        return fail(deadline_passed ? answer_kind::cancelled : answer_kind::malformed);
+    }
+    return fail(reading);
+}
+
 bool target_attempt::fail(status reading) {
     switch (reading) {
     case status::timed_out:
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -85,6 +85,9 @@
     [[nodiscard]] bool fail(health::answer_kind kind);
     /// \brief Records the failure that a read with this status means. Always returns false.
     [[nodiscard]] bool fail(status reading);
+    /// \brief The same for a head or a late answer that has begun: if it takes too long, the answer
+    ///        is malformed. Always returns false.
+    [[nodiscard]] bool fail_unfinished(status reading);
     /// \returns true when the request may be sent again after a reused connection was lost
     [[nodiscard]] bool may_retry_on_new_connection() const;
     [[nodiscard]] bool is_head_request() const { return request_->info.method == "HEAD"; }
@@ -99,7 +102,8 @@
     std::optional<std::uint64_t> length_;      ///< Content-Length of the answer
     std::optional<std::string> buffered_body_; ///< body of the answer, if read into memory
     std::optional<framing_fault> caller_fault_;
-    instant deadline_{}; ///< until when the head of the answer must be read
+    instant answer_expected_since_{}; ///< when the request was sent
+    instant deadline_{};              ///< until when the head of the answer must be read
     bool answered_{false};
     bool caller_disconnected_{false};
     bool answer_started_{false};     ///< at least one byte of the answer has arrived
--- a/wigeonrill/src/traffic/target_pool.cpp
+++ b/wigeonrill/src/traffic/target_pool.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <algorithm>
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -31,7 +32,7 @@
         connection_ptr candidate;
         {
             const std::lock_guard lock(mutex_);
-            collect_expired(closing);
+            collect_unusable(closing);
             const auto it = idle_.find(address);
             if (it == idle_.end() || it->second.empty() ||
                 clock_->now() - it->second.back()->last_used() > max_idle) {
@@ -51,7 +52,7 @@
     connection->mark_used(clock_->now());
     idle_list closing;
     const std::lock_guard lock(mutex_);
-    collect_expired(closing);
+    collect_unusable(closing);
     auto& list = idle_[address];
     if (list.size() < max_idle_per_address) {
         list.push_back(std::move(connection));
@@ -68,7 +69,13 @@
     }
 }
 
-void target_pool::collect_expired(idle_list& expired) {
+void target_pool::close_unusable() {
+    idle_list closing;
+    const std::lock_guard lock(mutex_);
+    collect_unusable(closing);
+}
+
+void target_pool::collect_unusable(idle_list& unusable) {
     const auto now = clock_->now();
     if (now < next_sweep_) {
         return;
@@ -76,12 +83,12 @@
     next_sweep_ = now + seconds{1};
     for (auto it = idle_.begin(); it != idle_.end();) {
         auto& list = it->second;
-        // Connections are appended after use, so the list is sorted by the time of last use.
-        std::size_t n = 0;
-        while (n < list.size() && now - list[n]->last_used() > max_idle_time) {
-            expired.push_back(std::move(list[n++]));
-        }
-        list.erase(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(n));
+        const auto usable = [&](const connection_ptr& one) {
+            return now - one->last_used() <= max_idle_time && is_open_without_input(one->fd());
+        };
+        const auto rest = std::ranges::stable_partition(list, usable);
+        std::ranges::move(rest, std::back_inserter(unusable));
+        list.erase(rest.begin(), rest.end());
         it = list.empty() ? idle_.erase(it) : std::next(it);
     }
 }
--- a/wigeonrill/src/traffic/target_pool.h
+++ b/wigeonrill/src/traffic/target_pool.h
@@ -51,15 +51,18 @@
     void put(const endpoint& address, connection_ptr connection);
     /// \brief Closes the idle connections to an address. Used when a target there became silent.
     void close_idle(const endpoint& address);
+    /// \brief Closes the idle connections that expired or on which bytes arrived, at most once per
+    ///        second.
+    void close_unusable();
     /// \brief Opens a connection within the time limit.
     /// \returns the connection, or null on failure
     [[nodiscard]] connection_ptr connect(const endpoint& address, milliseconds limit) const;
 
 private:
     using idle_list = std::vector<connection_ptr>;
-    /// \brief Moves connections that were idle for too long to the given list, at most once per
-    /// second. The caller closes them by destroying the list.
-    void collect_expired(idle_list& expired);
+    /// \brief Moves connections that were idle for too long, or are not open without input, to the
+    ///        given list, at most once per second. The caller closes them by destroying the list.
+    void collect_unusable(idle_list& unusable);
 
     const clock_source* clock_;
     std::mutex mutex_;
