Spread requests when many fail, and over failure domains

Cause, from the replay in test/dispatch: (1) a target that fails in bursts counts as suspect for 10.7 s after its last failure, while it is sound again after 2 s; when 3 of 10 targets fail at any time, most sound ones are left out and the rest is overloaded. The replay used 12 s itself, so it did not notice. (2) Without counts of other nodes, or at low load, a target of the own domain is always cheaper, so targets whose domain has no nodes got nothing.

Now above 7 failures in 100 requests of the fleet, targets without a bad answer for 1.5 s are used evenly; half of the requests ignore domains; counts are told to at most 48 other nodes.

--- a/test/dispatch/fleet_simulation.h
+++ b/test/dispatch/fleet_simulation.h
@@ -13,12 +13,14 @@
 struct simulation_plan {
     std::size_t nodes{36};
     int targets{13};
-    std::uint32_t slots{2};              ///< concurrent requests per target
-    std::uint32_t queue_limit{8};        ///< requests that wait in a target; further ones are shed
-    double requests_per_second{90.0};    ///< mean rate of Poisson arrivals at random nodes
-    double mean_service_s{0.22};         ///< service times are uniform within 50% of it
-    std::size_t failing_at_once{0};      ///< number of failing targets; they change in turn
-    seconds burst_length{6};             ///< time for which the same targets fail
+    std::uint32_t slots{2};           ///< concurrent requests per target
+    std::uint32_t queue_limit{8};     ///< requests that wait in a target; further ones are shed
+    double requests_per_second{90.0}; ///< mean rate of Poisson arrivals at random nodes
+    double mean_service_s{0.22};      ///< service times are uniform within 50% of it
+    std::size_t failing_at_once{0};   ///< number of failing targets; they change in turn
+    seconds burst_length{6};          ///< time for which the same targets fail
+    /// Time after a failure in which a target doesn't count as healthy.
+    seconds recovery_time{12};
     milliseconds latency_objective{800}; ///< slower answers count as late
     milliseconds observation_delay{2};   ///< delay of an observation between nodes
     bool shares_observations{true};      ///< nodes send each other their observations
@@ -53,6 +55,7 @@
                                        .own_domain = {},
                                        .make_policy = plan.policy},
                 *randoms_.back()));
+            cores_.back()->set_count_receivers(plan.nodes - 1);
             cores_.back()->set_view(view, table, now_);
         }
     }
@@ -61,7 +64,7 @@
         const auto end = now_ + plan_.duration;
         schedule(now_ + exponential(1.0 / plan_.requests_per_second),
                  [this, end] { add_arrival(end); });
-        for (auto window = now_ + recovery_time; window < end; window += usage_window) {
+        for (auto window = now_ + plan_.recovery_time; window < end; window += usage_window) {
             schedule(window, [this] { record_usage(); });
         }
         for (auto tick = now_; tick < end; tick += milliseconds(50)) {
@@ -79,8 +82,6 @@
 private:
     /// Interval of record_usage().
     static constexpr seconds usage_window{2};
-    /// Time after a failure in which a target doesn't count as healthy.
-    static constexpr seconds recovery_time{12};
 
     using task = std::function<void()>;
     struct event {
@@ -122,7 +123,7 @@
         int healthy = 0;
         int used = 0;
         for (auto& it : targets_) {
-            const bool is_healthy = now_ - it.last_failing > recovery_time;
+            const bool is_healthy = now_ - it.last_failing > plan_.recovery_time;
             healthy += is_healthy ? 1 : 0;
             used += is_healthy && it.was_used ? 1 : 0;
             it.was_used = false;
--- a/test/dispatch/placement_test.cpp
+++ b/test/dispatch/placement_test.cpp
@@ -107,3 +107,44 @@
     const auto late = two.request("GET", "/a");
     STRCMP_EQUAL("no-target", d.first_step(late).reason.type.c_str());
 }
+
+// Guards against targets that get nothing because all nodes of their failure domain have stopped:
+// at low load, the nodes of the other domains always found a free target of their own domain.
+TEST(placement, targets_of_another_domain_get_requests_at_low_load) {
+    auto snapshot = test::make_snapshot(10, 6);
+    for (std::size_t i = 0; i < 10; ++i) {
+        snapshot->services.at(0).targets.at(i).domain = domain_name(i < 6 ? "d1" : "d2");
+    }
+    test::dispatcher_fixture it(snapshot);
+    it.options.core.own_domain = domain_name("d1");
+    it.options.core.make_policy = [] { return std::make_unique<routing::least_cost>(); };
+    dispatch::request_dispatcher d(it.options, it.clock, it.random, it.sink);
+    d.set_view(test::make_view(snapshot));
+    std::map<std::string, int> requests;
+    for (int i = 0; i < 100; ++i) {
+        const auto request = it.request("GET", "/a");
+        ++requests[d.first_step(request).target.value];
+        d.finish_request(request, true, nullptr);
+    }
+    LONGS_EQUAL(10, requests.size());
+}
+
+// Guards against a message to every node for each request in a large fleet, where the counts use
+// most of the processor time and arrive too late.
+TEST(placement, counts_are_not_published_to_too_many_nodes) {
+    test::dispatcher_fixture it(test::make_snapshot(2, 6));
+    it.options.core.publish_outstanding = true;
+    dispatch::request_dispatcher d(it.options, it.clock, it.random, it.sink);
+    d.set_view(test::make_view(it.snapshot));
+    const auto send_one = [&] {
+        const auto request = it.request("GET", "/a");
+        CHECK(d.first_step(request).kind == step_kind::send);
+        d.finish_request(request, true, nullptr);
+    };
+    d.set_count_receivers(dispatch::max_count_receivers);
+    send_one();
+    LONGS_EQUAL(2, it.sink.observations.size());
+    d.set_count_receivers(dispatch::max_count_receivers + 1);
+    send_one();
+    LONGS_EQUAL(2, it.sink.observations.size());
+}
--- a/wigeonrill/src/daemon/control_loop_readings.cpp
+++ b/wigeonrill/src/daemon/control_loop_readings.cpp
@@ -80,6 +80,7 @@
                       .with("rank", static_cast<std::int64_t>(next.rank)));
     }
     group_ = std::move(next);
+    dependencies_.dispatcher.set_count_receivers(group_.others.size());
     if (group_rank_listener_) {
         group_rank_listener_(group_.rank);
     }
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -69,7 +69,7 @@
 void decision_core::tick(instant now) {
     observe_overdue(now);
     for (auto& [name, service] : services_) {
-        if (options_.publish_outstanding) {
+        if (publishes_counts()) {
             for (const auto& it : service->unpublished_targets(now)) {
                 publish_outstanding_count(name, *it, now);
             }
@@ -94,6 +94,7 @@
         service = std::make_unique<service_state>(options_.make_policy(), options_.own_domain);
         service->retries = options_.retries;
     }
+    service->set_nodes(count_receivers_ + 1);
     service->sync(generation_, *it);
     return service.get();
 }
@@ -113,7 +114,7 @@
     record.fingerprint = request_fingerprint(info, info.idempotency_key);
     if (find_route(record, at.now) && admit(record, at) && check_key(record, at) &&
         find_service(record, at)) {
-        record.service->retries.on_request(at.now);
+        record.service->on_request(at.now);
         place_or_queue(record, at);
     }
 }
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -10,6 +10,12 @@
 /// \brief Event of a decision_core that must be passed to the event sink.
 using event = std::variant<health::answer, decision_record, once::crash_mark, health::observation>;
 
+/// \brief Largest number of other nodes to which counts of outstanding requests are published.
+///
+/// Each count is a message to every one of them. In a larger fleet the counts arrive too late, and
+/// nodes that all know the same old counts choose the same target.
+inline constexpr std::size_t max_count_receivers = 48;
+
 /// \brief Options of a decision_core.
 struct core_options {
     /// \brief Creates the placement policy of one service.
@@ -18,7 +24,8 @@
     /// A shed request waits in the queue, instead of being refused, when the retry budget is used
     /// up.
     bool shed_may_wait{true};
-    /// Publish to other nodes how many requests this node has in each target.
+    /// Publish to other nodes how many requests this node has in each target, as long as there are
+    /// at most max_count_receivers of them.
     bool publish_outstanding{false};
     domain_name own_domain; ///< failure domain of this node; empty: unknown
     /// Policy of each service; by default two random choices.
@@ -93,6 +100,8 @@
         containment_.add(mark, now);
     }
 
+    /// \brief Sets the number of other nodes that receive the counts of outstanding requests.
+    void set_count_receivers(std::size_t n) { count_receivers_ = n; }
     /// \brief Takes an observation of a target that another node made.
     void on_peer_observation(const health::observation& seen, instant now);
 
@@ -208,7 +217,13 @@
     /// \returns not_run when it is certain that no target ran the request, otherwise unknown
     [[nodiscard]] traffic::outcome outcome_of(const request_record& record) const;
 
+    /// \returns whether counts of outstanding requests are published
+    [[nodiscard]] bool publishes_counts() const {
+        return options_.publish_outstanding && count_receivers_ <= max_count_receivers;
+    }
+
     core_options options_;
+    std::size_t count_receivers_{0};
     random_source& random_;
     routing::view_ptr view_;
     std::uint64_t generation_{0};                       ///< number of views set so far
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -182,7 +182,7 @@
 
 void decision_core::publish_outstanding_count(const service_name& service, target_record& target,
                                               instant now, health::observation_kind kind) {
-    if (!options_.publish_outstanding) {
+    if (!publishes_counts()) {
         return;
     }
     target.published_outstanding = target.limiter.outstanding();
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -69,6 +69,11 @@
     core_.add_crash_mark(mark, clock_.wall_now());
 }
 
+void request_dispatcher::set_count_receivers(std::size_t n) {
+    const std::lock_guard guard(mutex_);
+    core_.set_count_receivers(n);
+}
+
 void request_dispatcher::on_peer_observation(const health::observation& seen) {
     const std::lock_guard guard(mutex_);
     core_.on_peer_observation(seen, clock_.now());
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -45,6 +45,8 @@
     /// \brief Records when the platform or a peer confirmed the current configuration. Without a
     ///        confirmation within owner_lease this node refuses keys created by callers.
     void set_config_confirmed_at(wall_time when);
+    /// \brief Sets the number of other nodes that receive the counts of outstanding requests.
+    void set_count_receivers(std::size_t n);
     /// \brief Takes an observation of a target that another node made.
     void on_peer_observation(const health::observation& seen);
     /// \brief Takes a crash mark from another node.
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -18,6 +18,16 @@
 // probability is at most this value.
 constexpr double max_failure_probability = 0.5;
 
+// Above this share of failed requests, healthy capacity must not be kept out of use by old
+// failures.
+constexpr double max_failure_share = 0.07;
+// A target whose last bad answer is older counts as recovered then.
+constexpr milliseconds recent_failure_time{1'500};
+
+// Share of the requests that may go to any failure domain. Without it, the targets of a domain
+// whose nodes have stopped would get nothing while the other domains are lightly loaded.
+constexpr double any_domain_share = 0.5;
+
 // Returns the share of new requests for a target by its failure probability: about 7 in 10 of a
 // full share when nothing is known about the target, 1 in 60 at a probability of one half. Thus a
 // target that may have recovered is tried by one node instead of by all at once. When all targets
@@ -104,11 +114,26 @@
            !contains(avoid, it.record->id);
 }
 
-routing::placement_candidate service_state::make_candidate(const weighted_target& it,
-                                                           instant now) const {
+void service_state::on_request(instant now) {
+    retries.on_request(now);
+    failures_.on_request(now);
+}
+
+service_state::placement_conditions service_state::conditions(instant now,
+                                                              random_source& random) const {
+    return {now, !own_domain_.value.empty() && random.uniform() >= any_domain_share,
+            failures_.at(now, nodes_) > max_failure_share};
+}
+
+routing::placement_candidate
+service_state::make_candidate(const weighted_target& it,
+                              const placement_conditions& conditions) const {
+    const auto now = conditions.now;
     const auto& record = *it.record;
+    const bool recovered =
+        conditions.spreads && record.failure_burst.last_bad_at() < now - recent_failure_time;
     routing::placement_candidate candidate;
-    candidate.failure_probability = record.failure_burst.probability(now);
+    candidate.failure_probability = recovered ? 0.0 : record.failure_burst.probability(now);
     candidate.capacity = static_cast<double>(record.slots) * it.weight *
                          traffic_share(candidate.failure_probability);
     candidate.failure_probability =
@@ -118,23 +143,27 @@
     candidate.slots = record.slots;
     candidate.peer_outstanding = record.peer_outstanding.at(now);
     candidate.weight = it.weight;
-    candidate.is_remote = !own_domain_.value.empty() && record.domain != own_domain_;
+    candidate.is_remote = conditions.prefers_own_domain && record.domain != own_domain_;
     return candidate;
 }
 
-void service_state::collect_candidates(std::span<const target_id> avoid, instant now) {
+void service_state::collect_candidates(std::span<const target_id> avoid,
+                                       const placement_conditions& conditions) {
     candidates_.clear();
     positions_.clear();
     for (std::size_t i = 0; i < eligible_.size(); ++i) {
         const auto& it = eligible_[i];
-        if (can_take_request(it, avoid, now)) {
-            candidates_.push_back(make_candidate(it, now));
+        if (can_take_request(it, avoid, conditions.now)) {
+            candidates_.push_back(make_candidate(it, conditions));
             positions_.push_back(i);
         }
     }
 }
 
 void service_state::observe(const target_id& target, health::observation_kind kind, instant now) {
+    if (kind == health::observation_kind::failed) {
+        failures_.on_failure(now);
+    }
     if (const auto it = known_.find(target); it != known_.end()) {
         it->second->failure_burst.add(kind, now);
     }
@@ -187,7 +216,7 @@
     const bool all_tried = std::ranges::all_of(eligible_, [&](const weighted_target& it) {
         return now < it.record->draining_until || contains(avoid, it.record->id);
     });
-    collect_candidates(all_tried ? std::span<const target_id>{} : avoid, now);
+    collect_candidates(all_tried ? std::span<const target_id>{} : avoid, conditions(now, random));
     if (candidates_.empty()) {
         return {};
     }
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -41,6 +41,10 @@
     /// \returns the target to probe, or null when no probe can start now
     [[nodiscard]] target_record_ptr acquire_probe_target(instant now);
 
+    /// \brief Counts a request of a caller that this node received for the service.
+    void on_request(instant now);
+    /// \brief Sets the number of nodes that share their observations, including this one.
+    void set_nodes(std::size_t n) { nodes_ = n; }
     /// \brief Updates the failure estimate of a target with an observation of this or another node.
     ///        Unknown targets are ignored.
     void observe(const target_id& target, health::observation_kind kind, instant now);
@@ -89,13 +93,24 @@
     /// \returns true when a target is below its limit, not draining and not in `avoid`
     [[nodiscard]] bool can_take_request(const weighted_target& it, std::span<const target_id> avoid,
                                         instant now) const;
+    /// Conditions that apply to all candidates of one placement.
+    struct placement_conditions {
+        instant now;
+        bool prefers_own_domain{true};
+        /// Many requests of the service fail, so targets without a recent failure are used evenly.
+        bool spreads{false};
+    };
+    [[nodiscard]] placement_conditions conditions(instant now, random_source& random) const;
     /// \brief Fills candidates_ and positions_ with the targets that can take a request now.
-    void collect_candidates(std::span<const target_id> avoid, instant now);
-    [[nodiscard]] routing::placement_candidate make_candidate(const weighted_target& it,
-                                                              instant now) const;
+    void collect_candidates(std::span<const target_id> avoid,
+                            const placement_conditions& conditions);
+    [[nodiscard]] routing::placement_candidate
+    make_candidate(const weighted_target& it, const placement_conditions& conditions) const;
 
     std::unique_ptr<routing::placement_policy> policy_;
     domain_name own_domain_;
+    std::size_t nodes_{1};
+    health::failure_share failures_;
     std::uint64_t generation_{0}; ///< number of the view that sync() last took over
     std::vector<weighted_target> eligible_;
     std::vector<pending_probe> pending_probes_;              ///< at most one per ejected target
--- a/wigeonrill/src/health/spell_estimate.cpp
+++ b/wigeonrill/src/health/spell_estimate.cpp
@@ -41,6 +41,9 @@
     const double odds = before / (1.0 - before) * likelihood_ratio_of(kind);
     probability_ = std::clamp(odds / (1.0 + odds), min_probability, max_probability);
     updated_ = now;
+    if (kind == observation_kind::failed || kind == observation_kind::late) {
+        last_bad_at_ = now;
+    }
 }
 
 double failure_burst_estimate::probability(instant now) const {
--- a/wigeonrill/src/health/spell_estimate.h
+++ b/wigeonrill/src/health/spell_estimate.h
@@ -25,7 +25,11 @@
     /// Probability for a target without recent observations.
     static constexpr double prior_probability = 0.09;
 
+    /// \returns the time of the last failed or late answer; instant::min() if there was none
+    [[nodiscard]] instant last_bad_at() const { return last_bad_at_; }
+
 private:
+    instant last_bad_at_{instant::min()};
     double probability_{prior_probability};
     instant updated_{instant::min()};
 };
