--- a/wigeonrill/src/daemon/control_thread.cpp
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -116,6 +116,9 @@
     post([this, request, answer = std::move(changes)] {
         gossip_->fetch_finished(request.from, answer.has_value());
         gossip_->count_transfer(0, answer ? content_bytes(*answer) : 0);
+        if (!answer) {
+            loop_.log_failed_fetch(request.from, answer.error());
+        }
         if (answer && answer->version > request.since) {
             apply_fetched_changes(request, *answer);
         }
