--- a/test/traffic/endless_answer_test.cpp
+++ b/test/traffic/endless_answer_test.cpp
@@ -53,10 +53,11 @@
 // Guards against a caller that waits for its deadline, and a target connection that stays open,
 // while the target sends bytes that never become an answer.
 TEST(endless_answer, is_given_up) {
-    for (const auto& [label, first, repeated, interval] : endless_answers()) {
+    for (const auto& one : endless_answers()) {
+        const char* label = one.label;
         proxy_fixture it(
-            [&](const std::string& /*request*/, int /*number*/) {
-                return scripted_answer{first, false, false, repeated, interval};
+            [&one](const std::string& /*request*/, int /*number*/) {
+                return scripted_answer{one.first, false, false, one.repeated, one.interval};
             },
             options());
         const auto started = it.clock.now();
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -164,11 +164,9 @@
         return it.outstanding >= 0 && (it.kind == health::observation_kind::good ||
                                        it.kind == health::observation_kind::load_only);
     };
-    const auto counts = std::ranges::stable_partition(seen, std::not_fn(may_wait));
-    for (auto& it : counts) {
-        counts_.add(std::move(it));
-    }
-    seen.erase(counts.begin(), counts.end());
+    const auto waiting = std::stable_partition(seen.begin(), seen.end(), std::not_fn(may_wait));
+    std::for_each(waiting, seen.end(), [this](auto& it) { counts_.add(std::move(it)); });
+    seen.erase(waiting, seen.end());
     const auto now = clock_.now();
     load_budget_.refill(now);
     if (load_budget_.level() > 0.0) {
--- a/wigeonrill/src/traffic/target_pool.cpp
+++ b/wigeonrill/src/traffic/target_pool.cpp
@@ -86,9 +86,9 @@
         const auto usable = [&](const connection_ptr& one) {
             return now - one->last_used() <= max_idle_time && is_open_without_input(one->fd());
         };
-        const auto rest = std::ranges::stable_partition(list, usable);
-        std::ranges::move(rest, std::back_inserter(unusable));
-        list.erase(rest.begin(), rest.end());
+        const auto rest = std::stable_partition(list.begin(), list.end(), usable);
+        std::move(rest, list.end(), std::back_inserter(unusable));
+        list.erase(rest, list.end());
         it = list.empty() ? idle_.erase(it) : std::next(it);
     }
 }
