Drop a probe whose target has left

Cause, from the log: front-perth-a-6 had version 193 without the target in force at 26.92 s and sent it a safe request at 28.68 s with 1 candidate. A probe of the target, which the monitor had requested while it was configured, was still pending for up to 4 s; sync() kept it although the target was gone.

Now a new view drops the probes of targets that its configuration lacks.

Test: is_dropped_when_its_target_has_left failed before.

--- a/test/dispatch/probe_test.cpp
+++ b/test/dispatch/probe_test.cpp
@@ -61,3 +61,16 @@
     CHECK(next->kind == traffic::step_kind::send);
     CHECK(next->target.value != "t0");
 }
+
+// Guards against a probe of a target that has left since the probe was requested. In such a run, a
+// target got a request 2.4 s after its leaving had been put in force.
+TEST(probe, is_dropped_when_its_target_has_left) {
+    auto without_t0 = std::make_shared<config::snapshot>(*it.snapshot);
+    without_t0->version = 2;
+    auto& targets = without_t0->services.front().targets;
+    targets.erase(targets.begin());
+    it.dispatcher->set_view(make_view(without_t0));
+    for (int i = 0; i < 5; ++i) {
+        CHECK_FALSE(is_probe(it.request("GET", "/proofs")));
+    }
+}
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -58,13 +58,16 @@
     for (const auto& it : view.eligible) {
         eligible_.push_back({find_or_add_target(*it.target), std::max(it.weight, min_weight)});
     }
+    const auto is_configured = [&](const target_id& id) {
+        return std::ranges::any_of(view.service->targets,
+                                   [&](const config::target& it) { return it.id == id; });
+    };
+    std::erase_if(pending_probes_,
+                  [&](const pending_probe& it) { return !is_configured(it.record->id); });
     // Keep the records of targets that requests still use, and of configured targets that may
     // become eligible again.
     std::erase_if(known_, [&](const auto& one) {
-        return one.second.use_count() == 1 &&
-               std::ranges::none_of(view.service->targets, [&](const config::target& target) {
-                   return target.id == one.first;
-               });
+        return one.second.use_count() == 1 && !is_configured(one.first);
     });
 }
 
