--- /dev/null
+++ b/wigeonrill/src/traffic/answer_statements.cpp
@@ -0,0 +1,67 @@
+#include "wigeonrill/traffic.h"
+
+#include "wigeonrill/src/traffic/answer_statements.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace wigeonrill::traffic::detail {
+
+namespace {
+
+using health::answer_kind;
+
+/// Returns the sum of the running and waiting requests in a load report, or -1 if the text is none.
+std::int32_t parse_load(std::string_view text) {
+    std::int32_t running = -1;
+    const auto* last = text.data() + text.size();
+    const auto [end, ec] = std::from_chars(text.data(), last, running);
+    if (ec != std::errc{} || running < 0) {
+        return -1;
+    }
+    std::int32_t waiting = 0;
+    if (end != last && *end == ',') {
+        std::from_chars(end + 1, last, waiting);
+    }
+    return running + std::max(waiting, 0);
+}
+
+/// Returns true when the answer states that the target did not run the request.
+bool reports_not_run(const message_head& head, const header_names& names, bool misdirected) {
+    const bool refused =
+        head.status == 503 || head.status == 429 || head.status == 421 || head.status == 408;
+    const bool stated = head.value(names.not_run) == "1" || misdirected;
+    return refused && (stated || (names.retry_after_means_not_run && head.status == 503 &&
+                                  head.count("Retry-After") > 0));
+}
+
+} // namespace
+
+bool has_required_signature(const message_head& head, const header_names& names, step_kind kind) {
+    const auto& name = names.signature;
+    const bool success = head.status >= 200 && head.status < 300;
+    return name.empty() || kind != step_kind::send || !success || head.count(name) == 1;
+}
+
+bool answers_other_request(const message_head& head, const header_names& names, step_kind kind,
+                           const request_info& request) {
+    const auto& name = names.request_id;
+    return !name.empty() && kind == step_kind::send && head.count(name) > 0 &&
+           head.value(name) != request.name;
+}
+
+void record_statements(const message_head& head, const header_names& names, step_kind kind,
+                       attempt_result& result) {
+    result.status = head.status;
+    result.draining = !names.draining.empty() && head.value(names.draining) == "1";
+    result.misdirected = !names.expected_target.empty() && head.status == 421;
+    result.reported_load = parse_load(head.value(names.load));
+    // A refusal by another node says nothing about the slots of a target, so it is not a shed.
+    if (kind == step_kind::send && reports_not_run(head, names, result.misdirected)) {
+        result.kind = answer_kind::shed;
+    } else {
+        result.kind = head.status >= 500 ? answer_kind::server_error : answer_kind::ok;
+    }
+}
+
+} // namespace wigeonrill::traffic::detail
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -2,9 +2,11 @@
 
 #include "wigeonrill/src/traffic/target_attempt.h"
 
+#include "wigeonrill/src/traffic/answer_statements.h"
+#include "wigeonrill/src/traffic/forwarded_head.h"
+
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace wigeonrill::traffic::detail {
 
@@ -40,21 +42,6 @@
 /// Longest idle time of a connection for all other requests.
 constexpr milliseconds reused_connection_max_idle{5'000};
 
-/// Returns the sum of the running and waiting requests in a load report, or -1 if the text is none.
-std::int32_t parse_load(std::string_view text) {
-    std::int32_t running = -1;
-    const auto* last = text.data() + text.size();
-    const auto [end, ec] = std::from_chars(text.data(), last, running);
-    if (ec != std::errc{} || running < 0) {
-        return -1;
-    }
-    std::int32_t waiting = 0;
-    if (end != last && *end == ',') {
-        std::from_chars(end + 1, last, waiting);
-    }
-    return running + std::max(waiting, 0);
-}
-
 } // namespace
 
 void target_attempt::run() {
@@ -116,36 +103,8 @@
 }
 
 std::string target_attempt::request_head() const {
-    message_head head = request_->head;
-    const auto& info = request_->info;
-    head.target = info.query.empty() ? info.path : info.path + "?" + info.query;
-    head.remove_hop_by_hop();
-    head.remove("Content-Length");
-    head.remove("Transfer-Encoding");
-    if (request_->body_complete && !request_->body_streamed) {
-        if (request_->length || request_->chunked) {
-            head.add("Content-Length", std::to_string(request_->buffered_body.size()));
-        }
-    } else if (request_->chunked) {
-        head.add("Transfer-Encoding", "chunked");
-    } else {
-        head.add("Content-Length", std::to_string(request_->length.value_or(0)));
-    }
-    if (head.count("Host") == 0) {
-        head.add("Host", to_string(plan_->address));
-    }
     const auto left = std::chrono::floor<milliseconds>(deadline_ - context_->clock->now());
-    const auto& names = context_->options.names;
-    head.set(names.deadline, std::to_string(std::max<std::int64_t>(left.count(), 0)));
-    if (plan_->kind == step_kind::send && !names.expected_target.empty()) {
-        head.set(names.expected_target, plan_->target.value);
-    }
-    if (plan_->kind == step_kind::forward) {
-        head.set(std::string(from_node_field), "1");
-        head.set(std::string(caller_field), request_->info.caller);
-    }
-    head.add_via(context_->options.via);
-    return serialize_request(head);
+    return make_forwarded_head(*request_, *plan_, context_->options, left);
 }
 
 bool target_attempt::send_bytes(std::string_view bytes) {
@@ -208,8 +167,8 @@
     if (!read_final_head()) {
         return false;
     }
-    record_head();
-    if (!is_signed()) {
+    record_statements(head_, context_->options.names, plan_->kind, result_);
+    if (!has_required_signature(head_, context_->options.names, plan_->kind)) {
         return fail(answer_kind::malformed);
     }
     const auto& parser = connection_->reader().parser();
@@ -223,18 +182,6 @@
     return true;
 }
 
-bool target_attempt::is_signed() const {
-    const auto& name = context_->options.names.signature;
-    const bool success = head_.status >= 200 && head_.status < 300;
-    return name.empty() || plan_->kind != step_kind::send || !success || head_.count(name) == 1;
-}
-
-bool target_attempt::answers_other_request() const {
-    const auto& name = context_->options.names.request_id;
-    return !name.empty() && plan_->kind == step_kind::send && head_.count(name) > 0 &&
-           head_.value(name) != request_->info.name;
-}
-
 bool target_attempt::skip_answer() {
     std::array<char, transfer_buffer_bytes> discarded{};
     const auto limit = std::min(deadline_, context_->clock->now() + max_head_time);
@@ -290,7 +237,7 @@
             return fail(reading);
         }
         head_ = reader.parser().head();
-        if (answers_other_request()) {
+        if (answers_other_request(head_, context_->options.names, plan_->kind, request_->info)) {
             // A late second answer to an earlier request; the answer to this one follows it.
             if (++skipped > max_skipped_answers) {
                 return fail(answer_kind::malformed);
@@ -354,29 +301,6 @@
     return !reader.parser().done() || is_complete() || fail(answer_kind::malformed);
 }
 
-void target_attempt::record_head() {
-    const auto& names = context_->options.names;
-    result_.status = head_.status;
-    result_.draining = !names.draining.empty() && head_.value(names.draining) == "1";
-    result_.misdirected = !names.expected_target.empty() && head_.status == 421;
-    result_.reported_load = parse_load(head_.value(names.load));
-    // A refusal by another node says nothing about the slots of a target, so it is not a shed.
-    if (reports_not_run() && plan_->kind == step_kind::send) {
-        result_.kind = answer_kind::shed;
-    } else {
-        result_.kind = head_.status >= 500 ? answer_kind::server_error : answer_kind::ok;
-    }
-}
-
-bool target_attempt::reports_not_run() const {
-    const auto& names = context_->options.names;
-    const bool refused =
-        head_.status == 503 || head_.status == 429 || head_.status == 421 || head_.status == 408;
-    const bool stated = head_.value(names.not_run) == "1" || result_.misdirected;
-    return refused && (stated || (names.retry_after_means_not_run && head_.status == 503 &&
-                                  head_.count("Retry-After") > 0));
-}
-
 bool target_attempt::fail(answer_kind kind) {
     result_.kind = kind;
     result_.ended = context_->clock->now();
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -20,7 +20,6 @@
     void run();
 
     [[nodiscard]] const attempt_result& result() const { return result_; }
-    [[nodiscard]] attempt_result& mutable_result() { return result_; }
     /// \returns true when an answer was read that can be sent to the caller
     [[nodiscard]] bool answered() const { return answered_; }
     /// \returns true when the attempt ended because the caller closed its connection
@@ -70,17 +69,9 @@
     [[nodiscard]] bool buffer_answer_body();
     /// \returns true when no bytes follow the answer on the connection
     [[nodiscard]] bool is_complete() const;
-    /// \returns false for an answer with status 2xx that lacks the required signature
-    [[nodiscard]] bool is_signed() const;
-    /// \returns true when the head that was read belongs to the answer to another request
-    [[nodiscard]] bool answers_other_request() const;
     /// \brief Reads and discards the rest of an answer to another request.
     /// \returns false when no further answer can follow on the connection
     [[nodiscard]] bool skip_answer();
-    /// \returns true when the answer states that the target did not run the request
-    [[nodiscard]] bool reports_not_run() const;
-    /// \brief Records the status and the reports of the target from the head in result_.
-    void record_head();
     /// \brief Records a failure in result_ and closes the connection. Always returns false.
     [[nodiscard]] bool fail(health::answer_kind kind);
     /// \brief Records the failure that a read with this status means. Always returns false.
@@ -102,7 +93,7 @@
     std::optional<std::uint64_t> length_;      ///< Content-Length of the answer
     std::optional<std::string> buffered_body_; ///< body of the answer, if read into memory
     std::optional<framing_fault> caller_fault_;
-    instant answer_expected_since_{}; ///< when the request was sent
+    instant answer_expected_since_{}; ///< when the request had been sent
     instant deadline_{};              ///< until when the head of the answer must be read
     bool answered_{false};
     bool caller_disconnected_{false};
