Use kept targets evenly while many requests fail

The sequential test had judged them sick; the floor keeps such targets in use, but at a weight of 0.2, which costs as much as 0.8 of a service time, so any other target is cheaper at usual load. Nothing is sent to them, so nothing ends the verdict before its time.

Ruled out: the probability of a failure burst alone (it is at most 0.25, which counts as none, 10.7 s after a failure).

Now a target without a bad answer for 1.5 s has its full weight while over 7 in 100 requests of the fleet fail, by the rule that already ignored its failure probability.

Test: kept_targets_get_requests_while_many_fail failed before (fewer than 50 of 1,000 requests at each of 3 of 10 targets, an even share is 100).

--- a/test/dispatch/placement_test.cpp
+++ b/test/dispatch/placement_test.cpp
@@ -148,3 +148,33 @@
     send_one();
     LONGS_EQUAL(2, it.sink.observations.size());
 }
+
+// Guards against healthy capacity that an old verdict keeps out of use while many requests fail: a
+// target that the floor keeps in use has a low weight, and at low load any other target was
+// cheaper.
+TEST(placement, kept_targets_get_requests_while_many_fail) {
+    auto snapshot = test::make_snapshot(10, 6);
+    test::dispatcher_fixture it(snapshot);
+    it.options.core.make_policy = [] { return std::make_unique<routing::least_cost>(); };
+    dispatch::request_dispatcher d(it.options, it.clock, it.random, it.sink);
+    auto view = std::make_shared<routing::view>(*test::make_view(snapshot));
+    for (std::size_t i = 0; i < 3; ++i) {
+        view->services.front().eligible.at(i).weight = health::ejection_policy::kept_weight;
+    }
+    d.set_view(view);
+    std::map<std::string, int> requests;
+    for (int i = 0; i < 1'000; ++i) {
+        const auto request = it.request("GET", "/a");
+        ++requests[d.first_step(request).target.value];
+        d.finish_request(request, true, nullptr);
+        if (i % 5 == 0) {
+            d.on_peer_observation({service_name("print"), target_id("t9"),
+                                   health::observation_kind::failed, -1, node_id("a")});
+        }
+        it.clock.advance(milliseconds(100));
+    }
+    // Half of an even share, since the choice is random.
+    for (const auto* id : {"t0", "t1", "t2"}) {
+        CHECK_TEXT(requests[id] >= 50, id);
+    }
+}
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -137,7 +137,8 @@
         conditions.spreads && record.failure_burst.last_bad_at() < now - recent_failure_time;
     routing::placement_candidate candidate;
     candidate.failure_probability = recovered ? 0.0 : record.failure_burst.probability(now);
-    candidate.capacity = static_cast<double>(record.slots) * it.weight *
+    candidate.weight = recovered ? 1.0 : it.weight;
+    candidate.capacity = static_cast<double>(record.slots) * candidate.weight *
                          traffic_share(candidate.failure_probability);
     candidate.failure_probability =
         std::max(candidate.failure_probability, failure_probability_floor);
@@ -145,7 +146,6 @@
     candidate.reported_load = record.hint.at(now);
     candidate.slots = record.slots;
     candidate.peer_outstanding = record.peer_outstanding.at(now);
-    candidate.weight = it.weight;
     candidate.is_remote = conditions.prefers_own_domain && record.domain != own_domain_;
     return candidate;
 }
