--- a/test/daemon/control_loop_test.cpp
+++ b/test/daemon/control_loop_test.cpp
@@ -1,4 +1,4 @@
-#include "wigeonrill/daemon.h"
+#include "control_loop_group.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -33,16 +33,8 @@
 
 } // namespace
 
-TEST_GROUP(control_loop) {
-    manual_clock_source clock;
-    seeded_random_source random{1};
-    observe::memory_sink log;
-    observe::metric_registry metrics;
-    traffic_event_sink events{log};
-    dispatch::request_dispatcher dispatcher{{{"10.1.0.1", 80}, 1, {}}, clock, random, events};
-    control_loop loop{{clock, log, metrics, events, dispatcher, nullptr},
-                      node_id("10.1.0.1:7"),
-                      domain_name("d1")};
+TEST_GROUP_BASE(control_loop, test::control_loop_group) {
+    service_name stock{"stock"};
 
     void tick() {
         clock.advance(control_loop::tick_period);
@@ -50,7 +42,7 @@
     }
     void answer(int target, milliseconds latency) {
         health::answer it;
-        it.service = service_name("stock");
+        it.service = stock;
         it.target = target_id("stock-" + std::to_string(target));
         it.route = route_name("lookup");
         it.sent = clock.now() - latency;
--- a/test/daemon/store_readings_test.cpp
+++ b/test/daemon/store_readings_test.cpp
@@ -1,4 +1,4 @@
-#include "wigeonrill/daemon.h"
+#include "control_loop_group.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -45,19 +45,8 @@
 
 } // namespace
 
-TEST_GROUP(store_readings) {
-    manual_clock_source clock;
-    seeded_random_source random{1};
-    observe::memory_sink log;
-    observe::metric_registry metrics;
-    traffic_event_sink events{log};
-    dispatch::request_dispatcher dispatcher{{{"10.1.0.1", 80}, 1, {}}, clock, random, events};
-    control_loop loop{{clock, log, metrics, events, dispatcher, nullptr},
-                      node_id("10.1.0.1:7"),
-                      domain_name("d1")};
-    control_loop peer{{clock, log, metrics, events, dispatcher, nullptr},
-                      node_id("10.1.0.2:7"),
-                      domain_name("d1")};
+TEST_GROUP_BASE(store_readings, test::control_loop_group) {
+    control_loop peer{dependencies(), node_id("10.1.0.2:7"), domain_name("d1")};
 
     std::uint64_t version() {
         return loop.state()->configuration->version;
