Read and log the rate limit that a target names

Now the head of an answer is read for the limit, and a node logs each change of what a target names; nothing acts on it yet. A negative or endless number, a text and the limit of another target at the address don't count; of two fields the lower does.

The test read_the_rate_limit_of_a_target uses the new member, so it had no failing run.

--- a/test/traffic/named_headers_test.cpp
+++ b/test/traffic/named_headers_test.cpp
@@ -51,6 +51,41 @@
     LONGS_EQUAL(5, it.decisions.attempts.at(0).reported_load);
 }
 
+// Guards against a limit that is misread: a text, a negative or an endless number, or the limit of
+// another target that now has the address, must not count, and of two limits the lower one does.
+TEST(named_headers, read_the_rate_limit_of_a_target) {
+    const std::vector<std::pair<std::string, std::optional<double>>> fields{
+        {"Limit: 1.5\r\n", 1.5},
+        {"Limit: 0\r\n", 0.0},
+        {"Limit: 4\r\nLimit: 0.2\r\n", 0.2},
+        {"Limit: 2\r\nLimit: x\r\n", 2.0},
+        {"", std::nullopt},
+        {"Limit: -1\r\n", std::nullopt},
+        {"Limit: many\r\n", std::nullopt},
+        {"Limit: inf\r\n", std::nullopt},
+        {"Limit: 1e3\r\n", std::nullopt},
+        {"Limit:\r\n", std::nullopt},
+    };
+    auto options = custom_header_options();
+    options.names.rate_limit = "Limit";
+    proxy_fixture it(
+        [&fields](const std::string& /*request*/, int number) {
+            const auto n = static_cast<std::size_t>(number) - 1;
+            return n < fields.size()
+                       ? answer(200, "Request-Name: r1\r\nSigned: s\r\n" + fields.at(n).first, "ok")
+                       : answer(421, "Limit: 1\r\n", "");
+        },
+        options);
+    for (const auto& [field, expected] : fields) {
+        static_cast<void>(it.send_request(get_with_custom_headers));
+        const auto& read = it.decisions.attempts.back().rate_limit;
+        CHECK_TEXT(read.per_second == expected, field.c_str());
+        CHECK_TEXT(read.is_unreadable == (!expected && !field.empty()), field.c_str());
+    }
+    static_cast<void>(it.send_request(get_with_custom_headers));
+    CHECK(it.decisions.attempts.back().rate_limit == health::rate_limit_statement{});
+}
+
 // Guards against passing a late second answer to an earlier request to the next caller.
 TEST(named_headers, skip_an_answer_to_another_request) {
     proxy_fixture it(
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -156,6 +156,7 @@
     if (answer.draining) {
         announce_leaving_target(answer);
     }
+    log_rate_limit(answer);
     dependencies_.metrics.increment_counter(
         "wigeonrill_attempts_total", "Attempts at targets by result.",
         {{"service", answer.service.value},
@@ -166,6 +167,34 @@
         dependencies_.clock.now());
 }
 
+// An answer may lack the field, for example an error of a process in front of the target. So the
+// end of a limit is logged only after a success.
+void control_loop::log_rate_limit(const health::answer& answer) {
+    const auto known = stated_limits_.find(answer.target);
+    const bool states_limit = answer.rate_limit != health::rate_limit_statement{};
+    const bool ends_limit =
+        known != stated_limits_.end() && !states_limit && answer.kind == health::answer_kind::ok;
+    const bool is_news =
+        states_limit && (known == stated_limits_.end() || known->second != answer.rate_limit);
+    if (!is_news && !ends_limit) {
+        return;
+    }
+    log_line line(ends_limit                        ? "Target names no rate limit any more."
+                  : answer.rate_limit.is_unreadable ? "Target names a rate limit that is no number."
+                                                    : "Target names a rate limit.");
+    line.with("service", answer.service.value).with("target", answer.target.value);
+    if (answer.rate_limit.per_second) {
+        line.with("per_second", std::to_string(*answer.rate_limit.per_second));
+    }
+    write_log(answer.rate_limit.is_unreadable ? log_level::warning : log_level::info,
+              log_subsystem::health, line);
+    if (ends_limit) {
+        stated_limits_.erase(known);
+    } else {
+        stated_limits_.insert_or_assign(answer.target, answer.rate_limit);
+    }
+}
+
 void control_loop::announce_leaving_target(const health::answer& answer) {
     const auto now = dependencies_.clock.now();
     auto& notice_expiry = leaving_notice_expiry_[answer.target];
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -136,6 +136,7 @@
     answer.request = record.info.id;
     answer.draining = attempt.draining;
     answer.reported_load = attempt.reported_load;
+    answer.rate_limit = attempt.rate_limit;
     answer.fingerprint = record.fingerprint;
     events_.emplace_back(std::move(answer));
 }
--- a/wigeonrill/src/health/answer.h
+++ b/wigeonrill/src/health/answer.h
@@ -32,6 +32,16 @@
     {answer_kind::cancelled, "cancelled"},
 }};
 
+/// \brief What the head of an answer states about the requests that its target takes.
+struct rate_limit_statement {
+    /// Requests per second that the target takes from all nodes together; nothing: no limit.
+    std::optional<double> per_second;
+    /// The field is there but holds no limit, so the answer states nothing.
+    bool is_unreadable{false};
+
+    friend bool operator==(const rate_limit_statement&, const rate_limit_statement&) = default;
+};
+
 /// \brief A finished attempt at a target, as the traffic threads report it to the control thread.
 struct answer {
     service_name service;
@@ -43,8 +53,9 @@
     bool draining{false};           ///< the answer carried Target-Draining: 1
     std::int32_t reported_load{-1}; ///< requests in the target by its Target-Load header, -1:
                                     ///< no header
-    std::uint64_t fingerprint{0};   ///< fingerprint of the request, 0: none
-    std::uint64_t request{0};       ///< id passed to monitor::on_outstanding(), 0: none
+    rate_limit_statement rate_limit;
+    std::uint64_t fingerprint{0}; ///< fingerprint of the request, 0: none
+    std::uint64_t request{0};     ///< id passed to monitor::on_outstanding(), 0: none
 };
 
 } // namespace wigeonrill::health
--- a/wigeonrill/src/traffic/answer_statements.cpp
+++ b/wigeonrill/src/traffic/answer_statements.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace wigeonrill::traffic::detail {
 
@@ -26,6 +27,32 @@
     return running + std::max(waiting, 0);
 }
 
+/// Returns nothing unless the whole text is a decimal number of 0 or more, without an exponent.
+std::optional<double> parse_rate(std::string_view text) {
+    double rate = 0.0;
+    const auto* last = text.data() + text.size();
+    const auto [end, ec] = std::from_chars(text.data(), last, rate, std::chars_format::fixed);
+    const bool is_number = ec == std::errc{} && end == last && std::isfinite(rate) && rate >= 0.0;
+    return is_number ? std::optional(rate) : std::nullopt;
+}
+
+/// Returns the lowest limit if there are several fields, so that none of them is exceeded.
+health::rate_limit_statement read_rate_limit(const message_head& head, const std::string& name) {
+    health::rate_limit_statement stated;
+    for (const auto& [field, value] : head.fields) {
+        if (name.empty() || !equal_ignoring_case(field, name)) {
+            continue;
+        }
+        const auto rate = parse_rate(value);
+        stated.is_unreadable = stated.is_unreadable || !rate;
+        if (rate) {
+            stated.per_second = std::min(*rate, stated.per_second.value_or(*rate));
+        }
+    }
+    stated.is_unreadable = stated.is_unreadable && !stated.per_second;
+    return stated;
+}
+
 /// Returns true when the answer states that the target did not run the request.
 bool reports_not_run(const message_head& head, const header_names& names, bool misdirected) {
     const bool refused =
@@ -56,6 +83,10 @@
     result.draining = !names.draining.empty() && head.value(names.draining) == "1";
     result.misdirected = !names.expected_target.empty() && head.status == 421;
     result.reported_load = parse_load(head.value(names.load));
+    // Another target that now has the address speaks for itself only.
+    if (kind == step_kind::send && !result.misdirected) {
+        result.rate_limit = read_rate_limit(head, names.rate_limit);
+    }
     // A refusal by another node says nothing about the slots of a target, so it is not a shed.
     if (kind == step_kind::send && reports_not_run(head, names, result.misdirected)) {
         result.kind = answer_kind::shed;
--- a/wigeonrill/src/traffic/dispatcher.h
+++ b/wigeonrill/src/traffic/dispatcher.h
@@ -64,8 +64,9 @@
     bool draining{false};           ///< the target announced that it is draining
     bool misdirected{false};        ///< status 421: another target has the address
     std::int32_t reported_load{-1}; ///< running and waiting requests of the target; -1: unknown
-    instant sent{};                 ///< directly before the first byte of the request was written
-    instant ended{};                ///< when the answer's head had been read or the attempt failed
+    health::rate_limit_statement rate_limit; ///< what the answer states; nothing without one
+    instant sent{};  ///< directly before the first byte of the request was written
+    instant ended{}; ///< when the answer's head had been read or the attempt failed
 };
 
 /// \brief Interface that decides how requests are handled. It is called on the threads that serve
--- a/wigeonrill/src/traffic/header_names.h
+++ b/wigeonrill/src/traffic/header_names.h
@@ -22,6 +22,9 @@
     /// Load of a target: either its number of requests, or the numbers of running requests, waiting
     /// requests and slots, separated by commas.
     std::string load{"Target-Load"};
+    /// Requests per second, a decimal number, that a target takes from all nodes together for as
+    /// long as its answers say so.
+    std::string rate_limit{"Target-Rate-Limit"};
     /// The value 1 in an answer states that the target did not run the request.
     std::string not_run{"Target-Shed"};
     /// The value 1 in an answer states that the target is draining.
