Show that limited targets get more than they named

By the users' rule, 1.5 times the limit over 4 s and 5 requests more may come from nodes that have known it for half a second.

--- a/test/dispatch/fleet_simulation.h
+++ b/test/dispatch/fleet_simulation.h
@@ -25,14 +25,24 @@
     milliseconds observation_delay{2};   ///< delay of an observation between nodes
     bool shares_observations{true};      ///< nodes send each other their observations
     seconds duration{60};                ///< simulated time in which requests arrive
+    std::size_t limited_targets{0}; ///< the first targets name a rate limit after rate_limit_start
+    double rate_limit{1.0};         ///< requests per second from all nodes together
+    seconds rate_limit_start{5};    ///< from the start of the simulation
     dispatch::core_options::policy_factory policy;
 };
 
+/// Time after which a node that passed on an answer with a limit must keep to it.
+inline constexpr milliseconds telling_time{500};
+
 struct simulation_result {
     int requests{0};
     int late{0};
     int failed{0};
     int refused{0};
+    /// Times of the requests that reached each limited target from nodes that it had told its limit
+    /// at least `telling_time` before.
+    std::vector<std::vector<instant>> told_arrivals;
+    nanoseconds longest_refusal{0}; ///< longest time from arrival until a refusal
     double min_used_share{1.0}; ///< least share of healthy targets that got a request within 2 s
 };
 
@@ -43,6 +53,7 @@
     explicit fleet_simulation(const simulation_plan& plan)
         : plan_(plan), snapshot_(make_snapshot(plan.targets, plan.slots)),
           targets_(static_cast<std::size_t>(plan.targets)) {
+        result_.told_arrivals.resize(plan.limited_targets);
         snapshot_->routes.at(1).key = config::key_policy::optional;
         const auto view = make_view(snapshot_);
         const auto table = std::make_shared<routing::route_table>(snapshot_);
@@ -159,17 +170,30 @@
         deliver_observations(node);
         if (!sends) {
             ++result_.refused;
+            result_.longest_refusal =
+                std::max<nanoseconds>(result_.longest_refusal, now_ - arrived);
             cores_[node]->finish_request(id, false, nullptr, now());
             return;
         }
         const auto target = std::stoul(step->target.value.substr(1));
         schedule(now_ + milliseconds(1), [this, node, id, arrived, target] {
-            receive_request(target, [this, node, id, arrived](health::answer_kind kind) {
-                handle_answer(node, id, arrived, kind);
+            record_limited_arrival(node, target);
+            receive_request(target, [this, node, id, arrived, target](health::answer_kind kind) {
+                handle_answer(node, id, arrived, target, kind);
             });
         });
     }
 
+    bool names_limit(std::size_t target) const {
+        return target < plan_.limited_targets && now_ >= start_ + plan_.rate_limit_start;
+    }
+    void record_limited_arrival(std::size_t node, std::size_t target) {
+        const auto told = told_at_.find({node, target});
+        if (told != told_at_.end() && now_ >= told->second + telling_time) {
+            result_.told_arrivals.at(target).push_back(now_);
+        }
+    }
+
     using reply_function = std::function<void(health::answer_kind)>;
     void receive_request(std::size_t index, const reply_function& reply) {
         auto& target = targets_[index];
@@ -198,10 +222,14 @@
         });
     }
 
-    void handle_answer(std::size_t node, std::uint64_t id, instant arrived,
+    void handle_answer(std::size_t node, std::uint64_t id, instant arrived, std::size_t target,
                        health::answer_kind kind) {
         traffic::attempt_result attempt;
         attempt.kind = kind;
+        if (names_limit(target)) {
+            attempt.rate_limit.per_second = plan_.rate_limit;
+            told_at_.try_emplace({node, target}, now_);
+        }
         attempt.request_bytes_sent = true;
         attempt.sent = arrived;
         attempt.ended = now_;
@@ -250,7 +278,9 @@
     std::vector<std::unique_ptr<seeded_random_source>> randoms_;
     std::vector<std::unique_ptr<dispatch::decision_core>> cores_;
     std::vector<simulated_target> targets_;
-    instant now_{seconds(1'000)};
+    std::map<std::pair<std::size_t, std::size_t>, instant> told_at_; ///< by node and target
+    static constexpr instant start_{seconds(1'000)};
+    instant now_{start_};
     std::uint64_t last_event_number_{0};
     std::uint64_t last_id_{0};
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
