--- a/bench/decision/main.cpp
+++ b/bench/decision/main.cpp
@@ -96,9 +96,10 @@
 
 double placement_ns(int targets) {
     const auto snapshot = make_snapshot(targets, 1);
-    dispatch::service_state service(std::make_unique<routing::two_random_choices>());
-    service.sync(1, make_view(snapshot)->services.front());
     seeded_random_source random(1);
+    routing::rate_limit_table limits(random);
+    dispatch::service_state service(std::make_unique<routing::two_random_choices>(), limits, {});
+    service.sync(1, make_view(snapshot)->services.front());
     const instant now{};
     return median_ns(20'000, [&] {
         const auto placed = service.place({}, now, random);
--- a/test/dispatch/fixture.h
+++ b/test/dispatch/fixture.h
@@ -23,6 +23,10 @@
         const std::lock_guard guard(mutex_);
         observations.push_back(seen);
     }
+    void on_rate_limit(const health::rate_limit& notice) override {
+        const std::lock_guard guard(mutex_);
+        rate_limits.push_back(notice);
+    }
     void on_crash_mark(const once::crash_mark& mark) override {
         const std::lock_guard guard(mutex_);
         marks.push_back(mark);
@@ -32,6 +36,7 @@
     std::vector<dispatch::decision_record> decisions;
     std::vector<once::crash_mark> marks;
     std::vector<health::observation> observations;
+    std::vector<health::rate_limit> rate_limits;
 
 private:
     std::mutex mutex_;
--- a/test/dispatch/fleet_simulation.h
+++ b/test/dispatch/fleet_simulation.h
@@ -68,6 +68,7 @@
                 *randoms_.back()));
             cores_.back()->set_count_receivers(plan.nodes - 1);
             cores_.back()->set_view(view, table, now_);
+            cores_.back()->set_nodes(name_of(i), names_without(i), now_);
         }
     }
 
@@ -110,6 +111,16 @@
         instant last_failing{};
     };
 
+    static node_id name_of(std::size_t node) { return node_id("node-" + std::to_string(node)); }
+    std::vector<node_id> names_without(std::size_t node) const {
+        std::vector<node_id> names;
+        for (std::size_t i = 0; i < plan_.nodes; ++i) {
+            if (i != node) {
+                names.push_back(name_of(i));
+            }
+        }
+        return names;
+    }
     dispatch::clock_reading now() const { return {now_, wall_time{} + now_.time_since_epoch()}; }
     void schedule(instant when, task action) {
         events_.push({when, ++last_event_number_, std::move(action)});
@@ -256,6 +267,9 @@
 
     void deliver_observations(std::size_t node) {
         for (const auto& it : cores_[node]->take_events()) {
+            if (const auto* notice = std::get_if<health::rate_limit>(&it)) {
+                deliver_rate_limit(node, *notice);
+            }
             const auto* seen = std::get_if<health::observation>(&it);
             if (seen == nullptr || !plan_.shares_observations) {
                 continue;
@@ -272,6 +286,19 @@
         }
     }
 
+    void deliver_rate_limit(std::size_t node, const health::rate_limit& notice) {
+        if (!plan_.shares_observations) {
+            return;
+        }
+        schedule(now_ + plan_.observation_delay, [this, notice, node] {
+            for (std::size_t i = 0; i < cores_.size(); ++i) {
+                if (i != node) {
+                    cores_[i]->on_peer_rate_limit(notice, now_);
+                }
+            }
+        });
+    }
+
     simulation_plan plan_;
     std::shared_ptr<config::snapshot> snapshot_;
     seeded_random_source random_{1};
--- a/test/peers/fake_fleet.h
+++ b/test/peers/fake_fleet.h
@@ -89,6 +89,7 @@
     std::vector<health::verdict> verdicts;
     std::vector<once::crash_mark> marks;
     std::vector<health::evidence_report> evidence;
+    std::vector<health::rate_limit> rate_limits;
     std::uint64_t version{0};
     std::uint64_t fetches{0};
     /// Request in flight and the time of its answer.
@@ -195,6 +196,8 @@
         it.verdicts.insert(it.verdicts.end(), received.verdicts.begin(), received.verdicts.end());
         it.marks.insert(it.marks.end(), received.marks.begin(), received.marks.end());
         it.evidence.insert(it.evidence.end(), received.evidence.begin(), received.evidence.end());
+        it.rate_limits.insert(it.rate_limits.end(), received.rate_limits.begin(),
+                              received.rate_limits.end());
         run_fetch(it);
     }
     // Answers a request after 20 ms, or lets it fail if the peer isn't running or a direction is
--- a/test/peers/gossip_items_test.cpp
+++ b/test/peers/gossip_items_test.cpp
@@ -226,3 +226,20 @@
     }
     CHECK(reached >= 34);
 }
+
+// Guards against nodes that go on sending because they learn of a target's rate limit late: all
+// must know it half a second after one does, while datagrams are lost.
+TEST(gossip_items, rate_limit_reaches_every_node_at_once) {
+    const auto fleet = converged_fleet(36);
+    fleet->network.loss = 0.1;
+    const health::rate_limit limit{service_name("stock"), target_id("stock-1"), 1.5, 7,
+                                   fleet->clock.now() + seconds{30}};
+    fleet->at(3).announce(limit);
+    fleet->run(milliseconds{500});
+    std::size_t informed = 0;
+    for (const auto& it : fleet->nodes) {
+        informed += it->rate_limits.size();
+        CHECK(it->rate_limits.empty() || it->rate_limits.front().per_second == 1.5);
+    }
+    LONGS_EQUAL(35, informed);
+}
--- a/wigeonrill/base.h
+++ b/wigeonrill/base.h
@@ -6,6 +6,7 @@
 
 #define WIGEONRILL_BASE_MODULE
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <compare>
@@ -25,6 +26,8 @@
 #include "src/base/identifier.h"
 #include "src/base/random_source.h"
 #include "src/base/stable_hash.h"
+// Needs clock_source.h.
+#include "src/base/token_bucket.h"
 // Needs stable_hash.h.
 #include "src/base/rendezvous.h"
 
--- a/wigeonrill/gen-cpp/messages_types.cpp
+++ b/wigeonrill/gen-cpp/messages_types.cpp
@@ -898,6 +898,180 @@
 }
 
 
+RateLimit::~RateLimit() noexcept {
+}
+
+
+void RateLimit::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void RateLimit::__set_target_name(const std::string& val) {
+  this->target_name = val;
+}
+
+void RateLimit::__set_per_second(const double val) {
+  this->per_second = val;
+__isset.per_second = true;
+}
+
+void RateLimit::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void RateLimit::__set_remaining_ms(const int32_t val) {
+  this->remaining_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const RateLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target_name);
+          this->__isset.target_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->per_second);
+          this->__isset.per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->remaining_ms);
+          this->__isset.remaining_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateLimit");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target_name);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.per_second) {
+    xfer += oprot->writeFieldBegin("per_second", ::apache::thrift::protocol::T_DOUBLE, 3);
+    xfer += oprot->writeDouble(this->per_second);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remaining_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->remaining_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateLimit &a, RateLimit &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.target_name, b.target_name);
+  swap(a.per_second, b.per_second);
+  swap(a.sequence, b.sequence);
+  swap(a.remaining_ms, b.remaining_ms);
+  swap(a.__isset, b.__isset);
+}
+
+RateLimit::RateLimit(const RateLimit& other10) {
+  service_name = other10.service_name;
+  target_name = other10.target_name;
+  per_second = other10.per_second;
+  sequence = other10.sequence;
+  remaining_ms = other10.remaining_ms;
+  __isset = other10.__isset;
+}
+RateLimit& RateLimit::operator=(const RateLimit& other11) {
+  service_name = other11.service_name;
+  target_name = other11.target_name;
+  per_second = other11.per_second;
+  sequence = other11.sequence;
+  remaining_ms = other11.remaining_ms;
+  __isset = other11.__isset;
+  return *this;
+}
+void RateLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateLimit(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "target_name=" << to_string(target_name);
+  out << ", " << "per_second="; (__isset.per_second ? (out << to_string(per_second)) : (out << "<null>"));
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "remaining_ms=" << to_string(remaining_ms);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -983,6 +1157,11 @@
   this->observations = val;
 __isset.observations = true;
 }
+
+void Message::__set_rate_limits(const std::vector<RateLimit> & val) {
+  this->rate_limits = val;
+__isset.rate_limits = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -1111,14 +1290,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->members.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->members.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += this->members[_i14].read(iprot);
+              xfer += this->members[_i16].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1131,14 +1310,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size15;
-            ::apache::thrift::protocol::TType _etype18;
-            xfer += iprot->readListBegin(_etype18, _size15);
-            this->verdicts.resize(_size15);
-            uint32_t _i19;
-            for (_i19 = 0; _i19 < _size15; ++_i19)
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->verdicts.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
             {
-              xfer += this->verdicts[_i19].read(iprot);
+              xfer += this->verdicts[_i21].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1151,14 +1330,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crash_marks.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->crash_marks.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->crash_marks.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->crash_marks[_i24].read(iprot);
+              xfer += this->crash_marks[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1171,14 +1350,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size25;
-            ::apache::thrift::protocol::TType _etype28;
-            xfer += iprot->readListBegin(_etype28, _size25);
-            this->evidence.resize(_size25);
-            uint32_t _i29;
-            for (_i29 = 0; _i29 < _size25; ++_i29)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->evidence.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              xfer += this->evidence[_i29].read(iprot);
+              xfer += this->evidence[_i31].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1199,14 +1378,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->observations.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->observations.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->observations.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->observations[_i34].read(iprot);
+              xfer += this->observations[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1215,6 +1394,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rate_limits.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->rate_limits.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              xfer += this->rate_limits[_i41].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rate_limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1288,10 +1487,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<Member> ::const_iterator _iter35;
-      for (_iter35 = this->members.begin(); _iter35 != this->members.end(); ++_iter35)
+      std::vector<Member> ::const_iterator _iter42;
+      for (_iter42 = this->members.begin(); _iter42 != this->members.end(); ++_iter42)
       {
-        xfer += (*_iter35).write(oprot);
+        xfer += (*_iter42).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1301,10 +1500,10 @@
     xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-      std::vector<Verdict> ::const_iterator _iter36;
-      for (_iter36 = this->verdicts.begin(); _iter36 != this->verdicts.end(); ++_iter36)
+      std::vector<Verdict> ::const_iterator _iter43;
+      for (_iter43 = this->verdicts.begin(); _iter43 != this->verdicts.end(); ++_iter43)
       {
-        xfer += (*_iter36).write(oprot);
+        xfer += (*_iter43).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1314,10 +1513,10 @@
     xfer += oprot->writeFieldBegin("crash_marks", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crash_marks.size()));
-      std::vector<CrashMark> ::const_iterator _iter37;
-      for (_iter37 = this->crash_marks.begin(); _iter37 != this->crash_marks.end(); ++_iter37)
+      std::vector<CrashMark> ::const_iterator _iter44;
+      for (_iter44 = this->crash_marks.begin(); _iter44 != this->crash_marks.end(); ++_iter44)
       {
-        xfer += (*_iter37).write(oprot);
+        xfer += (*_iter44).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1327,10 +1526,10 @@
     xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-      std::vector<Evidence> ::const_iterator _iter38;
-      for (_iter38 = this->evidence.begin(); _iter38 != this->evidence.end(); ++_iter38)
+      std::vector<Evidence> ::const_iterator _iter45;
+      for (_iter45 = this->evidence.begin(); _iter45 != this->evidence.end(); ++_iter45)
       {
-        xfer += (*_iter38).write(oprot);
+        xfer += (*_iter45).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1345,10 +1544,23 @@
     xfer += oprot->writeFieldBegin("observations", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->observations.size()));
-      std::vector<Observation> ::const_iterator _iter39;
-      for (_iter39 = this->observations.begin(); _iter39 != this->observations.end(); ++_iter39)
+      std::vector<Observation> ::const_iterator _iter46;
+      for (_iter46 = this->observations.begin(); _iter46 != this->observations.end(); ++_iter46)
+      {
+        xfer += (*_iter46).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rate_limits) {
+    xfer += oprot->writeFieldBegin("rate_limits", ::apache::thrift::protocol::T_LIST, 19);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rate_limits.size()));
+      std::vector<RateLimit> ::const_iterator _iter47;
+      for (_iter47 = this->rate_limits.begin(); _iter47 != this->rate_limits.end(); ++_iter47)
       {
-        xfer += (*_iter39).write(oprot);
+        xfer += (*_iter47).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1379,50 +1591,53 @@
   swap(a.evidence, b.evidence);
   swap(a.reading_age_ms, b.reading_age_ms);
   swap(a.observations, b.observations);
+  swap(a.rate_limits, b.rate_limits);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other40) {
-  protocol = other40.protocol;
-  kind = other40.kind;
-  started_ms = other40.started_ms;
-  nonce = other40.nonce;
-  epoch = other40.epoch;
-  config_version = other40.config_version;
-  sequence = other40.sequence;
-  echo = other40.echo;
-  leaving = other40.leaving;
-  domain = other40.domain;
-  config_digest = other40.config_digest;
-  confirmed_ms = other40.confirmed_ms;
-  members = other40.members;
-  verdicts = other40.verdicts;
-  crash_marks = other40.crash_marks;
-  evidence = other40.evidence;
-  reading_age_ms = other40.reading_age_ms;
-  observations = other40.observations;
-  __isset = other40.__isset;
-}
-Message& Message::operator=(const Message& other41) {
-  protocol = other41.protocol;
-  kind = other41.kind;
-  started_ms = other41.started_ms;
-  nonce = other41.nonce;
-  epoch = other41.epoch;
-  config_version = other41.config_version;
-  sequence = other41.sequence;
-  echo = other41.echo;
-  leaving = other41.leaving;
-  domain = other41.domain;
-  config_digest = other41.config_digest;
-  confirmed_ms = other41.confirmed_ms;
-  members = other41.members;
-  verdicts = other41.verdicts;
-  crash_marks = other41.crash_marks;
-  evidence = other41.evidence;
-  reading_age_ms = other41.reading_age_ms;
-  observations = other41.observations;
-  __isset = other41.__isset;
+Message::Message(const Message& other48) {
+  protocol = other48.protocol;
+  kind = other48.kind;
+  started_ms = other48.started_ms;
+  nonce = other48.nonce;
+  epoch = other48.epoch;
+  config_version = other48.config_version;
+  sequence = other48.sequence;
+  echo = other48.echo;
+  leaving = other48.leaving;
+  domain = other48.domain;
+  config_digest = other48.config_digest;
+  confirmed_ms = other48.confirmed_ms;
+  members = other48.members;
+  verdicts = other48.verdicts;
+  crash_marks = other48.crash_marks;
+  evidence = other48.evidence;
+  reading_age_ms = other48.reading_age_ms;
+  observations = other48.observations;
+  rate_limits = other48.rate_limits;
+  __isset = other48.__isset;
+}
+Message& Message::operator=(const Message& other49) {
+  protocol = other49.protocol;
+  kind = other49.kind;
+  started_ms = other49.started_ms;
+  nonce = other49.nonce;
+  epoch = other49.epoch;
+  config_version = other49.config_version;
+  sequence = other49.sequence;
+  echo = other49.echo;
+  leaving = other49.leaving;
+  domain = other49.domain;
+  config_digest = other49.config_digest;
+  confirmed_ms = other49.confirmed_ms;
+  members = other49.members;
+  verdicts = other49.verdicts;
+  crash_marks = other49.crash_marks;
+  evidence = other49.evidence;
+  reading_age_ms = other49.reading_age_ms;
+  observations = other49.observations;
+  rate_limits = other49.rate_limits;
+  __isset = other49.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -1446,6 +1661,7 @@
   out << ", " << "evidence="; (__isset.evidence ? (out << to_string(evidence)) : (out << "<null>"));
   out << ", " << "reading_age_ms="; (__isset.reading_age_ms ? (out << to_string(reading_age_ms)) : (out << "<null>"));
   out << ", " << "observations="; (__isset.observations ? (out << to_string(observations)) : (out << "<null>"));
+  out << ", " << "rate_limits="; (__isset.rate_limits ? (out << to_string(rate_limits)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1576,19 +1792,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Shard::Shard(const Shard& other42) {
-  name = other42.name;
-  version = other42.version;
-  digest = other42.digest;
-  content = other42.content;
-  __isset = other42.__isset;
+Shard::Shard(const Shard& other50) {
+  name = other50.name;
+  version = other50.version;
+  digest = other50.digest;
+  content = other50.content;
+  __isset = other50.__isset;
 }
-Shard& Shard::operator=(const Shard& other43) {
-  name = other43.name;
-  version = other43.version;
-  digest = other43.digest;
-  content = other43.content;
-  __isset = other43.__isset;
+Shard& Shard::operator=(const Shard& other51) {
+  name = other51.name;
+  version = other51.version;
+  digest = other51.digest;
+  content = other51.content;
+  __isset = other51.__isset;
   return *this;
 }
 void Shard::printTo(std::ostream& out) const {
@@ -1717,14 +1933,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->changed.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->changed.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->changed[_i48].read(iprot);
+              xfer += this->changed[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1737,14 +1953,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->removed.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->removed.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += iprot->readString(this->removed[_i53]);
+              xfer += iprot->readString(this->removed[_i61]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1797,10 +2013,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<Shard> ::const_iterator _iter54;
-    for (_iter54 = this->changed.begin(); _iter54 != this->changed.end(); ++_iter54)
+    std::vector<Shard> ::const_iterator _iter62;
+    for (_iter62 = this->changed.begin(); _iter62 != this->changed.end(); ++_iter62)
     {
-      xfer += (*_iter54).write(oprot);
+      xfer += (*_iter62).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1809,10 +2025,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter55;
-    for (_iter55 = this->removed.begin(); _iter55 != this->removed.end(); ++_iter55)
+    std::vector<std::string> ::const_iterator _iter63;
+    for (_iter63 = this->removed.begin(); _iter63 != this->removed.end(); ++_iter63)
     {
-      xfer += oprot->writeString((*_iter55));
+      xfer += oprot->writeString((*_iter63));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1836,27 +2052,27 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeSet::ChangeSet(const ChangeSet& other56) {
-  protocol = other56.protocol;
-  format = other56.format;
-  base_version = other56.base_version;
-  version = other56.version;
-  published_ms = other56.published_ms;
-  digest = other56.digest;
-  changed = other56.changed;
-  removed = other56.removed;
-  __isset = other56.__isset;
-}
-ChangeSet& ChangeSet::operator=(const ChangeSet& other57) {
-  protocol = other57.protocol;
-  format = other57.format;
-  base_version = other57.base_version;
-  version = other57.version;
-  published_ms = other57.published_ms;
-  digest = other57.digest;
-  changed = other57.changed;
-  removed = other57.removed;
-  __isset = other57.__isset;
+ChangeSet::ChangeSet(const ChangeSet& other64) {
+  protocol = other64.protocol;
+  format = other64.format;
+  base_version = other64.base_version;
+  version = other64.version;
+  published_ms = other64.published_ms;
+  digest = other64.digest;
+  changed = other64.changed;
+  removed = other64.removed;
+  __isset = other64.__isset;
+}
+ChangeSet& ChangeSet::operator=(const ChangeSet& other65) {
+  protocol = other65.protocol;
+  format = other65.format;
+  base_version = other65.base_version;
+  version = other65.version;
+  published_ms = other65.published_ms;
+  digest = other65.digest;
+  changed = other65.changed;
+  removed = other65.removed;
+  __isset = other65.__isset;
   return *this;
 }
 void ChangeSet::printTo(std::ostream& out) const {
@@ -1966,15 +2182,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Status::Status(const Status& other58) {
-  protocol = other58.protocol;
-  json = other58.json;
-  __isset = other58.__isset;
+Status::Status(const Status& other66) {
+  protocol = other66.protocol;
+  json = other66.json;
+  __isset = other66.__isset;
 }
-Status& Status::operator=(const Status& other59) {
-  protocol = other59.protocol;
-  json = other59.json;
-  __isset = other59.__isset;
+Status& Status::operator=(const Status& other67) {
+  protocol = other67.protocol;
+  json = other67.json;
+  __isset = other67.__isset;
   return *this;
 }
 void Status::printTo(std::ostream& out) const {
@@ -2078,15 +2294,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Refusal::Refusal(const Refusal& other60) : TException() {
-  message = other60.message;
-  remedy = other60.remedy;
-  __isset = other60.__isset;
+Refusal::Refusal(const Refusal& other68) : TException() {
+  message = other68.message;
+  remedy = other68.remedy;
+  __isset = other68.__isset;
 }
-Refusal& Refusal::operator=(const Refusal& other61) {
-  message = other61.message;
-  remedy = other61.remedy;
-  __isset = other61.__isset;
+Refusal& Refusal::operator=(const Refusal& other69) {
+  message = other69.message;
+  remedy = other69.remedy;
+  __isset = other69.__isset;
   return *this;
 }
 void Refusal::printTo(std::ostream& out) const {
--- a/wigeonrill/gen-cpp/messages_types.h
+++ b/wigeonrill/gen-cpp/messages_types.h
@@ -31,6 +31,8 @@
 
 class Observation;
 
+class RateLimit;
+
 class Message;
 
 class Shard;
@@ -407,8 +409,81 @@
 
 std::ostream& operator<<(std::ostream& out, const Observation& obj);
 
+typedef struct _RateLimit__isset {
+  _RateLimit__isset() : service_name(false), target_name(false), per_second(false), sequence(false), remaining_ms(false) {}
+  bool service_name :1;
+  bool target_name :1;
+  bool per_second :1;
+  bool sequence :1;
+  bool remaining_ms :1;
+} _RateLimit__isset;
+
+class RateLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateLimit(const RateLimit&);
+  RateLimit& operator=(const RateLimit&);
+  RateLimit() noexcept
+            : service_name(),
+              target_name(),
+              per_second(0),
+              sequence(0),
+              remaining_ms(0) {
+  }
+
+  virtual ~RateLimit() noexcept;
+  std::string service_name;
+  std::string target_name;
+  double per_second;
+  int64_t sequence;
+  int32_t remaining_ms;
+
+  _RateLimit__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_target_name(const std::string& val);
+
+  void __set_per_second(const double val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_remaining_ms(const int32_t val);
+
+  bool operator == (const RateLimit & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(target_name == rhs.target_name))
+      return false;
+    if (__isset.per_second != rhs.__isset.per_second)
+      return false;
+    else if (__isset.per_second && !(per_second == rhs.per_second))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(remaining_ms == rhs.remaining_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const RateLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateLimit &a, RateLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const RateLimit& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : protocol(false), kind(false), started_ms(false), nonce(false), epoch(false), config_version(false), sequence(false), echo(false), leaving(false), domain(false), config_digest(false), confirmed_ms(false), members(false), verdicts(false), crash_marks(false), evidence(false), reading_age_ms(false), observations(false) {}
+  _Message__isset() : protocol(false), kind(false), started_ms(false), nonce(false), epoch(false), config_version(false), sequence(false), echo(false), leaving(false), domain(false), config_digest(false), confirmed_ms(false), members(false), verdicts(false), crash_marks(false), evidence(false), reading_age_ms(false), observations(false), rate_limits(false) {}
   bool protocol :1;
   bool kind :1;
   bool started_ms :1;
@@ -427,6 +502,7 @@
   bool evidence :1;
   bool reading_age_ms :1;
   bool observations :1;
+  bool rate_limits :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -469,6 +545,7 @@
   std::vector<Evidence>  evidence;
   int32_t reading_age_ms;
   std::vector<Observation>  observations;
+  std::vector<RateLimit>  rate_limits;
 
   _Message__isset __isset;
 
@@ -508,6 +585,8 @@
 
   void __set_observations(const std::vector<Observation> & val);
 
+  void __set_rate_limits(const std::vector<RateLimit> & val);
+
   bool operator == (const Message & rhs) const
   {
     if (!(protocol == rhs.protocol))
@@ -566,6 +645,10 @@
       return false;
     else if (__isset.observations && !(observations == rhs.observations))
       return false;
+    if (__isset.rate_limits != rhs.__isset.rate_limits)
+      return false;
+    else if (__isset.rate_limits && !(rate_limits == rhs.rate_limits))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/wigeonrill/peers.h
+++ b/wigeonrill/peers.h
@@ -25,7 +25,6 @@
 #include "src/peers/fetch_scheduler.h"
 #include "src/peers/link_state.h"
 #include "src/peers/rumor_queue.h"
-#include "src/peers/token_bucket.h"
 #include "src/peers/traffic_counters.h"
 // Needs link_state.h and message.h.
 #include "src/peers/member_table.h"
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -156,7 +156,7 @@
     if (answer.draining) {
         announce_leaving_target(answer);
     }
-    log_rate_limit(answer);
+    log_unreadable_rate_limit(answer);
     dependencies_.metrics.increment_counter(
         "wigeonrill_attempts_total", "Attempts at targets by result.",
         {{"service", answer.service.value},
@@ -167,34 +167,34 @@
         dependencies_.clock.now());
 }
 
-// An answer may lack the field, for example an error of a process in front of the target. So the
-// end of a limit is logged only after a success.
-void control_loop::log_rate_limit(const health::answer& answer) {
-    const auto known = stated_limits_.find(answer.target);
-    const bool states_limit = answer.rate_limit != health::rate_limit_statement{};
-    const bool ends_limit =
-        known != stated_limits_.end() && !states_limit && answer.kind == health::answer_kind::ok;
-    const bool is_news =
-        states_limit && (known == stated_limits_.end() || known->second != answer.rate_limit);
-    if (!is_news && !ends_limit) {
+void control_loop::log_unreadable_rate_limit(const health::answer& answer) {
+    if (!answer.rate_limit.is_unreadable || !unreadable_limits_.insert(answer.target).second) {
         return;
     }
-    log_line line(ends_limit                        ? "Target names no rate limit any more."
-                  : answer.rate_limit.is_unreadable ? "Target names a rate limit that is no number."
-                                                    : "Target names a rate limit.");
-    line.with("service", answer.service.value).with("target", answer.target.value);
-    if (answer.rate_limit.per_second) {
-        line.with("per_second", std::to_string(*answer.rate_limit.per_second));
-    }
-    write_log(answer.rate_limit.is_unreadable ? log_level::warning : log_level::info,
-              log_subsystem::health, line);
-    if (ends_limit) {
-        stated_limits_.erase(known);
-    } else {
-        stated_limits_.insert_or_assign(answer.target, answer.rate_limit);
+    write_log(log_level::warning, log_subsystem::health,
+              log_line("Target names a rate limit that is no number of 0 or more; it is ignored.")
+                  .with("service", answer.service.value)
+                  .with("target", answer.target.value));
+}
+
+void control_loop::handle(const health::rate_limit& notice) {
+    log_rate_limit(notice, "answer");
+    if (dependencies_.gossip != nullptr) {
+        dependencies_.gossip->announce(notice);
     }
 }
 
+void control_loop::log_rate_limit(const health::rate_limit& notice, std::string_view source) {
+    log_line line(notice.per_second ? "Target names a rate limit."
+                                    : "Target names no rate limit any more.");
+    line.with("service", notice.service.value).with("target", notice.target.value);
+    if (notice.per_second) {
+        line.with("per_second", std::to_string(*notice.per_second));
+    }
+    line.with("sequence", static_cast<std::int64_t>(notice.sequence)).with("source", source);
+    write_log(log_level::info, log_subsystem::health, line);
+}
+
 void control_loop::announce_leaving_target(const health::answer& answer) {
     const auto now = dependencies_.clock.now();
     auto& notice_expiry = leaving_notice_expiry_[answer.target];
@@ -254,6 +254,11 @@
     for (const auto& it : items.observations) {
         dependencies_.dispatcher.on_peer_observation(it);
     }
+    for (const auto& it : items.rate_limits) {
+        if (dependencies_.dispatcher.on_peer_rate_limit(it)) {
+            log_rate_limit(it, "peer");
+        }
+    }
     if (items.reading) {
         handle_peer_reading(*items.reading);
     }
@@ -273,12 +278,17 @@
     monitor_.set_nodes(std::move(live));
     set_group(platform::choose_read_sharing_group(dependencies_.gossip->id(), ids));
     auto ips = std::make_shared<std::set<std::string>>();
+    std::vector<node_id> possible_senders;
     peers_by_state_.clear();
     for (const auto& it : dependencies_.gossip->status()) {
+        if (it.state != peers::member_state::leaving && it.process != peers::incarnation{}) {
+            possible_senders.push_back(it.id);
+        }
         ++peers_by_state_[std::string(enum_name(peers::member_state_names, it.state))];
         ips->insert(it.id.value.substr(0, it.id.value.rfind(':')));
     }
     peer_ips_ = std::move(ips);
+    dependencies_.dispatcher.set_nodes(dependencies_.gossip->id(), std::move(possible_senders));
 }
 
 void control_loop::apply_monitor_actions(const health::monitor_actions& actions) {
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -77,6 +77,7 @@
     void handle(const dispatch::decision_record& decision);
     void handle(const once::crash_mark& mark);
     void handle(const health::observation& observed) { pending_observations_.push_back(observed); }
+    void handle(const health::rate_limit& notice);
     void announce_observations();
     void announce_verdicts();
     void announce_counts();
@@ -86,7 +87,8 @@
     /// \returns true when the configuration in force now has that content
     [[nodiscard]] bool apply_store_content(const platform::store_reading& latest);
     void announce_leaving_target(const health::answer& answer);
-    void log_rate_limit(const health::answer& answer);
+    void log_rate_limit(const health::rate_limit& notice, std::string_view source);
+    void log_unreadable_rate_limit(const health::answer& answer);
     void process_peer_messages();
     void update_members();
     void set_group(platform::read_sharing_group next);
@@ -108,7 +110,7 @@
         latest_peer_reading_;                               ///< newest reading announced by a peer
     std::vector<health::observation> pending_observations_; ///< of this node, not announced yet
     std::map<target_id, instant> leaving_notice_expiry_;    ///< expiry of the last notice to peers
-    std::map<target_id, health::rate_limit_statement> stated_limits_; ///< as last logged
+    std::set<target_id> unreadable_limits_; ///< targets whose unreadable limit was logged
     /// Ejected targets for which a probe was requested. Their next answer is its result.
     std::set<target_id> probed_targets_;
     bool plans_changed_{true};
--- a/wigeonrill/src/daemon/traffic_event_sink.cpp
+++ b/wigeonrill/src/daemon/traffic_event_sink.cpp
@@ -71,6 +71,10 @@
     push_urgent(observed);
 }
 
+void traffic_event_sink::on_rate_limit(const health::rate_limit& notice) {
+    push_urgent(notice);
+}
+
 void traffic_event_sink::push_urgent(traffic_event event) {
     queue_.push(std::move(event));
     if (urgent_listener_) {
--- a/wigeonrill/src/daemon/traffic_event_sink.h
+++ b/wigeonrill/src/daemon/traffic_event_sink.h
@@ -8,12 +8,12 @@
 namespace wigeonrill::daemon {
 
 /// \brief Event that a traffic thread passes to the control thread.
-using traffic_event =
-    std::variant<health::answer, dispatch::decision_record, once::crash_mark, health::observation>;
+using traffic_event = std::variant<health::answer, dispatch::decision_record, once::crash_mark,
+                                   health::observation, health::rate_limit>;
 
 /// \brief Writes a log line for each decision and queues events for the control thread.
 ///
-/// Thread-safe. /// The log sink writes on its own thread, so that requests don't wait for output.
+/// Thread-safe. The log sink writes on its own thread, so that requests don't wait for output.
 class traffic_event_sink final : public dispatch::event_sink {
 public:
     /// \param log must outlive this object
@@ -23,6 +23,7 @@
     void on_decision(const dispatch::decision_record& decision) override;
     void on_crash_mark(const once::crash_mark& mark) override;
     void on_observation(const health::observation& observed) override;
+    void on_rate_limit(const health::rate_limit& notice) override;
 
     /// \brief Sets the callback that runs on the traffic thread after an event that other nodes
     ///        should learn at once. Must be set before any traffic thread runs.
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -6,6 +6,14 @@
 
 namespace {
 
+// Callers whose node has no share of a limit may reach another node, so they may return soon.
+seconds rate_limit_retry_after(nanoseconds wait) {
+    constexpr seconds longest{30};
+    return wait == nanoseconds::max()
+               ? seconds(1)
+               : std::clamp(std::chrono::ceil<seconds>(wait), seconds(1), longest);
+}
+
 // Number of queued requests without a usable target after which serve_queue() stops. It is above 1,
 // because the oldest request may have failed at the only free target, which a later one can use.
 constexpr std::size_t max_failed_placements = 8;
@@ -29,7 +37,7 @@
 
 decision_core::decision_core(endpoint own_address, std::uint64_t incarnation, clock_reading started,
                              core_options options, random_source& random)
-    : options_(std::move(options)), random_(random),
+    : options_(std::move(options)), random_(random), rate_limits_(random),
       key_admission_(std::move(own_address), incarnation, started) {}
 
 void decision_core::set_view(routing::view_ptr view,
@@ -68,6 +76,7 @@
 
 void decision_core::tick(instant now) {
     observe_overdue(now);
+    rate_limits_.expire(now);
     for (auto& [name, service] : services_) {
         if (publishes_counts()) {
             for (const auto& it : service->unpublished_targets(now)) {
@@ -91,7 +100,8 @@
     }
     auto& service = services_[name];
     if (!service) {
-        service = std::make_unique<service_state>(options_.make_policy(), options_.own_domain);
+        service = std::make_unique<service_state>(options_.make_policy(), rate_limits_,
+                                                  options_.own_domain);
         service->retries = options_.retries;
     }
     service->set_nodes(count_receivers_ + 1);
@@ -214,8 +224,13 @@
 
 void decision_core::enqueue(request_record& record, instant now) {
     auto& service = *record.service;
+    const auto limited = service.rate_limit_wait(now);
     // Half of the remaining time is reserved for the answer and for errors of the estimate.
-    if (service.estimator.estimated_wait(service.queue.size()) > (record.deadline - now) / 2) {
+    if (limited && *limited > (record.deadline - now) / 2) {
+        refuse(record, refusal_kind::rate_limited, outcome_of(record), now,
+               rate_limit_retry_after(*limited));
+    } else if (service.estimator.estimated_wait(service.queue.size()) >
+               (record.deadline - now) / 2) {
         refuse(record, refusal_kind::overloaded, outcome_of(record), now, retry_after(record));
     } else if (!service.queue.push(record.info.id, record.info.arrived, record.deadline)) {
         refuse(record, refusal_kind::queue_full, outcome_of(record), now, retry_after(record));
@@ -339,7 +354,7 @@
         return record.deadline;
     }
     const auto retry = record.not_before > now ? record.not_before : record.deadline;
-    return record.service->next_backoff_end(now, std::min(retry, record.deadline));
+    return record.service->next_chance(now, std::min(retry, record.deadline));
 }
 
 std::vector<outstanding_request> decision_core::outstanding() const {
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -8,7 +8,8 @@
 namespace wigeonrill::dispatch {
 
 /// \brief Event of a decision_core that must be passed to the event sink.
-using event = std::variant<health::answer, decision_record, once::crash_mark, health::observation>;
+using event = std::variant<health::answer, decision_record, once::crash_mark, health::observation,
+                           health::rate_limit>;
 
 /// \brief Largest number of other nodes to which counts of outstanding requests are published.
 ///
@@ -104,6 +105,16 @@
     void set_count_receivers(std::size_t n) { count_receivers_ = n; }
     /// \brief Takes an observation of a target that another node made.
     void on_peer_observation(const health::observation& seen, instant now);
+    /// \brief Sets the nodes among which the rate limits of targets are divided.
+    /// \param others ids of all other nodes, also of those that don't respond
+    void set_nodes(node_id self, std::vector<node_id> others, instant now) {
+        rate_limits_.set_nodes(std::move(self), std::move(others), now);
+    }
+    /// \brief Takes a notice of another node about the rate limit of a target.
+    /// \returns true when it was news to this node
+    bool on_peer_rate_limit(const health::rate_limit& notice, instant now) {
+        return rate_limits_.on_notice(notice, now);
+    }
 
     /// \returns the events since the last call
     [[nodiscard]] std::vector<event> take_events() { return std::exchange(events_, {}); }
@@ -194,9 +205,10 @@
     ///        after a shed or a refused connection.
     void release_target(request_record& record, const traffic::attempt_result& attempt,
                         instant now);
-    /// \brief Takes over the load and draining state of an answer, and adds an event with the
-    ///        result.
-    void report_attempt(const request_record& record, const traffic::attempt_result& attempt);
+    /// \brief Takes over the load, rate limit and draining state of an answer, and adds events with
+    ///        the result.
+    void report_attempt(const request_record& record, const traffic::attempt_result& attempt,
+                        wall_time wall);
     /// \brief Retries, queues or refuses a request after a failed attempt at a target.
     void handle_failure(request_record& record, const traffic::attempt_result& attempt,
                         clock_reading at);
@@ -229,6 +241,7 @@
     std::uint64_t generation_{0};                       ///< number of views set so far
     std::shared_ptr<const routing::route_table> table_; ///< routes of view_
     bool stopping_{false};                              ///< stop() was called
+    routing::rate_limit_table rate_limits_;             ///< of all targets; used by services_
     std::unordered_map<service_name, std::unique_ptr<service_state>> services_;
     std::unordered_map<std::uint64_t, request_record> records_; ///< by request id
     admission::workspace_allowance allowance_;
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -75,6 +75,10 @@
     if (record.holds_key) {
         key_admission_.on_send(*record.key);
     }
+    if (record.sent && record.assigned_target) {
+        // The attempt is sent again on a new connection, which is one more request for the target.
+        rate_limits_.on_send(record.assigned_target->id, at.now);
+    }
     record.sent = at.now;
     record.is_overdue = false;
     return true;
@@ -96,7 +100,7 @@
         refuse(record, refusal_of(attempt), outcome_of(record), at.now);
         return true;
     }
-    report_attempt(record, attempt);
+    report_attempt(record, attempt, at.wall);
     observe_attempt(record, attempt, at.now);
     if (is_answer(attempt.kind)) {
         record.assigned_target->limiter.on_answer();
@@ -117,7 +121,7 @@
 }
 
 void decision_core::report_attempt(const request_record& record,
-                                   const traffic::attempt_result& attempt) {
+                                   const traffic::attempt_result& attempt, wall_time wall) {
     auto& target = *record.assigned_target;
     target.hint.report(attempt.reported_load, target.slots, attempt.ended);
     if (attempt.draining) {
@@ -138,6 +142,9 @@
     answer.reported_load = attempt.reported_load;
     answer.rate_limit = attempt.rate_limit;
     answer.fingerprint = record.fingerprint;
+    if (auto notice = rate_limits_.on_answer(answer, wall)) {
+        events_.emplace_back(std::move(*notice));
+    }
     events_.emplace_back(std::move(answer));
 }
 
--- a/wigeonrill/src/dispatch/event_sink.h
+++ b/wigeonrill/src/dispatch/event_sink.h
@@ -28,6 +28,9 @@
     /// \brief Called when an answer, or the lack of one, changes what is known about a target. The
     ///        observation should be sent to the other nodes at once.
     virtual void on_observation(const health::observation& seen) = 0;
+    /// \brief Called when an answer changes or renews what is known about the rate limit of a
+    ///        target. The notice should be sent to the other nodes at once.
+    virtual void on_rate_limit(const health::rate_limit& notice) = 0;
 };
 
 } // namespace wigeonrill::dispatch
--- a/wigeonrill/src/dispatch/refusals.h
+++ b/wigeonrill/src/dispatch/refusals.h
@@ -17,6 +17,7 @@
     workspace_allowance,   ///< the workspace exceeded its request rate on this node
     no_target,             ///< the service has no eligible target
     queue_full,            ///< the service's queue is full
+    rate_limited,          ///< all targets are at the rate limits that they have named
     overloaded,            ///< the estimated queue time is too long for the deadline
     deadline_passed,       ///< the deadline passed before any byte went to a target
     shed,                  ///< targets refused the request for lack of capacity
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -79,6 +79,16 @@
     core_.on_peer_observation(seen, clock_.now());
 }
 
+void request_dispatcher::set_nodes(node_id self, std::vector<node_id> others) {
+    const std::lock_guard guard(mutex_);
+    core_.set_nodes(std::move(self), std::move(others), clock_.now());
+}
+
+bool request_dispatcher::on_peer_rate_limit(const health::rate_limit& notice) {
+    const std::lock_guard guard(mutex_);
+    return core_.on_peer_rate_limit(notice, clock_.now());
+}
+
 std::size_t request_dispatcher::keys() const {
     const std::lock_guard guard(mutex_);
     return core_.keys();
@@ -187,6 +197,8 @@
             sink_.on_decision(*decision);
         } else if (const auto* seen = std::get_if<health::observation>(&it)) {
             sink_.on_observation(*seen);
+        } else if (const auto* notice = std::get_if<health::rate_limit>(&it)) {
+            sink_.on_rate_limit(*notice);
         } else {
             sink_.on_crash_mark(std::get<once::crash_mark>(it));
         }
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -49,6 +49,12 @@
     void set_count_receivers(std::size_t n);
     /// \brief Takes an observation of a target that another node made.
     void on_peer_observation(const health::observation& seen);
+    /// \brief Sets the nodes among which the rate limits of targets are divided.
+    /// \param others ids of all other nodes, also of those that don't respond
+    void set_nodes(node_id self, std::vector<node_id> others);
+    /// \brief Takes a notice of another node about the rate limit of a target.
+    /// \returns true when it was news to this node
+    bool on_peer_rate_limit(const health::rate_limit& notice);
     /// \brief Takes a crash mark from another node.
     void add_crash_mark(const once::crash_mark& mark);
 
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -45,8 +45,8 @@
 } // namespace
 
 service_state::service_state(std::unique_ptr<routing::placement_policy> policy,
-                             domain_name own_domain)
-    : policy_(std::move(policy)), own_domain_(std::move(own_domain)) {}
+                             routing::rate_limit_table& limits, domain_name own_domain)
+    : policy_(std::move(policy)), limits_(&limits), own_domain_(std::move(own_domain)) {}
 
 void service_state::sync(std::uint64_t generation, const routing::service_view& view) {
     if (generation_ == generation) {
@@ -99,22 +99,26 @@
     std::erase_if(pending_probes_, [&](const pending_probe& it) {
         return now >= it.until || is_eligible(it.record);
     });
-    const auto found = std::ranges::find_if(pending_probes_, [&](const pending_probe& it) {
-        return now >= it.record->draining_until && it.record->limiter.can_acquire(now);
-    });
+    const auto found = std::ranges::find_if(
+        pending_probes_, [&](const pending_probe& it) { return has_room(*it.record, now); });
     if (found == pending_probes_.end()) {
         return nullptr;
     }
     auto record = std::move(found->record);
     pending_probes_.erase(found);
     record->limiter.acquire();
+    limits_->on_send(record->id, now);
     return record;
 }
 
+bool service_state::has_room(const target_record& record, instant now) const {
+    return now >= record.draining_until && record.limiter.can_acquire(now) &&
+           limits_->can_send(record.id, now);
+}
+
 bool service_state::can_take_request(const weighted_target& it, std::span<const target_id> avoid,
                                      instant now) const {
-    return now >= it.record->draining_until && it.record->limiter.can_acquire(now) &&
-           !contains(avoid, it.record->id);
+    return has_room(*it.record, now) && !contains(avoid, it.record->id);
 }
 
 void service_state::on_request(instant now) {
@@ -193,8 +197,7 @@
 
 bool service_state::has_alternative_to(const target_id& target, instant now) const {
     return std::ranges::any_of(eligible_, [&](const weighted_target& it) {
-        return it.record->id != target && now >= it.record->draining_until &&
-               it.record->limiter.can_acquire(now) &&
+        return it.record->id != target && has_room(*it.record, now) &&
                it.record->failure_burst.probability(now) <= max_failure_probability;
     });
 }
@@ -226,6 +229,7 @@
     const auto chosen = positions_[policy_->choose(candidates_, random)];
     const auto& record = eligible_[chosen].record;
     record->limiter.acquire();
+    limits_->on_send(record->id, now);
     return {record, static_cast<std::uint32_t>(candidates_.size())};
 }
 
@@ -234,14 +238,36 @@
         eligible_, [&](const weighted_target& it) { return now >= it.record->draining_until; });
 }
 
-instant service_state::next_backoff_end(instant now, instant latest) const {
+instant service_state::next_chance(instant now, instant latest) const {
     for (const auto& it : eligible_) {
-        const auto end = it.record->limiter.backoff_until();
-        if (end > now && end < latest) {
-            latest = end;
+        for (const auto chance :
+             {it.record->limiter.backoff_until(), limits_->next_send_at(it.record->id, now)}) {
+            latest = chance > now ? std::min(latest, chance) : latest;
         }
     }
     return latest;
 }
 
+std::optional<nanoseconds> service_state::rate_limit_wait(instant now) const {
+    double rate = 0.0;
+    auto first = instant::max();
+    for (const auto& it : eligible_) {
+        const auto& id = it.record->id;
+        if (now < it.record->draining_until) {
+            continue;
+        }
+        if (!limits_->is_limited(id)) {
+            return std::nullopt;
+        }
+        rate += limits_->share_of(id);
+        first = std::min(first, limits_->next_send_at(id, now));
+    }
+    if (first == instant::max()) {
+        return nanoseconds::max();
+    }
+    const std::chrono::duration<double> behind_queue(static_cast<double>(queue.size()) / rate);
+    return std::max(first - now, instant::duration(0)) +
+           std::chrono::duration_cast<nanoseconds>(behind_queue);
+}
+
 } // namespace wigeonrill::dispatch
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -17,16 +17,17 @@
 class service_state {
 public:
     /// \param policy chooses among the targets that are below their concurrency limits
+    /// \param limits rate limits of all targets; must outlive this object
     /// \param own_domain failure domain of this node; empty: unknown
-    explicit service_state(std::unique_ptr<routing::placement_policy> policy,
-                           domain_name own_domain = domain_name());
+    service_state(std::unique_ptr<routing::placement_policy> policy,
+                  routing::rate_limit_table& limits, domain_name own_domain);
 
     /// \brief Replaces the eligible targets by those of a view. The state of known targets is kept.
     /// \param generation number of the view; a repeated number returns at once
     void sync(std::uint64_t generation, const routing::service_view& view);
     /// \brief Removes all eligible targets, because the service is no longer configured.
     void clear() { eligible_.clear(); }
-    /// \brief Chooses a target and counts one more request against its concurrency limit.
+    /// \brief Chooses a target and counts one more request against its concurrency and rate limits.
     /// \param avoid targets that this request already tried; chosen only if no other target is
     ///        eligible
     [[nodiscard]] placement place(std::span<const target_id> avoid, instant now,
@@ -37,7 +38,7 @@
     /// \param target target of the service that is not eligible
     /// \param until time after which the probe is dropped when no suitable request came
     void request_probe(const config::target& target, instant until);
-    /// \brief Takes a pending probe and counts its request against the target's limit.
+    /// \brief Takes a pending probe and counts its request against the target's limits.
     /// \returns the target to probe, or null when no probe can start now
     [[nodiscard]] target_record_ptr acquire_probe_target(instant now);
 
@@ -67,9 +68,13 @@
 
     /// \returns true when at least one eligible target is not draining; it may be at its limit
     [[nodiscard]] bool any_eligible(instant now) const;
-    /// \returns the earliest time after `now` at which the backoff of a target ends, but at most
-    ///          `latest`
-    [[nodiscard]] instant next_backoff_end(instant now, instant latest) const;
+    /// \returns the earliest time after `now` at which the backoff of a target ends or its rate
+    ///          limit allows a request, but at most `latest`
+    [[nodiscard]] instant next_chance(instant now, instant latest) const;
+    /// \returns how long a request would wait for the rate limits behind the queue, when they bind
+    ///          all targets; nanoseconds::max() when this node has no share of any limit; nothing
+    ///          when a target has no limit
+    [[nodiscard]] std::optional<nanoseconds> rate_limit_wait(instant now) const;
 
     /// Requests that wait for a target. The bound is set by sync().
     admission::wait_queue queue{0};
@@ -90,7 +95,9 @@
     /// \brief Returns the record of a target with its configured values brought up to date.
     [[nodiscard]] target_record_ptr find_or_add_target(const config::target& target);
     [[nodiscard]] bool is_eligible(const target_record_ptr& record) const;
-    /// \returns true when a target is below its limit, not draining and not in `avoid`
+    /// \returns true when a target is not draining, and below its concurrency and rate limits
+    [[nodiscard]] bool has_room(const target_record& record, instant now) const;
+    /// \returns true when a target has room and is not in `avoid`
     [[nodiscard]] bool can_take_request(const weighted_target& it, std::span<const target_id> avoid,
                                         instant now) const;
     /// Conditions that apply to all candidates of one placement.
@@ -108,6 +115,7 @@
     make_candidate(const weighted_target& it, const placement_conditions& conditions) const;
 
     std::unique_ptr<routing::placement_policy> policy_;
+    routing::rate_limit_table* limits_;
     domain_name own_domain_;
     std::size_t nodes_{1};
     health::failure_share failures_;
--- a/wigeonrill/src/peers/codec.cpp
+++ b/wigeonrill/src/peers/codec.cpp
@@ -115,6 +115,18 @@
     return out;
 }
 
+wire::RateLimit to_wire(const health::rate_limit& item, instant now) {
+    wire::RateLimit out;
+    out.service_name = item.service.value;
+    out.target_name = item.target.value;
+    if (item.per_second) {
+        out.__set_per_second(*item.per_second);
+    }
+    out.sequence = static_cast<std::int64_t>(item.sequence);
+    out.remaining_ms = to_milliseconds(item.expires - now);
+    return out;
+}
+
 void fill_header(wire::Message& out, const message& content) {
     out.protocol = protocol_number;
     out.kind = static_cast<std::int8_t>(content.kind);
@@ -158,6 +170,8 @@
                                        [&](const auto& it) { return to_wire(it, now); });
     out.__isset.crash_marks = convert_all(content.marks, out.crash_marks,
                                           [&](const auto& it) { return to_wire(it, wall_now); });
+    out.__isset.rate_limits = convert_all(content.rate_limits, out.rate_limits,
+                                          [&](const auto& it) { return to_wire(it, now); });
     out.__isset.evidence =
         convert_all(content.evidence, out.evidence, [](const auto& it) { return to_wire(it); });
     out.__isset.observations = convert_all(content.observations, out.observations,
@@ -238,6 +252,19 @@
                                from};
 }
 
+std::optional<health::rate_limit> from_wire(const wire::RateLimit& item, instant now) {
+    const bool valid_rate =
+        !item.__isset.per_second || (std::isfinite(item.per_second) && item.per_second >= 0.0);
+    if (!valid_name(item.target_name) || !valid_name(item.service_name) || !valid_rate ||
+        item.sequence < 0 || item.remaining_ms <= 0) {
+        return std::nullopt;
+    }
+    return health::rate_limit{
+        service_name(item.service_name), target_id(item.target_name),
+        item.__isset.per_second ? std::optional(item.per_second) : std::nullopt,
+        static_cast<std::uint64_t>(item.sequence), now + milliseconds(item.remaining_ms)};
+}
+
 // Converts the items of a message and leaves out those with values that this build doesn't know.
 template <typename WireItems, typename Items, typename Convert>
 void convert_valid(const WireItems& items, Items& out, const Convert& convert) {
@@ -276,6 +303,8 @@
     convert_valid(in.crash_marks, out.marks,
                   [&](const auto& it) { return from_wire(it, wall_now); });
     convert_valid(in.evidence, out.evidence, [&](const auto& it) { return from_wire(it, from); });
+    convert_valid(in.rate_limits, out.rate_limits,
+                  [&](const auto& it) { return from_wire(it, now); });
     convert_valid(in.observations, out.observations,
                   [&](const auto& it) { return from_wire(it, from); });
     if (in.__isset.reading_age_ms) {
@@ -392,6 +421,10 @@
     return 10 + item.service.value.size() + item.target.value.size();
 }
 
+std::size_t size_bound(const health::rate_limit& item) {
+    return 32 + item.service.value.size() + item.target.value.size();
+}
+
 std::size_t size_bound(const health::evidence_report& item) {
     return 36 + item.service.value.size() + item.target.value.size();
 }
--- a/wigeonrill/src/peers/codec.h
+++ b/wigeonrill/src/peers/codec.h
@@ -67,6 +67,7 @@
 [[nodiscard]] std::size_t size_bound(const health::verdict& item);
 [[nodiscard]] std::size_t size_bound(const once::crash_mark& item);
 [[nodiscard]] std::size_t size_bound(const health::evidence_report& item);
+[[nodiscard]] std::size_t size_bound(const health::rate_limit& item);
 /// \copydoc size_bound(const member_record&)
 [[nodiscard]] std::size_t size_bound(const health::observation& item);
 ///@}
--- a/wigeonrill/src/peers/digest_builder.cpp
+++ b/wigeonrill/src/peers/digest_builder.cpp
@@ -10,12 +10,13 @@
 // at a time.
 constexpr std::size_t max_verdicts = 8'192;
 constexpr std::size_t max_crash_marks = 4'096;
+constexpr std::size_t max_rate_limits = 8'192;
 // Items that expire sooner are not sent. The remaining time is sent as a duration, so each hop
 // extends it by the time in transit, and nodes could keep an expired item alive by sending it to
 // each other.
 constexpr seconds min_remaining{1};
-// Verdicts are valid for 30 s (design, section 3.1). A longer remaining time is an error of the
-// sender and is reduced to this limit.
+// Verdicts and rate limits are valid for 30 s (design, sections 3.1 and 4). A longer remaining time
+// is an error of the sender and is reduced to this limit.
 constexpr seconds max_remaining{60};
 // Requests with a fingerprint that crashed a target are refused for 10 minutes (design, section
 // 5.8).
@@ -69,7 +70,28 @@
     return true;
 }
 
+bool digest_builder::add_if_new(const health::rate_limit& item, instant now) {
+    const auto it = rate_limits_.find(item.target);
+    const bool known = it != rate_limits_.end();
+    if ((known && !health::supersedes(item, it->second)) || item.expires <= now ||
+        (!known && rate_limits_.size() >= max_rate_limits)) {
+        return false;
+    }
+    auto bounded = item;
+    bounded.expires = std::min(item.expires, now + max_remaining);
+    rate_limits_.insert_or_assign(item.target, bounded);
+    rate_limit_queue_.mark_fresh(item.target);
+    return true;
+}
+
 void digest_builder::expire(instant now, wall_time wall_now) {
+    std::erase_if(rate_limits_, [&](const auto& entry) {
+        const bool ended = entry.second.expires <= now;
+        if (ended) {
+            rate_limit_queue_.erase(entry.first);
+        }
+        return ended;
+    });
     std::erase_if(verdicts_, [&](const auto& entry) {
         const bool ended = entry.second.expires <= now;
         if (ended) {
@@ -88,8 +110,17 @@
 
 void digest_builder::fill(message& content, std::size_t room, const digest_context& context) {
     const auto limit = sends_until_disseminated(context.members.all().size() + 1);
-    // Half of the room is for verdicts and a fifth for crash marks, so that no kind of item can
-    // keep the others out of the message. Unused room is passed on to the next kind.
+    // Half of the room is for rate limits, half of the rest for verdicts and a fifth for crash
+    // marks, so that no kind of item can keep the others out of the message. Unused room is passed
+    // on to the next kind.
+    auto rate_limit_room = room / 2;
+    room -= rate_limit_room;
+    rate_limit_queue_.offer_in_order(limit, repeats_per_message, [&](const target_id& target) {
+        const auto& item = rate_limits_.at(target);
+        return item.expires - context.now < min_remaining ||
+               append_if_fits(content.rate_limits, item, rate_limit_room);
+    });
+    room += rate_limit_room;
     auto verdict_room = room / 2;
     auto crash_mark_room = room / 5;
     auto member_room = room - verdict_room - crash_mark_room;
--- a/wigeonrill/src/peers/digest_builder.h
+++ b/wigeonrill/src/peers/digest_builder.h
@@ -15,8 +15,8 @@
     wall_time wall_now;
 };
 
-/// \brief Holds the items that this node disseminates by gossip (verdicts, crash marks and member
-/// records) and chooses those that go into the next message.
+/// \brief Holds the items that this node disseminates by gossip (verdicts, crash marks, rate
+/// limits and member records) and chooses those that go into the next message.
 class digest_builder {
 public:
     /// \brief Adds a verdict. Of each judge only the verdict with the highest sequence is kept per
@@ -27,14 +27,18 @@
     /// \brief Adds a crash mark.
     /// \returns whether it was added; false if it is already held, too old, or there is no space
     bool add_if_new(const once::crash_mark& item, wall_time now);
+    /// \brief Adds a rate limit. Of each target only the latest one is kept.
+    /// \returns whether it was added; false if it is expired, doesn't supersede the one held, or
+    ///          there is no space
+    bool add_if_new(const health::rate_limit& item, instant now);
     /// \brief Schedules the record of a member to be sent in the next messages, because it changed.
     void mark_fresh(const node_id& id) { member_queue_.mark_fresh(id); }
     /// \brief Adds the record of a member to those that are only repeated in rotation; a record
     ///        that is still scheduled as changed stays so.
     void add_disseminated(const node_id& id) { member_queue_.add_disseminated(id); }
-    /// \brief Removes expired verdicts and crash marks.
+    /// \brief Removes expired verdicts, crash marks and rate limits.
     void expire(instant now, wall_time wall_now);
-    /// \brief Adds verdicts, crash marks and member records to a gossip message.
+    /// \brief Adds verdicts, crash marks, rate limits and member records to a gossip message.
     /// \param room largest encoded size of all added items, in bytes
     void fill(message& content, std::size_t room, const digest_context& context);
     /// \brief Adds member records to a gossip message.
@@ -54,8 +58,10 @@
 
     std::map<verdict_key, health::verdict> verdicts_;        ///< held until they expire
     std::map<crash_mark_key, once::crash_mark> crash_marks_; ///< held until they expire
+    std::map<target_id, health::rate_limit> rate_limits_;    ///< held until they expire
     rumor_queue<verdict_key> verdict_queue_;
     rumor_queue<crash_mark_key> crash_mark_queue_;
+    rumor_queue<target_id> rate_limit_queue_;
     rumor_queue<node_id> member_queue_;
 };
 
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -150,6 +150,13 @@
     }
 }
 
+void gossip_node::announce(const health::rate_limit& item) {
+    const auto now = clock_.now();
+    if (digest_.add_if_new(item, now)) {
+        gossip_immediately(now);
+    }
+}
+
 void gossip_node::announce_store_reading(const std::vector<node_id>& to, instant when) {
     for (const auto& it : to) {
         message content;
@@ -281,6 +288,7 @@
     add(content.members);
     add(content.verdicts);
     add(content.marks);
+    add(content.rate_limits);
     add(content.evidence);
     add(content.observations);
     budget_of(content).charge(bytes);
--- a/wigeonrill/src/peers/gossip_node.h
+++ b/wigeonrill/src/peers/gossip_node.h
@@ -38,6 +38,7 @@
     std::vector<health::verdict> verdicts;
     std::vector<once::crash_mark> marks;
     std::vector<health::observation> observations;
+    std::vector<health::rate_limit> rate_limits;
     std::optional<peer_store_reading> reading; ///< the newest one that was received
 };
 
@@ -116,6 +117,8 @@
     void announce(const health::verdict& item, const std::vector<node_id>& reporters);
     /// \brief Sends a crash mark to a few peers at once and to all nodes by gossip.
     void announce(const once::crash_mark& item);
+    /// \brief Sends a rate limit to a few peers at once and to all nodes by gossip.
+    void announce(const health::rate_limit& item);
     /// \brief Tells peers that this node has read the platform's store and has its newest version
     ///        in force.
     /// \param when time at which the call to the store started
@@ -218,7 +221,8 @@
     void update_confirmed(wall_time when);
     /// Answers a gossip request, within a rate limit.
     void reply(const node_id& to, instant now, bool include_record = false);
-    /// Moves evidence, verdicts, crash marks and observations of a message to the inbox.
+    /// Moves evidence, verdicts, crash marks, rate limits and observations of a message to the
+    /// inbox.
     void apply_items(const member& sender, const message& content, instant now);
     /// Schedules a changed record for gossip.
     void handle_merge_outcome(const node_id& id, merge_outcome outcome, instant now);
--- a/wigeonrill/src/peers/gossip_rounds.cpp
+++ b/wigeonrill/src/peers/gossip_rounds.cpp
@@ -228,8 +228,8 @@
         it.reporter_domain = sender.record.domain;
         inbox_.evidence.push_back(std::move(it));
     }
-    // Callers repeat requests that crash targets at once, and leaving targets must get no new
-    // requests after a few seconds, so news of either doesn't wait for the next round.
+    // Callers repeat requests that crash targets at once, and leaving targets and those at their
+    // rate limit must get no new requests soon, so news of these doesn't wait for the next round.
     bool urgent = false;
     for (const auto& it : content.verdicts) {
         const bool direct = content.kind == message_kind::verdict;
@@ -257,6 +257,12 @@
             urgent = true;
         }
     }
+    for (const auto& it : content.rate_limits) {
+        if (digest_.add_if_new(it, now)) {
+            inbox_.rate_limits.push_back(it);
+            urgent = true;
+        }
+    }
     if (urgent) {
         gossip_immediately(now);
     }
--- a/wigeonrill/src/peers/message.h
+++ b/wigeonrill/src/peers/message.h
@@ -65,6 +65,7 @@
     std::vector<member_record> members; ///< only in gossip
     std::vector<health::verdict> verdicts;         ///< only in gossip and verdict
     std::vector<once::crash_mark> marks;           ///< only in gossip
+    std::vector<health::rate_limit> rate_limits;   ///< only in gossip
     std::vector<health::evidence_report> evidence; ///< the receiver sets the reporter fields
     std::optional<instant> reading;                ///< time at which the sender read the store
     std::vector<health::observation> observations;
--- a/wigeonrill/src/peers/messages.thrift
+++ b/wigeonrill/src/peers/messages.thrift
@@ -57,6 +57,16 @@
   5: optional i32 outstanding
 }
 
+// What a target last stated about its rate limit.
+struct RateLimit {
+  1: string service_name
+  2: string target_name
+  // Requests per second from all nodes together; absent if the target has no limit any more.
+  3: optional double per_second
+  4: i64 sequence
+  5: i32 remaining_ms
+}
+
 // Each datagram holds one Message. The id of the sender is the source address of the datagram.
 struct Message {
   1: i16 protocol
@@ -81,6 +91,7 @@
   // Time in ms since the sender read the platform's newest version, which it has in force.
   17: optional i32 reading_age_ms
   18: optional list<Observation> observations
+  19: optional list<RateLimit> rate_limits
 }
 
 // One part of the configuration.
