Show that nodes go back to the older rules of a restored store

The stand-in of the users' store can come back from an older copy, with lower revisions and a raised Store-Era. restored_store_changes_are_put_in_force fails on the current code: after the return a request on the newest route gets 404 (line 109), since the node takes the copy's older rules.

The operator's version in the stand-in is an argument now, 7 as before where a test names none.

--- a/test/fleet/users_site.cpp
+++ b/test/fleet/users_site.cpp
@@ -82,6 +82,18 @@
         down_ = down;
         changed_.notify_all();
     }
+    void save_copy() {
+        const std::lock_guard lock(mutex_);
+        saved_items_ = items_;
+        saved_revision_ = revision_;
+    }
+    void restore_copy() {
+        const std::lock_guard lock(mutex_);
+        items_ = saved_items_;
+        revision_ = saved_revision_;
+        ++era_;
+        changed_.notify_all();
+    }
     void answer(net::HTTPServerRequest& request, net::HTTPServerResponse& response) {
         std::map<std::string, std::string> query;
         const Poco::URI uri(request.getURI());
@@ -92,9 +104,9 @@
         if (uri.getPath() == "/v1/kv-watch" && !down_) {
             watch(query, response, lock);
         } else if (uri.getPath() == "/v1/kv-range" && !down_) {
-            send_text(response, 200, list_records("items", 0, false));
+            send(response, 200, list_records("items", 0, false));
         } else {
-            send_text(response, down_ ? 503 : 404, "{}");
+            send(response, down_ ? 503 : 404, "{}");
         }
     }
 
@@ -108,15 +120,22 @@
     void watch(std::map<std::string, std::string>& query, net::HTTPServerResponse& response,
                std::unique_lock<std::mutex>& lock) {
         const auto after = std::stoull(query["after"]);
+        const auto era = era_;
         changed_.wait_for(lock, std::chrono::milliseconds(std::stoi(query["wait_ms"])),
-                          [&] { return down_ || revision_ > after; });
-        if (down_ || after < compacted_revision_) {
-            send_text(response, down_ ? 503 : 410, "{}");
+                          [&] { return down_ || era_ != era || revision_ > after; });
+        const bool has_history = after >= compacted_revision_ && after <= revision_;
+        if (down_ || !has_history) {
+            send(response, down_ ? 503 : 410, "{}");
         } else {
-            send_text(response, 200, list_records("events", after, true));
+            send(response, 200, list_records("events", after, true));
         }
     }
 
+    void send(net::HTTPServerResponse& response, int status, const std::string& body) const {
+        response.set("Store-Era", std::to_string(era_));
+        send_text(response, status, body);
+    }
+
     std::string list_records(const char* list, std::uint64_t after, bool with_deleted) const {
         json document{{list, json::array()}, {"has_more", false}, {"at", revision_}};
         for (const auto& [key, it] : items_) {
@@ -136,6 +155,9 @@
     std::map<std::string, item> items_;
     std::uint64_t revision_{100};
     std::uint64_t compacted_revision_{0};
+    std::map<std::string, item> saved_items_;
+    std::uint64_t saved_revision_{0};
+    std::uint64_t era_{1}; ///< raised by each restored copy
     bool down_{false};
 };
 
@@ -261,13 +283,13 @@
     return "servers/i-" + std::to_string(target);
 }
 
-void users_site::register_target(int target, const std::string& state) {
+void users_site::register_target(int target, const std::string& state, int sequence) {
     const auto port = impl_->servers.at(static_cast<std::size_t>(target) + 1)->port();
     const json document{
         {"address", "127.0.0.1:" + std::to_string(port)},
         {"born", 1'700'000'000'000 + target},
         {"info", {{"service", "stock"}, {"version", "v1"}, {"zone", "glas-a"}, {"capacity", 6}}},
-        {"status", {{"state", state}, {"sequence", 4}, {"cold_left_s", 0.0}}}};
+        {"status", {{"state", state}, {"sequence", sequence}, {"cold_left_s", 0.0}}}};
     write(record_key(target), document.dump());
 }
 
@@ -279,7 +301,7 @@
     impl_->records->remove(key);
 }
 
-void users_site::publish(const std::string& safe_prefix) {
+void users_site::publish(const std::string& safe_prefix, int version) {
     json routes;
     routes["look"] = {
         {"host", "h.example"},     {"prefix", safe_prefix}, {"kind", "safe"},     {"timeout_s", 5},
@@ -287,7 +309,7 @@
     routes["order"] = routes["look"];
     routes["order"]["prefix"] = "/order/";
     routes["order"]["kind"] = "unsafe";
-    write("op/config", json{{"version", 7},
+    write("op/config", json{{"version", version},
                             {"routes", routes},
                             {"services", {{"stock", json::object()}}},
                             {"limits", {{"max_body_bytes", 1'000'000}}}}
@@ -302,6 +324,14 @@
     impl_->records->set_down(down);
 }
 
+void users_site::save_store_copy() {
+    impl_->records->save_copy();
+}
+
+void users_site::restore_store_copy() {
+    impl_->records->restore_copy();
+}
+
 void users_site::set_status(int target, int status) {
     impl_->targets.at(static_cast<std::size_t>(target))->set_status(status);
 }
--- a/test/fleet/users_site.h
+++ b/test/fleet/users_site.h
@@ -26,7 +26,8 @@
     /// \brief Writes the record of a target to the store.
     /// \param target index of the target, from 0
     /// \param state state in the record, such as "ready" or "draining"
-    void register_target(int target, const std::string& state);
+    /// \param sequence number of the record among those that the target has written
+    void register_target(int target, const std::string& state, int sequence = 4);
     /// \brief Writes any value under a key of the store, as other clients of the store do.
     void write(const std::string& key, const std::string& value);
     /// \brief Deletes a key from the store.
@@ -34,11 +35,17 @@
     /// \brief Writes the operator's configuration to the store: a route for safe requests, and one
     ///        for unsafe requests with the path prefix /order/.
     /// \param safe_prefix path prefix of the route for safe requests, such as /look/
-    void publish(const std::string& safe_prefix);
+    /// \param version version number that the operator gives the configuration
+    void publish(const std::string& safe_prefix, int version = 7);
     /// \brief Compacts the history of the store: a watch from an earlier revision gets status 410.
     void compact_history();
     /// \brief Makes every call to the store fail with 503, or ends this outage.
     void set_store_down(bool down);
+    /// \brief Keeps a copy of the store's records and revision for restore_store_copy().
+    void save_store_copy();
+    /// \brief Replaces the store's records and revision by the saved copy, which loses all later
+    ///        writes, and raises the number in its Store-Era header field by one.
+    void restore_store_copy();
 
     /// \brief Sets the status that a target answers with. With 503 the answer also states that the
     ///        request was not executed.
--- a/test/fleet/users_site_test.cpp
+++ b/test/fleet/users_site_test.cpp
@@ -89,6 +89,55 @@
     LONGS_EQUAL(404, send_lookup().status);
 }
 
+// Guards against a store that comes back from an older copy, whose revisions are lower: changes
+// made after that were not put in force. Also against older rules from the copy.
+TEST(users_site, restored_store_changes_are_put_in_force) {
+    site.start_node();
+    site.save_store_copy();
+    site.publish("/view/", 9);
+    for (int sequence = 5; sequence < 15; ++sequence) {
+        site.register_target(1, sequence % 2 == 0 ? "draining" : "ready", sequence);
+    }
+    std::this_thread::sleep_for(change_time_limit);
+    LONGS_EQUAL(200, send(site.port(), make_request("GET", "/view/1")).status);
+    site.set_store_down(true);
+    site.restore_store_copy();
+    std::this_thread::sleep_for(500ms);
+    site.set_store_down(false);
+    for (int i = 0; i < 10; ++i) {
+        std::this_thread::sleep_for(100ms);
+        LONGS_EQUAL(200, send(site.port(), make_request("GET", "/view/1")).status);
+    }
+    site.publish("/view/", 9);
+    site.publish("/next/", 12);
+    std::this_thread::sleep_for(change_time_limit);
+    LONGS_EQUAL(200, send(site.port(), make_request("GET", "/next/1")).status);
+    LONGS_EQUAL(404, send(site.port(), make_request("GET", "/view/1")).status);
+}
+
+// Guards against targets that are dropped because the store's older copy lacks them, and against
+// requests to targets that have left because the copy still has them.
+TEST(users_site, restored_store_targets_are_used_as_known_before) {
+    site.register_target(1, "ready", 4);
+    site.start_node();
+    site.remove(users_site::record_key(0));
+    site.save_store_copy();
+    site.register_target(0, "ready", 9);
+    site.register_target(1, "draining", 5);
+    site.remove(users_site::record_key(1));
+    std::this_thread::sleep_for(change_time_limit);
+    const auto before = site.requests_at(1);
+    site.restore_store_copy();
+    for (int i = 0; i < 15; ++i) {
+        std::this_thread::sleep_for(100ms);
+        LONGS_EQUAL(200, send_lookup().status);
+    }
+    site.register_target(0, "ready", 10);
+    std::this_thread::sleep_for(change_time_limit);
+    LONGS_EQUAL(200, send_lookup().status);
+    LONGS_EQUAL(before, site.requests_at(1));
+}
+
 // Guards against invalid or foreign records that are used or that make valid records unusable.
 TEST(users_site, ignores_unreadable_and_foreign_records) {
     site.write("servers/i-8", "{\"address\":5}");
