--- a/test/users_platform/records_test.cpp
+++ b/test/users_platform/records_test.cpp
@@ -120,3 +120,12 @@
     STRCMP_EQUAL("my/old", decoded->last_key.c_str());
     CHECK(!users_platform::decode_page("{}").has_value());
 }
+
+// Guards against taking an era that can't be read for that of a store that names none.
+TEST(records, decodes_the_era_of_the_store) {
+    LONGS_EQUAL(0, *users_platform::decode_era(""));
+    LONGS_EQUAL(12, *users_platform::decode_era("12"));
+    for (const auto* text : {"-1", "1.5", "two", "99999999999999999999", " 1"}) {
+        CHECK(!users_platform::decode_era(text).has_value());
+    }
+}
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -48,7 +48,7 @@
 } // namespace
 
 void inventory::replace(const feed_page& all, instant now) {
-    apply({as_of_, {}}, now);
+    apply({as_of_, {}, all.era}, now);
     std::set<std::string_view> present;
     for (const auto& it : all.records) {
         present.insert(it.key);
@@ -65,7 +65,18 @@
     apply(all, now);
 }
 
+void inventory::note_era(const feed_page& page) {
+    const auto known = std::exchange(era_, page.era);
+    if (known != 0 && known != page.era) {
+        notes_.push_back({true, "The store came back from an older copy.", "",
+                          "era " + std::to_string(known) + ", now " + std::to_string(page.era) +
+                              "; known revision " + std::to_string(as_of_),
+                          page.as_of});
+    }
+}
+
 void inventory::apply(const feed_page& changes, instant now) {
+    note_era(changes);
     end_outage(now);
     for (const auto& it : changes.records) {
         apply_record(it, now);
@@ -168,7 +179,9 @@
         return;
     }
     notes_.push_back({false, "Rules read.", record.key,
-                      "the operator's version " + std::to_string(rules.version), record.revision});
+                      "the operator's version " + std::to_string(rules.version) +
+                          ", known version " + std::to_string(rules_ ? rules_->version : 0),
+                      record.revision});
     rules_ = rules;
     changed_since_build_ = true;
 }
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -89,6 +89,8 @@
     void remove_target(const feed_record& record, instant now);
     void add_note(const char* what, const known_target& about, const std::string& key,
                   std::uint64_t revision);
+    /// Takes over the era of a page, and logs that it differs from the one before.
+    void note_era(const feed_page& page);
     void end_outage(instant when);
     [[nodiscard]] bool has_lapsed_targets() const;
     /// \returns whether the store is in an outage, or return_time after one has not passed yet
@@ -99,6 +101,7 @@
     [[nodiscard]] config::snapshot build() const;
 
     inventory_options options_;
+    std::uint64_t era_{0}; ///< of the last page
     std::uint64_t as_of_{0};
     std::map<std::string, known_target> targets_; ///< by the key of their record
     std::optional<operator_rules> rules_;
--- a/wigeonrill/src/platform/record_feed.h
+++ b/wigeonrill/src/platform/record_feed.h
@@ -46,6 +46,9 @@
 struct feed_page {
     std::uint64_t as_of{0}; ///< revision up to which every change is included
     std::vector<feed_record> records;
+    /// Era of the store, which rises each time it comes back from an older copy of its records.
+    /// Revisions of different eras can't be compared. 0: the store names no era.
+    std::uint64_t era{0};
 };
 
 /// \brief Read access to the platform's store, which holds target registrations and operator rules.
--- a/wigeonrill/src/traffic/call_client.cpp
+++ b/wigeonrill/src/traffic/call_client.cpp
@@ -29,6 +29,10 @@
 
 } // namespace
 
+std::string_view http_response::value(std::string_view name) const {
+    return detail::field_value(fields, name);
+}
+
 struct http_get_client::state {
     state(endpoint address, const clock_source& time)
         : server(std::move(address)), name(to_string(server)), clock(&time), pool(time) {}
@@ -68,7 +72,8 @@
         ended != status::ok) {
         return to_error(ended);
     }
-    http_response answer{reader.parser().head().status, {}};
+    const auto& head = reader.parser().head();
+    http_response answer{head.status, {}, head.fields};
     std::array<char, detail::transfer_buffer_bytes> piece{};
     while (!reader.parser().done()) {
         std::size_t n = 0;
--- a/wigeonrill/src/traffic/call_client.h
+++ b/wigeonrill/src/traffic/call_client.h
@@ -11,6 +11,10 @@
 struct http_response {
     int status{0};
     std::string body;
+    std::vector<std::pair<std::string, std::string>> fields; ///< names and values as received
+
+    /// \returns the value of the first header field with the name, or an empty text
+    [[nodiscard]] std::string_view value(std::string_view name) const;
 };
 
 /// \brief HTTP client with which this node itself makes GET calls to one server, such as the
--- a/wigeonrill/src/traffic/message_head.cpp
+++ b/wigeonrill/src/traffic/message_head.cpp
@@ -58,7 +58,8 @@
                       [](char a, char b) { return lower(a) == lower(b); });
 }
 
-std::string_view message_head::value(std::string_view name) const {
+std::string_view field_value(const std::vector<std::pair<std::string, std::string>>& fields,
+                             std::string_view name) {
     for (const auto& it : fields) {
         if (equal_ignoring_case(it.first, name)) {
             return it.second;
@@ -67,6 +68,10 @@
     return {};
 }
 
+std::string_view message_head::value(std::string_view name) const {
+    return field_value(fields, name);
+}
+
 std::size_t message_head::count(std::string_view name) const {
     return static_cast<std::size_t>(
         std::count_if(fields.begin(), fields.end(),
--- a/wigeonrill/src/traffic/message_head.h
+++ b/wigeonrill/src/traffic/message_head.h
@@ -38,6 +38,10 @@
     void add_via(const std::string& name);
 };
 
+/// \returns the value of the first field with the name, or an empty text
+[[nodiscard]] std::string_view
+field_value(const std::vector<std::pair<std::string, std::string>>& fields, std::string_view name);
+
 /// \returns true when the texts are equal apart from the case of ASCII letters
 [[nodiscard]] bool equal_ignoring_case(std::string_view left, std::string_view right);
 
