Count the store's revisions anew in each era

Callers got 404 on new routes, and requests went to a service by a dropped rule.

Cause: a revision was taken to grow for ever. A node kept the highest one after the store came back from an older copy.

Change: a version is era and revision, so content of a later era is newer on every node. A watch answered in another era is thrown away and all records are listed; an answer of an earlier era is refused. A new era counts as the end of an outage, so targets that the copy lacks have 2 s to register again, from when the first node sees it: each node puts the new era in force even with the same content, so the others learn of it from the version. Ruled out: versions raised by each node from its own last one, since two readers would give one content two versions.

--- a/test/platform/inventory_test.cpp
+++ b/test/platform/inventory_test.cpp
@@ -195,6 +195,37 @@
     LONGS_EQUAL(9, it.as_of());
 }
 
+// Guards against a node that keeps the highest revision that it has seen after the store came back
+// from an older copy: it skipped what was written up to that revision, and refused new content.
+TEST(inventory, restored_store_has_newer_versions_with_lower_revisions) {
+    it.replace({50, {rules(1), target("a", 2, "10.0.0.1:1")}, 1}, now);
+    report_in_force();
+    const auto before = it.version();
+    it.replace({6, {rules(1), target("a", 2, "10.0.0.1:1")}, 2}, now + 3s);
+    LONGS_EQUAL(6, it.as_of());
+    LONGS_EQUAL(2, era_of(it.version()));
+    CHECK(before < it.version());
+    const auto restored = it.version();
+    it.apply({7, {target("b", 7, "10.0.0.2:1")}, 2}, now + 4s);
+    CHECK(restored < it.version());
+    STRCMP_EQUAL("a b ", ids().c_str());
+}
+
+// Guards against dropping targets that registered in the time that the store has lost, before they
+// can register again; and against a node that keeps them long after its peers dropped them.
+TEST(inventory, restored_store_gives_targets_time_to_register_again) {
+    it.replace({50, {rules(1), target("a", 2, "10.0.0.1:1"), target("b", 3, "10.0.0.2:1")}, 1},
+               now);
+    report_in_force();
+    it.replace({6, {rules(1), target("a", 2, "10.0.0.1:1")}, 2}, now + 3s);
+    STRCMP_EQUAL("a b ", ids().c_str());
+    it.expire(now + 5s);
+    STRCMP_EQUAL("a ", ids().c_str());
+    it.record_era(3, now + 20s);
+    it.replace({4, {rules(1)}, 3}, now + 30s);
+    STRCMP_EQUAL("", ids().c_str());
+}
+
 // Guards against waiting for a silent target until no time is left to ask another one.
 TEST(inventory, first_byte_limit_leaves_time_for_a_second_attempt) {
     start();
--- a/wigeonrill/src/daemon/control_loop_readings.cpp
+++ b/wigeonrill/src/daemon/control_loop_readings.cpp
@@ -21,8 +21,8 @@
     }
 }
 
-// Creates a new version only when the content has changed, so that reports of targets without news
-// cause no transfers to other nodes.
+// Creates a new version only when the content or the store's era has changed, so that reports of
+// targets without news cause no transfers to other nodes.
 bool control_loop::apply_store_content(const platform::store_reading& latest) {
     const auto current = store_.current();
     auto next = *latest.configuration;
@@ -30,7 +30,7 @@
     if (current) {
         next.published = current->published;
         const auto version = std::exchange(next.version, current->version);
-        if (next == *current) {
+        if (next == *current && platform::era_of(version) == platform::era_of(current->version)) {
             return true;
         }
         next.version = version;
--- a/wigeonrill/src/platform/feed_thread.cpp
+++ b/wigeonrill/src/platform/feed_thread.cpp
@@ -39,15 +39,36 @@
 
 void feed_reader_thread::set_configuration_in_force(config::snapshot_ptr configuration) {
     const std::lock_guard lock(mutex_);
+    const auto era = era_of(configuration->version);
+    if (!era_in_force_ || era_in_force_->era < era) {
+        era_in_force_ = {era, clock_->now()};
+    }
     configuration_in_force_ = std::move(configuration);
 }
 
+result<feed_page> feed_reader_thread::read_page(milliseconds wait) {
+    auto page = full_list_due_ ? feed_->list() : feed_->changes_since(inventory_.as_of(), wait);
+    if (!page || page->era == inventory_.era()) {
+        return page;
+    }
+    if (page->era < inventory_.era()) {
+        return failed(error_kind::unavailable,
+                      "the store answered in era " + std::to_string(page->era) +
+                          ", before in era " + std::to_string(inventory_.era()),
+                      "check that all nodes read the same store");
+    }
+    if (!full_list_due_) {
+        return failed(error_kind::not_found, "the store came back from an older copy",
+                      "no action needed; all records are read again");
+    }
+    return page;
+}
+
 store_reading feed_reader_thread::read_store(instant last_read_at, milliseconds wait) {
     store_reading outcome;
     full_list_due_ = full_list_due_ || ++calls_since_full_list_ > max_calls_between_full_lists;
     outcome.when = clock_->now();
-    const auto page =
-        full_list_due_ ? feed_->list() : feed_->changes_since(inventory_.as_of(), wait);
+    const auto page = read_page(wait);
     // A watch that ends without a change confirms that there was none while it waited.
     if (page && !full_list_due_ && page->records.empty()) {
         outcome.when = std::max(outcome.when, std::min(outcome.when + wait, clock_->now()));
@@ -90,6 +111,9 @@
         const auto last_read_at = schedule_.up_to_date_at().value_or(clock_->now());
         const auto wait = schedule_.max_wait();
         inventory_.set_configuration_in_force(configuration_in_force_);
+        if (era_in_force_) {
+            inventory_.record_era(era_in_force_->era, era_in_force_->since);
+        }
         if (const auto when = std::exchange(first_peer_reading_, std::nullopt)) {
             inventory_.record_answer_to_peer(*when);
         }
--- a/wigeonrill/src/platform/feed_thread.h
+++ b/wigeonrill/src/platform/feed_thread.h
@@ -49,7 +49,16 @@
     void set_configuration_in_force(config::snapshot_ptr configuration);
 
 private:
+    /// Era of the configuration in force, and when this node first had one of that era.
+    struct known_era {
+        std::uint64_t era{0};
+        instant since{};
+    };
+
     void run();
+    /// \brief Makes one call to the store.
+    /// \returns the page; or the error not_found if all records have to be listed
+    [[nodiscard]] result<feed_page> read_page(milliseconds wait);
     /// \brief Makes one call to the store and applies its result to the inventory.
     /// \param last_read_at latest time at which any node read the store, as far as this node knows
     /// \param wait how long the store may hold the call open for a change
@@ -66,6 +75,7 @@
         wake_up_; ///< ends the pause between two calls when the thread must stop
     read_schedule schedule_;
     config::snapshot_ptr configuration_in_force_;
+    std::optional<known_era> era_in_force_;
     /// First reading by a peer since this node's last call.
     std::optional<instant> first_peer_reading_;
     bool stopping_{false};
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -9,6 +9,10 @@
 
 // The content of a revision without lapsed targets, and the one with some of them.
 constexpr std::uint64_t versions_per_revision = 2;
+// Versions of one era. They must fit into 63 bits together with the era.
+constexpr std::uint64_t versions_per_era = std::uint64_t{1} << 48U;
+constexpr std::uint64_t max_era = (std::uint64_t{1} << 15U) - 1;
+constexpr std::uint64_t max_revision = versions_per_era / versions_per_revision - 1;
 
 // Whether the candidate was written by an earlier process of the target, or earlier by the same
 // process.
@@ -47,8 +51,17 @@
 
 } // namespace
 
+std::uint64_t era_of(std::uint64_t version) {
+    return version / versions_per_era;
+}
+
 void inventory::replace(const feed_page& all, instant now) {
-    apply({as_of_, {}, all.era}, now);
+    record_era(all.era, now);
+    if (era_ != all.era) {
+        era_ = all.era;
+        as_of_ = 0;
+    }
+    apply({as_of_, {}, era_}, now);
     std::set<std::string_view> present;
     for (const auto& it : all.records) {
         present.insert(it.key);
@@ -65,18 +78,18 @@
     apply(all, now);
 }
 
-void inventory::note_era(const feed_page& page) {
-    const auto known = std::exchange(era_, page.era);
-    if (known != 0 && known != page.era) {
-        notes_.push_back({true, "The store came back from an older copy.", "",
-                          "era " + std::to_string(known) + ", now " + std::to_string(page.era) +
-                              "; known revision " + std::to_string(as_of_),
-                          page.as_of});
+void inventory::record_era(std::uint64_t era, instant when) {
+    const auto known = std::exchange(latest_era_, std::max(latest_era_, era));
+    if (known == 0 || era <= known) {
+        return;
     }
+    notes_.push_back({true, "The store came back from an older copy.", "",
+                      "era " + std::to_string(era) + ", before " + std::to_string(known), as_of_});
+    in_outage_ = false;
+    outage_ended_at_ = when;
 }
 
 void inventory::apply(const feed_page& changes, instant now) {
-    note_era(changes);
     end_outage(now);
     for (const auto& it : changes.records) {
         apply_record(it, now);
@@ -115,7 +128,8 @@
 }
 
 std::uint64_t inventory::version() const {
-    return as_of_ * versions_per_revision + (has_lapsed_targets() ? 0 : 1);
+    return std::min(era_, max_era) * versions_per_era +
+           std::min(as_of_, max_revision) * versions_per_revision + (has_lapsed_targets() ? 0 : 1);
 }
 
 bool inventory::in_return_window(instant now) const {
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -21,6 +21,10 @@
     milliseconds outage_time{1'000};
 };
 
+/// \returns the era of the store in which the content of a version was read, see
+///          inventory::version()
+[[nodiscard]] std::uint64_t era_of(std::uint64_t version);
+
 /// \brief A log message about a change or a rejected record.
 struct inventory_note {
     bool is_warning{false};    ///< the record was rejected; to be logged as a warning
@@ -40,9 +44,10 @@
 public:
     explicit inventory(inventory_options options) : options_(options) {}
 
-    /// \brief Replaces the known records by a full list. Targets that it lacks are removed.
+    /// \brief Replaces the known records by a full list, which may be of another era than before.
+    ///        Targets that it lacks are removed.
     void replace(const feed_page& all, instant now);
-    /// \brief Applies changes to the known records.
+    /// \brief Applies changes to the known records. They must be of the era of these records.
     void apply(const feed_page& changes, instant now);
     /// \brief Records that the store could not be read, which may mean an outage.
     /// \param last_read_at latest time at which any node read the store, as far as this node knows
@@ -50,6 +55,10 @@
     /// \brief Records that the store answered a peer, which ends an outage that began before.
     /// \param when start of the peer's call
     void record_answer_to_peer(instant when);
+    /// \brief Records that this node or a peer has read the store in an era. A later era than the
+    ///        ones before means that the store was in an outage, and came back from an older copy.
+    /// \param when time at which this node learned of the era
+    void record_era(std::uint64_t era, instant when);
     /// \brief Sets the configuration in force. It may come from a peer that read the store later
     ///        than this node.
     void set_configuration_in_force(config::snapshot_ptr configuration) {
@@ -63,9 +72,12 @@
 
     /// \returns the revision up to which all changes are included, 0 before the first read
     [[nodiscard]] std::uint64_t as_of() const { return as_of_; }
-    /// \returns the version of the configuration. It grows with as_of(). Without lapsed targets it
-    ///          is newer than with some at the same revision, because all nodes build the same
-    ///          content then, while those that are kept differ between nodes.
+    /// \returns the era of the store to which as_of() belongs, 0 if the store names none
+    [[nodiscard]] std::uint64_t era() const { return era_; }
+    /// \returns the version of the configuration. It grows with the era, and within one with
+    ///          as_of(). Without lapsed targets it is newer than with some at the same revision,
+    ///          because all nodes build the same content then, while those that are kept differ
+    ///          between nodes.
     [[nodiscard]] std::uint64_t version() const;
     /// \returns the configuration, or null before the operator's rules are known
     [[nodiscard]] config::snapshot_ptr configuration();
@@ -89,8 +101,6 @@
     void remove_target(const feed_record& record, instant now);
     void add_note(const char* what, const known_target& about, const std::string& key,
                   std::uint64_t revision);
-    /// Takes over the era of a page, and logs that it differs from the one before.
-    void note_era(const feed_page& page);
     void end_outage(instant when);
     [[nodiscard]] bool has_lapsed_targets() const;
     /// \returns whether the store is in an outage, or return_time after one has not passed yet
@@ -101,8 +111,9 @@
     [[nodiscard]] config::snapshot build() const;
 
     inventory_options options_;
-    std::uint64_t era_{0}; ///< of the last page
-    std::uint64_t as_of_{0};
+    std::uint64_t era_{0};        ///< era of the known records
+    std::uint64_t as_of_{0};      ///< a revision of that era
+    std::uint64_t latest_era_{0}; ///< latest era that any node has seen, as far as this node knows
     std::map<std::string, known_target> targets_; ///< by the key of their record
     std::optional<operator_rules> rules_;
     bool in_outage_{false};                  ///< the store has not answered for outage_time
