Never go back to older rules of the operator

Callers got 404 on routes that had been in force before, right after the store came back from an older copy.

Cause: rules counted as new because the store's revision did, though the operator gives them a number that only rises. Only the store's promise to lose nothing had kept this from showing.

Of two nodes that read the same revision with different rules, the one with the newer ones has the newer version.

The unit tests use new members.

A change of the operator that the daemon doesn't use, such as an idle timeout, makes a new version now, because its number is in force too.

--- a/test/config/store_test.cpp
+++ b/test/config/store_test.cpp
@@ -82,6 +82,23 @@
     check_in_force(subject, document_with_version(9));
 }
 
+// Guards against a newer version with older rules, from a node whose source came back from an older
+// copy; and against versions of a source that numbers no rules being refused.
+TEST(store, ignores_newer_versions_with_older_rules) {
+    auto numbered = first_set;
+    numbered.rules_version = 20;
+    check_outcome(apply_outcome::accepted, subject.apply(numbered, now));
+    auto older = make_change_set(document_with_version(8));
+    older.rules_version = 19;
+    check_outcome(apply_outcome::older_rules, subject.apply(older, now));
+    LONGS_EQUAL(7, subject.version());
+    LONGS_EQUAL(20, subject.changes_since(0).rules_version);
+    older.rules_version = 20;
+    check_outcome(apply_outcome::accepted, subject.apply(older, now));
+    check_outcome(apply_outcome::accepted,
+                  subject.apply(make_change_set(document_with_version(9)), now));
+}
+
 // Guards against different contents published under the same version, so that nodes would differ.
 TEST(store, reports_another_content_under_the_version_in_force) {
     (void)subject.apply(first_set, now);
--- a/test/peers/change_service_test.cpp
+++ b/test/peers/change_service_test.cpp
@@ -16,6 +16,7 @@
     out.base_version = since;
     out.version = 8;
     out.published = wall_time(milliseconds(1'700'000'000'123));
+    out.rules_version = 19;
     out.digest = "abc";
     out.changed.push_back({"service/stock", 8, "def", std::string("{\0}", 3)});
     out.removed = {"service/old"};
--- a/test/platform/inventory_test.cpp
+++ b/test/platform/inventory_test.cpp
@@ -211,6 +211,35 @@
     STRCMP_EQUAL("a b ", ids().c_str());
 }
 
+// Guards against going back to the older rules of a store that came back from an older copy, also
+// on a node that knows the newer ones only from its peers.
+TEST(inventory, restored_store_brings_no_older_rules) {
+    it.replace({50, {rules(1, 9)}, 1}, now);
+    auto newer = std::make_shared<config::snapshot>(*it.configuration());
+    newer->rules_version = 12;
+    newer->routes.at(0).path_prefix = "/newer/";
+    it.set_configuration_in_force(newer);
+    it.replace({6, {rules(2, 7)}, 2}, now + 3s);
+    STRCMP_EQUAL("/newer/", it.configuration()->routes.at(0).path_prefix.c_str());
+    LONGS_EQUAL(12, it.configuration()->rules_version);
+    LONGS_EQUAL(2, it.configuration()->services.size());
+    it.apply({7, {rules(7, 15)}, 2}, now + 4s);
+    LONGS_EQUAL(15, it.configuration()->rules_version);
+}
+
+// Guards against one version for two contents: of two nodes that read the same revision of a
+// restored store, one may know newer rules than the store has.
+TEST(inventory, content_with_newer_rules_has_a_newer_version) {
+    start();
+    inventory fresh{{}};
+    it.replace({9, {rules(1, 30)}, 1}, now);
+    it.replace({6, {rules(2, 7)}, 2}, now);
+    fresh.replace({6, {rules(2, 7)}, 2}, now);
+    CHECK(fresh.version() < it.version());
+    fresh.apply({7, {}, 2}, now);
+    CHECK(it.version() < fresh.version());
+}
+
 // Guards against dropping targets that registered in the time that the store has lost, before they
 // can register again; and against a node that keeps them long after its peers dropped them.
 TEST(inventory, restored_store_gives_targets_time_to_register_again) {
--- a/wigeonrill/gen-cpp/messages_types.cpp
+++ b/wigeonrill/gen-cpp/messages_types.cpp
@@ -1853,6 +1853,11 @@
 void ChangeSet::__set_removed(const std::vector<std::string> & val) {
   this->removed = val;
 }
+
+void ChangeSet::__set_rules_version(const int64_t val) {
+  this->rules_version = val;
+__isset.rules_version = true;
+}
 std::ostream& operator<<(std::ostream& out, const ChangeSet& obj)
 {
   obj.printTo(out);
@@ -1969,6 +1974,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rules_version);
+          this->__isset.rules_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2034,6 +2047,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.rules_version) {
+    xfer += oprot->writeFieldBegin("rules_version", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->rules_version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2049,6 +2067,7 @@
   swap(a.digest, b.digest);
   swap(a.changed, b.changed);
   swap(a.removed, b.removed);
+  swap(a.rules_version, b.rules_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -2061,6 +2080,7 @@
   digest = other64.digest;
   changed = other64.changed;
   removed = other64.removed;
+  rules_version = other64.rules_version;
   __isset = other64.__isset;
 }
 ChangeSet& ChangeSet::operator=(const ChangeSet& other65) {
@@ -2072,6 +2092,7 @@
   digest = other65.digest;
   changed = other65.changed;
   removed = other65.removed;
+  rules_version = other65.rules_version;
   __isset = other65.__isset;
   return *this;
 }
@@ -2086,6 +2107,7 @@
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "changed=" << to_string(changed);
   out << ", " << "removed=" << to_string(removed);
+  out << ", " << "rules_version="; (__isset.rules_version ? (out << to_string(rules_version)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wigeonrill/gen-cpp/messages_types.h
+++ b/wigeonrill/gen-cpp/messages_types.h
@@ -732,7 +732,7 @@
 std::ostream& operator<<(std::ostream& out, const Shard& obj);
 
 typedef struct _ChangeSet__isset {
-  _ChangeSet__isset() : protocol(false), format(false), base_version(false), version(false), published_ms(false), digest(false), changed(false), removed(false) {}
+  _ChangeSet__isset() : protocol(false), format(false), base_version(false), version(false), published_ms(false), digest(false), changed(false), removed(false), rules_version(false) {}
   bool protocol :1;
   bool format :1;
   bool base_version :1;
@@ -741,6 +741,7 @@
   bool digest :1;
   bool changed :1;
   bool removed :1;
+  bool rules_version :1;
 } _ChangeSet__isset;
 
 class ChangeSet : public virtual ::apache::thrift::TBase {
@@ -754,7 +755,8 @@
               base_version(0),
               version(0),
               published_ms(0),
-              digest() {
+              digest(),
+              rules_version(0) {
   }
 
   virtual ~ChangeSet() noexcept;
@@ -766,6 +768,7 @@
   std::string digest;
   std::vector<Shard>  changed;
   std::vector<std::string>  removed;
+  int64_t rules_version;
 
   _ChangeSet__isset __isset;
 
@@ -785,6 +788,8 @@
 
   void __set_removed(const std::vector<std::string> & val);
 
+  void __set_rules_version(const int64_t val);
+
   bool operator == (const ChangeSet & rhs) const
   {
     if (!(protocol == rhs.protocol))
@@ -803,6 +808,10 @@
       return false;
     if (!(removed == rhs.removed))
       return false;
+    if (__isset.rules_version != rhs.__isset.rules_version)
+      return false;
+    else if (__isset.rules_version && !(rules_version == rhs.rules_version))
+      return false;
     return true;
   }
   bool operator != (const ChangeSet &rhs) const {
--- a/wigeonrill/src/config/change_set.h
+++ b/wigeonrill/src/config/change_set.h
@@ -35,6 +35,9 @@
     std::uint64_t base_version{0}; ///< version that it applies to; 0: it holds every shard
     std::uint64_t version{0};      ///< version that results when it is applied
     wall_time published{};         ///< when the version was published
+    /// Number that the operator gave the rules in it; a later version may hold older rules when its
+    /// source has lost the newer ones. 0: the operator gives rules no numbers of their own.
+    std::uint64_t rules_version{0};
     /// SHA-1 over the "name version digest\n" lines of all shards, sorted by name.
     std::string digest;
     std::vector<shard> changed;       ///< shards that are new or differ, sorted by name
--- a/wigeonrill/src/config/snapshot.h
+++ b/wigeonrill/src/config/snapshot.h
@@ -11,6 +11,7 @@
 struct snapshot {
     std::uint64_t version{0};
     wall_time published{};                 ///< when this version was published
+    std::uint64_t rules_version{0};        ///< see change_set::rules_version
     milliseconds resend_window{600'000};   ///< how long a caller may send an idempotency key again
     milliseconds owner_lease{21'600'000};  ///< longest time that a key owner may run keys without
                                            ///< confirmation of its configuration
--- a/wigeonrill/src/config/store.cpp
+++ b/wigeonrill/src/config/store.cpp
@@ -190,6 +190,7 @@
         merge_records(current ? *current : snapshot{}, dropped, std::move(added)));
     next->version = changes.version;
     next->published = changes.published;
+    next->rules_version = changes.rules_version;
     if (auto valid = validate(*next, changed_sections); !valid) {
         return tl::unexpected(valid.error());
     }
@@ -281,6 +282,10 @@
     if (changes.version <= version()) {
         return apply_outcome::not_newer;
     }
+    const auto rules_in_force = state_->current ? state_->current->rules_version : 0;
+    if (changes.rules_version != 0 && changes.rules_version < rules_in_force) {
+        return apply_outcome::older_rules;
+    }
     if (const auto* known = state_->find_rejection(changes)) {
         return state_->record_rejection(changes, known->reason);
     }
@@ -344,6 +349,7 @@
     changes.base_version = known ? std::min(base, version()) : 0;
     changes.version = version();
     changes.published = state_->current->published;
+    changes.rules_version = state_->current->rules_version;
     changes.digest = state_->digest;
     for (const auto& [name, stored] : state_->shards) {
         if (stored.version > changes.base_version) {
--- a/wigeonrill/src/config/store.h
+++ b/wigeonrill/src/config/store.h
@@ -11,21 +11,24 @@
 enum class apply_outcome : std::uint8_t {
     accepted,      ///< the change set was valid, and its version is in force now
     not_newer,     ///< its version is not higher than the version in force
+    older_rules,   ///< its version is higher, but the operator's rules in it are older
     base_mismatch, ///< it applies to another base; request the changes since version(), or since 0
     rejected       ///< its digest, format or content is invalid; see last_rejection()
 };
 
 /// \brief Names of the outcomes in log lines and on the status page.
-inline constexpr enum_name_table<apply_outcome, 4> apply_outcome_names{{
+inline constexpr enum_name_table<apply_outcome, 5> apply_outcome_names{{
     {apply_outcome::accepted, "accepted"},
     {apply_outcome::not_newer, "not_newer"},
+    {apply_outcome::older_rules, "older_rules"},
     {apply_outcome::base_mismatch, "base_mismatch"},
     {apply_outcome::rejected, "rejected"},
 }};
 
 /// \brief Holds the configuration in force, and replaces it when a newer valid version arrives.
 ///
-/// The version never decreases. Not thread-safe: only the control thread uses it.
+/// Neither its version nor the version of the operator's rules in it ever decreases. Not
+/// thread-safe: only the control thread uses it.
 class configuration_store {
 public:
     configuration_store();
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -52,6 +52,7 @@
     const auto outcome = store_.apply(changes, dependencies_.clock.wall_now());
     log_line line("Configuration offered.");
     line.with("version", static_cast<std::int64_t>(changes.version))
+        .with("rules_version", static_cast<std::int64_t>(changes.rules_version))
         .with("source", source)
         .with("result", enum_name(config::apply_outcome_names, outcome));
     if (outcome == config::apply_outcome::rejected && store_.last_rejection()) {
@@ -62,6 +63,9 @@
         }
         return outcome;
     }
+    if (outcome == config::apply_outcome::older_rules && dependencies_.gossip != nullptr) {
+        dependencies_.gossip->reject_config(changes.version);
+    }
     if (outcome != config::apply_outcome::not_newer) {
         write_log(log_level::info, log_subsystem::config, line);
     }
--- a/wigeonrill/src/peers/change_client.cpp
+++ b/wigeonrill/src/peers/change_client.cpp
@@ -75,6 +75,7 @@
     out.base_version = static_cast<std::uint64_t>(in.base_version);
     out.version = static_cast<std::uint64_t>(in.version);
     out.published = wall_time(milliseconds(in.published_ms));
+    out.rules_version = in.__isset.rules_version ? static_cast<std::uint64_t>(in.rules_version) : 0;
     out.digest = std::move(in.digest);
     out.changed.reserve(in.changed.size());
     for (auto& it : in.changed) {
@@ -89,7 +90,7 @@
     // The wall clock's type counts nanoseconds in 64 bits, which covers about 292 years.
     constexpr std::int64_t latest = std::int64_t{9'000'000'000'000};
     return in.format >= 0 && in.base_version >= 0 && in.version >= 0 && in.published_ms >= 0 &&
-           in.published_ms < latest;
+           in.published_ms < latest && (!in.__isset.rules_version || in.rules_version >= 0);
 }
 
 } // namespace
--- a/wigeonrill/src/peers/change_server.cpp
+++ b/wigeonrill/src/peers/change_server.cpp
@@ -77,6 +77,9 @@
     out.version = static_cast<std::int64_t>(in.version);
     out.published_ms =
         std::chrono::duration_cast<milliseconds>(in.published.time_since_epoch()).count();
+    if (in.rules_version != 0) {
+        out.__set_rules_version(static_cast<std::int64_t>(in.rules_version));
+    }
     out.digest = in.digest;
     out.removed = in.removed;
     out.changed.resize(in.changed.size());
--- a/wigeonrill/src/peers/messages.thrift
+++ b/wigeonrill/src/peers/messages.thrift
@@ -112,6 +112,8 @@
   6: string digest
   7: list<Shard> changed
   8: list<string> removed
+  // Number of the operator's rules in the version; left out if they have none.
+  9: optional i64 rules_version
 }
 
 // Status of a node as JSON text.
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -8,7 +8,10 @@
 namespace {
 
 // The content of a revision without lapsed targets, and the one with some of them.
-constexpr std::uint64_t versions_per_revision = 2;
+constexpr std::uint64_t versions_per_rules = 2;
+// How far the rules in the content may be ahead of those in the store; more counts as this.
+constexpr std::uint64_t max_rules_lead = 1'023;
+constexpr std::uint64_t versions_per_revision = versions_per_rules * (max_rules_lead + 1);
 // Versions of one era. They must fit into 63 bits together with the era.
 constexpr std::uint64_t versions_per_era = std::uint64_t{1} << 48U;
 constexpr std::uint64_t max_era = (std::uint64_t{1} << 15U) - 1;
@@ -60,6 +63,7 @@
     if (era_ != all.era) {
         era_ = all.era;
         as_of_ = 0;
+        stored_rules_version_ = 0;
     }
     apply({as_of_, {}, era_}, now);
     std::set<std::string_view> present;
@@ -128,8 +132,11 @@
 }
 
 std::uint64_t inventory::version() const {
+    const auto rules_lead = rules_ ? rules_->version - stored_rules_version_ : 0;
     return std::min(era_, max_era) * versions_per_era +
-           std::min(as_of_, max_revision) * versions_per_revision + (has_lapsed_targets() ? 0 : 1);
+           std::min(as_of_, max_revision) * versions_per_revision +
+           std::min(rules_lead, max_rules_lead) * versions_per_rules +
+           (has_lapsed_targets() ? 0 : 1);
 }
 
 bool inventory::in_return_window(instant now) const {
@@ -189,17 +196,37 @@
 }
 
 void inventory::apply_rules(const feed_record& record, const operator_rules& rules) {
+    stored_rules_version_ = rules.version;
     if (rules_ == rules) {
         return;
     }
-    notes_.push_back({false, "Rules read.", record.key,
-                      "the operator's version " + std::to_string(rules.version) +
-                          ", known version " + std::to_string(rules_ ? rules_->version : 0),
-                      record.revision});
+    const auto detail = "the operator's version " + std::to_string(rules.version) +
+                        ", known version " + std::to_string(rules_ ? rules_->version : 0);
+    if (rules_ && rules.version < rules_->version) {
+        notes_.push_back(
+            {true, "Rules are older than known; not used.", record.key, detail, record.revision});
+        return;
+    }
+    notes_.push_back({false, "Rules read.", record.key, detail, record.revision});
     rules_ = rules;
     changed_since_build_ = true;
 }
 
+void inventory::set_configuration_in_force(config::snapshot_ptr configuration) {
+    configuration_in_force_ = std::move(configuration);
+    if (!configuration_in_force_ || !rules_ ||
+        configuration_in_force_->rules_version <= rules_->version) {
+        return;
+    }
+    rules_->version = configuration_in_force_->rules_version;
+    rules_->routes = configuration_in_force_->routes;
+    rules_->services.clear();
+    for (const auto& it : configuration_in_force_->services) {
+        rules_->services.push_back(it.name);
+    }
+    changed_since_build_ = true;
+}
+
 void inventory::apply_target(const std::string& key, std::uint64_t revision,
                              const target_registration& content) {
     const auto it = targets_.find(key);
@@ -264,6 +291,7 @@
 config::snapshot inventory::build() const {
     config::snapshot built;
     built.version = version();
+    built.rules_version = rules_->version;
     std::map<service_name, config::service> services;
     for (const auto& name : rules_->services) {
         services[name].name = name;
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -60,10 +60,9 @@
     /// \param when time at which this node learned of the era
     void record_era(std::uint64_t era, instant when);
     /// \brief Sets the configuration in force. It may come from a peer that read the store later
-    ///        than this node.
-    void set_configuration_in_force(config::snapshot_ptr configuration) {
-        configuration_in_force_ = std::move(configuration);
-    }
+    ///        than this node. Rules in it that are newer than the known ones are taken over, since
+    ///        the store may have lost them.
+    void set_configuration_in_force(config::snapshot_ptr configuration);
     /// \brief Removes the targets whose registration lapsed, if return_time is over.
     void expire(instant now);
     /// \returns the time at which expire() is to be called, or nothing if no registration has
@@ -75,9 +74,9 @@
     /// \returns the era of the store to which as_of() belongs, 0 if the store names none
     [[nodiscard]] std::uint64_t era() const { return era_; }
     /// \returns the version of the configuration. It grows with the era, and within one with
-    ///          as_of(). Without lapsed targets it is newer than with some at the same revision,
-    ///          because all nodes build the same content then, while those that are kept differ
-    ///          between nodes.
+    ///          as_of(). At the same revision, content with newer rules than the store has is
+    ///          newer; and content without lapsed targets is newer than with some, because all
+    ///          nodes build the same content then, while those that are kept differ between nodes.
     [[nodiscard]] std::uint64_t version() const;
     /// \returns the configuration, or null before the operator's rules are known
     [[nodiscard]] config::snapshot_ptr configuration();
@@ -115,8 +114,9 @@
     std::uint64_t as_of_{0};      ///< a revision of that era
     std::uint64_t latest_era_{0}; ///< latest era that any node has seen, as far as this node knows
     std::map<std::string, known_target> targets_; ///< by the key of their record
-    std::optional<operator_rules> rules_;
-    bool in_outage_{false};                  ///< the store has not answered for outage_time
+    std::optional<operator_rules> rules_;         ///< the newest that are known
+    std::uint64_t stored_rules_version_{0};       ///< operator's version of the rules in the store
+    bool in_outage_{false};                       ///< the store has not answered for outage_time
     instant last_answer_before_outage_{};    ///< last answer to any node before the last outage
     std::optional<instant> outage_ended_at_; ///< first answer to any node after the last outage
     config::snapshot_ptr configuration_in_force_;
