Don't use registrations from before a target's removal

Change: inventory remembers, for 10 minutes, which registration of a target was the last before its removal, and takes only later ones: of a later process, with a later heartbeat, or written again under another revision. Ruled out: to wait after each return until a target reports again, since entries need not change while a target is well.

--- a/test/platform/inventory_test.cpp
+++ b/test/platform/inventory_test.cpp
@@ -211,6 +211,27 @@
     STRCMP_EQUAL("a b ", ids().c_str());
 }
 
+// Guards against requests to targets that have left, because a restored store shows registrations
+// from before; and against leaving out those that are written again after the return.
+TEST(inventory, restored_store_brings_no_removed_targets) {
+    it.replace({50,
+                {rules(1), target("a", 2, "10.0.0.1:1"), target("b", 3, "10.0.0.2:1"),
+                 target("c", 4, "10.0.0.3:1")},
+                1},
+               now);
+    report_in_force();
+    it.apply({53, {deleted("a", 51), deleted("b", 52), deleted("c", 53)}, 1}, now + 1s);
+    STRCMP_EQUAL("", ids().c_str());
+    it.replace({6,
+                {rules(1), target("a", 2, "10.0.0.1:1"), target("b", 5, "10.0.0.2:1"),
+                 target("c", 6, "10.0.0.3:1", "print", false, 1, 2)},
+                2},
+               now + 3s);
+    STRCMP_EQUAL("b c ", ids().c_str());
+    it.apply({7, {target("a", 7, "10.0.0.1:1", "print", false, 2, 1)}, 2}, now + 4s);
+    STRCMP_EQUAL("a b c ", ids().c_str());
+}
+
 // Guards against going back to the older rules of a store that came back from an older copy, also
 // on a node that knows the newer ones only from its peers.
 TEST(inventory, restored_store_brings_no_older_rules) {
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint64_t versions_per_revision = versions_per_rules * (max_rules_lead + 1);
 // Versions of one era. They must fit into 63 bits together with the era.
 constexpr std::uint64_t versions_per_era = std::uint64_t{1} << 48U;
+// Longer than a store may have lost when it comes back from an older copy.
+constexpr std::chrono::minutes removal_memory{10};
 constexpr std::uint64_t max_era = (std::uint64_t{1} << 15U) - 1;
 constexpr std::uint64_t max_revision = versions_per_era / versions_per_revision - 1;
 
@@ -163,8 +165,11 @@
     if (in_return_window(now)) {
         return;
     }
-    const auto n = std::erase_if(targets_, [this](const auto& it) {
+    std::erase_if(removed_,
+                  [now](const auto& it) { return now - it.second.removed_at >= removal_memory; });
+    const auto n = std::erase_if(targets_, [this, now](const auto& it) {
         if (it.second.lapsed_at) {
+            record_removal(it.first, it.second, now);
             add_note("Target did not come back after the outage.", it.second, it.first, 0);
         }
         return it.second.lapsed_at.has_value();
@@ -227,10 +232,33 @@
     changed_since_build_ = true;
 }
 
+void inventory::record_removal(const std::string& key, const known_target& target, instant now) {
+    removed_[key] = {target.revision, target.content.started_ms, target.content.heartbeat, now};
+}
+
+// A registration that was only written again has the same heartbeat, but another revision.
+bool inventory::is_from_before_removal(const std::string& key, std::uint64_t revision,
+                                       const target_registration& content) const {
+    const auto it = removed_.find(key);
+    if (it == removed_.end()) {
+        return false;
+    }
+    const auto& last = it->second;
+    const auto written = std::tie(content.started_ms, content.heartbeat);
+    const auto last_written = std::tie(last.started_ms, last.heartbeat);
+    return written < last_written || (written == last_written && revision == last.revision);
+}
+
 void inventory::apply_target(const std::string& key, std::uint64_t revision,
                              const target_registration& content) {
     const auto it = targets_.find(key);
+    if (it == targets_.end() && is_from_before_removal(key, revision, content)) {
+        notes_.push_back(
+            {true, "Record is not used.", key, "the target was removed after it", revision});
+        return;
+    }
     if (it == targets_.end()) {
+        removed_.erase(key);
         const auto added =
             targets_.emplace(key, known_target{content, revision, std::nullopt}).first;
         add_note(content.leaving ? "Target is leaving." : "Target is new.", added->second, key,
@@ -265,6 +293,7 @@
         return;
     }
     add_note("Target is gone.", it->second, record.key, record.revision);
+    record_removal(record.key, it->second, now);
     targets_.erase(it);
     changed_since_build_ = true;
 }
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -92,12 +92,25 @@
         std::optional<instant> lapsed_at;
     };
 
+    /// A registration that was removed, which a restored store may show again.
+    struct removed_target {
+        std::uint64_t revision{0}; ///< revision of the registration
+        std::uint64_t started_ms{0};
+        std::uint64_t heartbeat{0};
+        instant removed_at{};
+    };
+
     void apply_record(const feed_record& record, instant now);
     void apply_rules(const feed_record& record, const operator_rules& rules);
     void apply_target(const std::string& key, std::uint64_t revision,
                       const target_registration& content);
     /// Removes the target of a record, or marks it as lapsed if the store had an outage.
     void remove_target(const feed_record& record, instant now);
+    /// Remembers a target that is about to be removed.
+    void record_removal(const std::string& key, const known_target& target, instant now);
+    /// \returns whether a registration was written before the target's removal
+    [[nodiscard]] bool is_from_before_removal(const std::string& key, std::uint64_t revision,
+                                              const target_registration& content) const;
     void add_note(const char* what, const known_target& about, const std::string& key,
                   std::uint64_t revision);
     void end_outage(instant when);
@@ -113,10 +126,11 @@
     std::uint64_t era_{0};        ///< era of the known records
     std::uint64_t as_of_{0};      ///< a revision of that era
     std::uint64_t latest_era_{0}; ///< latest era that any node has seen, as far as this node knows
-    std::map<std::string, known_target> targets_; ///< by the key of their record
-    std::optional<operator_rules> rules_;         ///< the newest that are known
-    std::uint64_t stored_rules_version_{0};       ///< operator's version of the rules in the store
-    bool in_outage_{false};                       ///< the store has not answered for outage_time
+    std::map<std::string, known_target> targets_;   ///< by the key of their record
+    std::map<std::string, removed_target> removed_; ///< by the key of their record
+    std::optional<operator_rules> rules_;           ///< the newest that are known
+    std::uint64_t stored_rules_version_{0};  ///< operator's version of the rules in the store
+    bool in_outage_{false};                  ///< the store has not answered for outage_time
     instant last_answer_before_outage_{};    ///< last answer to any node before the last outage
     std::optional<instant> outage_ended_at_; ///< first answer to any node after the last outage
     config::snapshot_ptr configuration_in_force_;
