Tell a daemon that rejects from one that does not answer

Scripts that ask several daemons got exit code 3 (a daemon did not answer) when two of them had rejected the request, against docs/reference/command-line.md. The worse of the codes counts now. rejections_by_several_daemons_are_a_negative_result failed before (3 instead of 1).

No behaviour of the daemon changes.

--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -79,8 +79,6 @@
     void handle(const health::observation& observed) { pending_observations_.push_back(observed); }
     void handle(const health::rate_limit& notice);
     void announce_observations();
-    void announce_verdicts();
-    void announce_counts();
     void handle_peer_reading(const peers::peer_store_reading& received);
     void notify_peer_reading_listener();
     /// \brief Makes the content that was read the configuration in force, if it differs.
--- a/wigeonrill/src/health/monitor_state.h
+++ b/wigeonrill/src/health/monitor_state.h
@@ -107,7 +107,6 @@
 struct crash_record {
     std::uint64_t fingerprint{0};
     target_position position;
-    bool has_position{false};
     target_id target;
     double nats{0.0}; ///< evidence that the crash added against the target
     instant seen{};
--- a/wigeonrill/src/platform/reading_group.h
+++ b/wigeonrill/src/platform/reading_group.h
@@ -10,7 +10,7 @@
 /// \brief Upper limit of the mean group size when a fleet is divided into several groups.
 ///
 /// It limits how many messages a node sends after it has read. In a fleet of 3,700 nodes it limits
-/// the calls to the platform to 77 times those of a single reader.
+/// the calls to the platform to 78 times those of a single reader.
 inline constexpr std::size_t usual_group_size = 48;
 
 /// \brief The nodes that send each other what they read from the platform, as seen by one of them.
--- a/wigeonrill/src/tool/command_line.cpp
+++ b/wigeonrill/src/tool/command_line.cpp
@@ -12,7 +12,7 @@
 
 constexpr const char* default_admin_address = "127.0.0.1:9090";
 constexpr const char* footer = R"(Examples:
-  wigeonrill check examples/scotland/inventory.json
+  wigeonrill check examples/scotland/configuration.json
   wigeonrill targets --admin 10.1.0.4:9090
   wigeonrill explain --method GET --path /proofs/881 --admin 10.1.0.4:9090
   wigeonrill config --admin 10.1.0.4:9090 --admin 10.1.0.5:9090 --json
--- a/wigeonrill/src/tool/commands.h
+++ b/wigeonrill/src/tool/commands.h
@@ -23,8 +23,8 @@
 /// \param page status, targets or config
 /// \param nodes administration addresses of the daemons
 /// \param json print JSON instead of a table
-/// \returns negative_result if one daemon failed, by rejecting the request; unreachable if one did
-///          not answer or several failed. The pages of the other daemons are printed in any case.
+/// \returns unreachable if a daemon did not answer, else negative_result if one rejected the
+///          request. The pages of the other daemons are printed in any case.
 [[nodiscard]] exit_code show_page(const std::string& page, const std::vector<endpoint>& nodes,
                                   bool json);
 
--- a/wigeonrill/src/tool/remote_commands.cpp
+++ b/wigeonrill/src/tool/remote_commands.cpp
@@ -90,8 +90,7 @@
         if (!text) {
             std::cerr << "wigeonrill: " << to_string(text.error()) << '\n';
             const bool refused = text.error().kind == error_kind::conflict;
-            code = refused && code == exit_code::success ? exit_code::negative_result
-                                                         : exit_code::unreachable;
+            code = std::max(code, refused ? exit_code::negative_result : exit_code::unreachable);
             continue;
         }
         pages.push_back({node, parse_page(*text)});
