Don't let trials of suspected targets keep up the share of failures

Cause: while over 7 in 100 requests fail, suspected targets without a bad answer for 1.5 s are tried.

Change: a failure of a suspected target that was tried doesn't count for the share. Trials still begin when other failures are many, which is what the FLOOR rule asks for. Ruled out: no trials; a third of the sound targets in use in the same simulation.

Test: trials_do_not_keep_up_the_share_of_failures failed before, 377 of 3,091 requests, 309 allowed; 177 of 3,130 after. The bound is the tenth from which on the rule asks for all sound targets.

--- a/test/dispatch/near_full_load_test.cpp
+++ b/test/dispatch/near_full_load_test.cpp
@@ -87,3 +87,20 @@
     grown.latency_objective = milliseconds(2'000);
     CHECK(simulate("recovered, large fleet", grown).min_used_share >= 0.7);
 }
+
+// Guards against trials of suspected targets whose failures call for more trials. At most a tenth
+// of the requests may fail where fewer do without trials, because from that share on all sound
+// targets have to be used.
+TEST(near_full_load, trials_do_not_keep_up_the_share_of_failures) {
+    auto quiet = near_full_plan();
+    quiet.targets = 14;
+    quiet.slots = 6;
+    quiet.queue_limit = 24;
+    quiet.mean_service_s = 0.5;
+    quiet.requests_per_second = 25.0;
+    quiet.failing_at_once = 4;
+    quiet.duration = seconds(120);
+    const auto result = simulate("trials", quiet);
+    CHECK(result.failed * 10 <= result.requests);
+    CHECK(result.min_used_share >= 0.7);
+}
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -21,7 +21,7 @@
 // Above this share of failed requests, healthy capacity must not be kept out of use by old
 // failures.
 constexpr double max_failure_share = 0.07;
-// A target whose last bad answer is older counts as recovered then.
+// A target whose last bad answer is older may have recovered, and is tried then.
 constexpr milliseconds recent_failure_time{1'500};
 
 // Share of the requests that may go to any failure domain. Without it, the targets of a domain
@@ -38,6 +38,10 @@
     return std::max(std::pow(1.0 - probability, steepness), least);
 }
 
+bool may_have_recovered(const target_record& record, instant now) {
+    return record.failure_burst.last_bad_at() < now - recent_failure_time;
+}
+
 bool contains(std::span<const target_id> all, const target_id& one) {
     return std::ranges::find(all, one) != all.end();
 }
@@ -137,11 +141,10 @@
                               const placement_conditions& conditions) const {
     const auto now = conditions.now;
     const auto& record = *it.record;
-    const bool recovered =
-        conditions.spreads && record.failure_burst.last_bad_at() < now - recent_failure_time;
+    const bool tried = conditions.spreads && may_have_recovered(record, now);
     routing::placement_candidate candidate;
-    candidate.failure_probability = recovered ? 0.0 : record.failure_burst.probability(now);
-    candidate.weight = recovered ? 1.0 : it.weight;
+    candidate.failure_probability = tried ? 0.0 : record.failure_burst.probability(now);
+    candidate.weight = tried ? 1.0 : it.weight;
     candidate.capacity = static_cast<double>(record.slots) * candidate.weight *
                          traffic_share(candidate.failure_probability);
     candidate.failure_probability =
@@ -168,10 +171,16 @@
 }
 
 void service_state::observe(const target_id& target, health::observation_kind kind, instant now) {
-    if (kind == health::observation_kind::failed) {
+    const auto it = known_.find(target);
+    const bool is_known = it != known_.end();
+    // A failure of a suspected target that was only tried doesn't count. Otherwise the trials would
+    // keep the share of failures above the limit from which on targets are tried.
+    const bool tried = is_known && may_have_recovered(*it->second, now) &&
+                       it->second->failure_burst.probability(now) > failure_probability_floor;
+    if (kind == health::observation_kind::failed && !tried) {
         failures_.on_failure(now);
     }
-    if (const auto it = known_.find(target); it != known_.end()) {
+    if (is_known) {
         it->second->failure_burst.add(kind, now);
     }
 }
