Place retries by the newest view of the targets

Cause: a service takes over a new view when it has waiting requests or when a new request for it arrives, but not when a request that was sent earlier is retried. On a node without a new request for the service a retry chose among the targets of the older view. A removed service was retried as well.

Change: the end of an attempt, and the question whether an overdue one may move, bring the service up to date first.

The class, state brought up to date by one of several callers only, was sought in the queue, key waiters and probes by reading; none has it.

--- a/test/dispatch/retry_test.cpp
+++ b/test/dispatch/retry_test.cpp
@@ -43,6 +43,38 @@
     }
 }
 
+// Guards against a second attempt at a target that left the service while the first attempt ran, on
+// a node that got no other request for the service in between.
+TEST(retry, second_attempt_uses_the_newest_view) {
+    for (const auto kind : {answer_kind::connection_lost, answer_kind::silent, answer_kind::shed,
+                            answer_kind::server_error}) {
+        for (int i = 0; i < 4; ++i) {
+            d.set_view(test::make_view(node.snapshot));
+            const auto request = node.request("GET", ("/" + std::to_string(i)).c_str());
+            const auto first = d.first_step(request).target;
+            CHECK_TRUE(d.may_send(request));
+            const std::string left = first.value == "t0" ? "t1" : "t0";
+            d.set_view(test::make_view(node.snapshot, {left}));
+            const auto second = d.on_attempt_ended(request, node.attempt(kind));
+            CHECK(second.has_value() && second->kind == step_kind::send);
+            CHECK(second->target.value != left);
+            CHECK(second->target != first);
+            d.finish_request(request, true, nullptr);
+            node.clock.advance(std::chrono::minutes(1));
+        }
+    }
+}
+
+// Guards against a second attempt after the service itself was removed.
+TEST(retry, no_second_attempt_at_a_removed_service) {
+    const auto request = node.request("GET", "/stock");
+    CHECK(d.first_step(request).kind == step_kind::send);
+    auto without_services = std::make_shared<config::snapshot>(*node.snapshot);
+    without_services->services.clear();
+    d.set_view(test::make_view(without_services));
+    CHECK(lose(request)->kind == step_kind::refuse);
+}
+
 // Guards against appending a second answer to a part of the first, and against sending an
 // incomplete body.
 TEST(retry, no_retry_after_answer_bytes_or_without_the_body) {
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -47,13 +47,16 @@
     ++generation_;
     // Services without waiting requests take over the view when they are next used.
     for (auto& [name, service] : services_) {
-        if (service->queue.size() == 0) {
-            continue;
-        }
-        if (service_of(name) == nullptr) {
-            service->clear();
+        if (service->queue.size() > 0) {
+            sync_service(name, *service);
+            serve_queue(*service, now);
         }
-        serve_queue(*service, now);
+    }
+}
+
+void decision_core::sync_service(const service_name& name, service_state& service) {
+    if (service_of(name) == nullptr) {
+        service.clear();
     }
 }
 
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -134,6 +134,9 @@
     /// \returns the state of a service, synchronized with the current view; null when the view does
     ///          not contain the service
     service_state* service_of(const service_name& name);
+    /// \brief Brings the state of a service up to date with the current view. To be called before a
+    ///        request that started with an older view is placed again.
+    void sync_service(const service_name& name, service_state& service);
     /// \returns the state of a request between begin_request() and finish_request()
     request_record& record_of(std::uint64_t id);
 
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -100,6 +100,7 @@
         refuse(record, refusal_of(attempt), outcome_of(record), at.now);
         return true;
     }
+    sync_service(record.chosen_service, *record.service);
     report_attempt(record, attempt, at.wall);
     observe_attempt(record, attempt, at.now);
     if (is_answer(attempt.kind)) {
@@ -282,6 +283,7 @@
     if (record.forwarding || !record.assigned_target) {
         return true;
     }
+    sync_service(record.chosen_service, *record.service);
     const bool overdue =
         record.sent && now - *record.sent > record.service->late_threshold(*record.route);
     return overdue && !stopping_ && record.info.body_replayable &&
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -75,6 +75,11 @@
     });
 }
 
+void service_state::clear() {
+    eligible_.clear();
+    pending_probes_.clear();
+}
+
 target_record_ptr service_state::find_or_add_target(const config::target& target) {
     auto& record = known_[target.id];
     if (!record) {
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -25,8 +25,8 @@
     /// \brief Replaces the eligible targets by those of a view. The state of known targets is kept.
     /// \param generation number of the view; a repeated number returns at once
     void sync(std::uint64_t generation, const routing::service_view& view);
-    /// \brief Removes all eligible targets, because the service is no longer configured.
-    void clear() { eligible_.clear(); }
+    /// \brief Removes all eligible targets and probes, because the service is no longer configured.
+    void clear();
     /// \brief Chooses a target and counts one more request against its concurrency and rate limits.
     /// \param avoid targets that this request already tried; chosen only if no other target is
     ///        eligible
