Don't use targets of a restored store that peers have removed

A store that comes back from an older copy shows targets that have left since. A node that had read their removal left them out, one that had not read it put them in force again, for all nodes, since its version is of the newer era.

Cause: a node judged the copy by the records that it had read itself, not by what is in force, which its peers keep up to date.

Change: a target of the copy that is neither leaving nor in force is not used until it is written again, or for 5 s, by which time the store has removed the registrations that nobody renews. Such content is older than other content of the same revision, as with lapsed targets.

Test: restored_store_brings_no_targets_that_peers_have_removed failed before (a b c in force instead of a).

--- a/test/platform/inventory_test.cpp
+++ b/test/platform/inventory_test.cpp
@@ -232,6 +232,27 @@
     STRCMP_EQUAL("a b c ", ids().c_str());
 }
 
+// Guards against requests to targets whose leaving only a peer has read, because a restored store
+// shows their registrations from before; and against leaving them out for good.
+TEST(inventory, restored_store_brings_no_targets_that_peers_have_removed) {
+    const auto all = {rules(1), target("a", 2, "10.0.0.1:1"), target("b", 3, "10.0.0.2:1"),
+                      target("c", 4, "10.0.0.3:1")};
+    it.replace({50, {all}, 1}, now);
+    auto newer = std::make_shared<config::snapshot>(*it.configuration());
+    newer->services.at(0).targets.resize(1);
+    it.set_configuration_in_force(newer);
+    it.replace({6, {all}, 2}, now + 3s);
+    STRCMP_EQUAL("a ", ids().c_str());
+    it.apply({7, {target("b", 7, "10.0.0.2:1")}, 2}, now + 4s);
+    STRCMP_EQUAL("a b ", ids().c_str());
+    const auto provisional = it.version();
+    CHECK(it.next_expiry().has_value());
+    it.apply({7, {}, 2}, *it.next_expiry());
+    STRCMP_EQUAL("a b c ", ids().c_str());
+    CHECK(provisional < it.version());
+    CHECK_FALSE(it.next_expiry().has_value());
+}
+
 // Guards against going back to the older rules of a store that came back from an older copy, also
 // on a node that knows the newer ones only from its peers.
 TEST(inventory, restored_store_brings_no_older_rules) {
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -14,8 +14,6 @@
 constexpr std::uint64_t versions_per_revision = versions_per_rules * (max_rules_lead + 1);
 // Versions of one era. They must fit into 63 bits together with the era.
 constexpr std::uint64_t versions_per_era = std::uint64_t{1} << 48U;
-// Longer than a store may have lost when it comes back from an older copy.
-constexpr std::chrono::minutes removal_memory{10};
 constexpr std::uint64_t max_era = (std::uint64_t{1} << 15U) - 1;
 constexpr std::uint64_t max_revision = versions_per_era / versions_per_revision - 1;
 
@@ -62,7 +60,9 @@
 
 void inventory::replace(const feed_page& all, instant now) {
     record_era(all.era, now);
+    std::vector<std::string> unconfirmed;
     if (era_ != all.era) {
+        unconfirmed = find_unconfirmed(all, now);
         era_ = all.era;
         as_of_ = 0;
         stored_rules_version_ = 0;
@@ -82,17 +82,14 @@
         remove_target({key, 0, deleted_record{}}, now);
     }
     apply(all, now);
-}
-
-void inventory::record_era(std::uint64_t era, instant when) {
-    const auto known = std::exchange(latest_era_, std::max(latest_era_, era));
-    if (known == 0 || era <= known) {
-        return;
+    for (const auto& key : unconfirmed) {
+        if (const auto it = targets_.find(key); it != targets_.end()) {
+            it->second.is_unconfirmed = true;
+            changed_since_build_ = true;
+            add_note("Target is not used until it is written again.", it->second, key,
+                     it->second.revision);
+        }
     }
-    notes_.push_back({true, "The store came back from an older copy.", "",
-                      "era " + std::to_string(era) + ", before " + std::to_string(known), as_of_});
-    in_outage_ = false;
-    outage_ended_at_ = when;
 }
 
 void inventory::apply(const feed_page& changes, instant now) {
@@ -104,45 +101,12 @@
     expire(now);
 }
 
-void inventory::record_read_failure(instant last_read_at, instant now) {
-    if (in_outage_ || now - last_read_at < options_.outage_time) {
-        return;
-    }
-    in_outage_ = true;
-    last_answer_before_outage_ = last_read_at;
-    const auto age = std::chrono::duration_cast<milliseconds>(now - last_read_at);
-    notes_.push_back({true, "The store answers no node; lapsed targets are kept.", "",
-                      "last answer " + std::to_string(age.count()) + " ms ago", as_of_});
-}
-
-void inventory::record_answer_to_peer(instant when) {
-    if (when > last_answer_before_outage_) {
-        end_outage(when);
-    }
-}
-
-void inventory::end_outage(instant when) {
-    if (std::exchange(in_outage_, false)) {
-        outage_ended_at_ = when;
-        notes_.push_back({false, "The store answers again.", "", "", as_of_});
-    }
-}
-
-bool inventory::has_lapsed_targets() const {
-    return std::ranges::any_of(targets_,
-                               [](const auto& it) { return it.second.lapsed_at.has_value(); });
-}
-
 std::uint64_t inventory::version() const {
     const auto rules_lead = rules_ ? rules_->version - stored_rules_version_ : 0;
     return std::min(era_, max_era) * versions_per_era +
            std::min(as_of_, max_revision) * versions_per_revision +
            std::min(rules_lead, max_rules_lead) * versions_per_rules +
-           (has_lapsed_targets() ? 0 : 1);
-}
-
-bool inventory::in_return_window(instant now) const {
-    return in_outage_ || (outage_ended_at_ && now - *outage_ended_at_ < options_.return_time);
+           (has_lapsed_targets() || has_unconfirmed_targets() ? 0 : 1);
 }
 
 bool inventory::is_in_force(const target_registration& target) const {
@@ -155,28 +119,6 @@
            });
 }
 
-std::optional<instant> inventory::next_expiry() const {
-    return has_lapsed_targets() && outage_ended_at_
-               ? std::optional(*outage_ended_at_ + options_.return_time)
-               : std::nullopt;
-}
-
-void inventory::expire(instant now) {
-    if (in_return_window(now)) {
-        return;
-    }
-    std::erase_if(removed_,
-                  [now](const auto& it) { return now - it.second.removed_at >= removal_memory; });
-    const auto n = std::erase_if(targets_, [this, now](const auto& it) {
-        if (it.second.lapsed_at) {
-            record_removal(it.first, it.second, now);
-            add_note("Target did not come back after the outage.", it.second, it.first, 0);
-        }
-        return it.second.lapsed_at.has_value();
-    });
-    changed_since_build_ = changed_since_build_ || n > 0;
-}
-
 void inventory::add_note(const char* what, const known_target& about, const std::string& key,
                          std::uint64_t revision) {
     notes_.push_back(
@@ -232,23 +174,6 @@
     changed_since_build_ = true;
 }
 
-void inventory::record_removal(const std::string& key, const known_target& target, instant now) {
-    removed_[key] = {target.revision, target.content.started_ms, target.content.heartbeat, now};
-}
-
-// A registration that was only written again has the same heartbeat, but another revision.
-bool inventory::is_from_before_removal(const std::string& key, std::uint64_t revision,
-                                       const target_registration& content) const {
-    const auto it = removed_.find(key);
-    if (it == removed_.end()) {
-        return false;
-    }
-    const auto& last = it->second;
-    const auto written = std::tie(content.started_ms, content.heartbeat);
-    const auto last_written = std::tie(last.started_ms, last.heartbeat);
-    return written < last_written || (written == last_written && revision == last.revision);
-}
-
 void inventory::apply_target(const std::string& key, std::uint64_t revision,
                              const target_registration& content) {
     const auto it = targets_.find(key);
@@ -260,7 +185,7 @@
     if (it == targets_.end()) {
         removed_.erase(key);
         const auto added =
-            targets_.emplace(key, known_target{content, revision, std::nullopt}).first;
+            targets_.emplace(key, known_target{content, revision, std::nullopt, false}).first;
         add_note(content.leaving ? "Target is leaving." : "Target is new.", added->second, key,
                  revision);
         changed_since_build_ = true;
@@ -272,12 +197,12 @@
                           "it was last written by an older process of the target", revision});
         return;
     }
-    if (!same_configuration(content, known.content)) {
+    if (known.is_unconfirmed || !same_configuration(content, known.content)) {
         add_note(content.leaving ? "Target is leaving." : "Target has changed.",
-                 known_target{content, revision, std::nullopt}, key, revision);
+                 known_target{content, revision, std::nullopt, false}, key, revision);
         changed_since_build_ = true;
     }
-    known = {content, revision, std::nullopt};
+    known = {content, revision, std::nullopt, false};
 }
 
 void inventory::remove_target(const feed_record& record, instant now) {
@@ -310,7 +235,7 @@
     }
     std::vector<const known_target*> all;
     for (const auto& [address, it] : by_address) {
-        if (!it->content.leaving) {
+        if (!it->content.leaving && !it->is_unconfirmed) {
             all.push_back(it);
         }
     }
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -19,6 +19,9 @@
     /// Time without a successful read by any node after which the store counts as being in an
     /// outage. Registrations that disappear after a shorter gap are removed at once.
     milliseconds outage_time{1'000};
+    /// Time after which the store has removed a registration that its target no longer renews. So
+    /// long, registrations of a restored store may be those of targets that have left.
+    milliseconds registration_time{5'000};
 };
 
 /// \returns the era of the store in which the content of a version was read, see
@@ -40,6 +43,10 @@
 /// A target whose registration disappears is removed at once, except during an outage of the store
 /// and for return_time after it. In that period, a registration may have lapsed because the target
 /// could not renew it, so a target that is in force is kept until return_time ends.
+///
+/// A store that came back from an older copy may show targets that have left since, which a node
+/// that didn't read their removal can't know. So a target of the copy that is not in force is not
+/// used until it is written again, or until registration_time ends.
 class inventory {
 public:
     explicit inventory(inventory_options options) : options_(options) {}
@@ -63,10 +70,10 @@
     ///        than this node. Rules in it that are newer than the known ones are taken over, since
     ///        the store may have lost them.
     void set_configuration_in_force(config::snapshot_ptr configuration);
-    /// \brief Removes the targets whose registration lapsed, if return_time is over.
+    /// \brief Removes the targets whose registration lapsed, if return_time is over, and uses those
+    ///        of a restored store that it still shows, if registration_time is over.
     void expire(instant now);
-    /// \returns the time at which expire() is to be called, or nothing if no registration has
-    ///          lapsed or no outage has ended yet
+    /// \returns the time at which expire() is to be called, or nothing if it would change nothing
     [[nodiscard]] std::optional<instant> next_expiry() const;
 
     /// \returns the revision up to which all changes are included, 0 before the first read
@@ -75,8 +82,8 @@
     [[nodiscard]] std::uint64_t era() const { return era_; }
     /// \returns the version of the configuration. It grows with the era, and within one with
     ///          as_of(). At the same revision, content with newer rules than the store has is
-    ///          newer; and content without lapsed targets is newer than with some, because all
-    ///          nodes build the same content then, while those that are kept differ between nodes.
+    ///          newer; and content is newer when no target is lapsed or unconfirmed, because all
+    ///          nodes build the same content then, while those targets differ between nodes.
     [[nodiscard]] std::uint64_t version() const;
     /// \returns the configuration, or null before the operator's rules are known
     [[nodiscard]] config::snapshot_ptr configuration();
@@ -90,6 +97,9 @@
         /// Time at which the registration disappeared, if it did so because of an outage. The
         /// target stays in use until return_time ends.
         std::optional<instant> lapsed_at;
+        /// Read from a restored store, not in force, and not written again. It isn't used until
+        /// registration_time ends.
+        bool is_unconfirmed{false};
     };
 
     /// A registration that was removed, which a restored store may show again.
@@ -108,6 +118,11 @@
     void remove_target(const feed_record& record, instant now);
     /// Remembers a target that is about to be removed.
     void record_removal(const std::string& key, const known_target& target, instant now);
+    /// \returns the keys of the targets in a restored store's list that may have left
+    [[nodiscard]] std::vector<std::string> find_unconfirmed(const feed_page& all,
+                                                            instant now) const;
+    /// Uses the targets of a restored store that it still shows, if registration_time is over.
+    void confirm_remaining(instant now);
     /// \returns whether a registration was written before the target's removal
     [[nodiscard]] bool is_from_before_removal(const std::string& key, std::uint64_t revision,
                                               const target_registration& content) const;
@@ -115,10 +130,12 @@
                   std::uint64_t revision);
     void end_outage(instant when);
     [[nodiscard]] bool has_lapsed_targets() const;
+    [[nodiscard]] bool has_unconfirmed_targets() const;
     /// \returns whether the store is in an outage, or return_time after one has not passed yet
     [[nodiscard]] bool in_return_window(instant now) const;
     [[nodiscard]] bool is_in_force(const target_registration& target) const;
-    /// \returns the targets for the configuration: one for each address, none that is leaving
+    /// \returns the targets for the configuration: one for each address, none that is leaving or
+    ///          unconfirmed
     [[nodiscard]] std::vector<const known_target*> usable_targets() const;
     [[nodiscard]] config::snapshot build() const;
 
@@ -133,6 +150,7 @@
     bool in_outage_{false};                  ///< the store has not answered for outage_time
     instant last_answer_before_outage_{};    ///< last answer to any node before the last outage
     std::optional<instant> outage_ended_at_; ///< first answer to any node after the last outage
+    std::optional<instant> restored_at_;     ///< time at which this node learned of the latest era
     config::snapshot_ptr configuration_in_force_;
     config::snapshot_ptr configuration_; ///< result of the last build()
     bool changed_since_build_{false};
