Keep the pause between failed calls of the store

Cause: the end of the time in which a lapsed target may come back makes a node read, whatever the pause after its last call. If that read fails, the time stays in the past and the node calls again at once, until the store answers: no pause, one core, and its share of the calls that the store allows to all nodes.

Change: a wanted time doesn't shorten the pause or the backoff after the last call. Ruled out: moving the expiry on, which would keep targets that are gone for longer.

--- a/test/platform/feed_thread_test.cpp
+++ b/test/platform/feed_thread_test.cpp
@@ -8,20 +8,51 @@
 
 namespace {
 
-/// Store of one rules record, whose era and revision a test sets.
+/// Registration of a target of the service "print".
+feed_record registration(std::uint64_t revision) {
+    target_registration it;
+    it.target.id = target_id("a");
+    it.target.address = *parse_endpoint("10.0.0.1:1");
+    it.service = service_name("print");
+    return {"targets/a", revision, it};
+}
+
+/// Rules with the service "print" and no routes.
+feed_record rules() {
+    operator_rules it;
+    it.services = {service_name("print")};
+    return {"rules", 1, it};
+}
+
+/// Store of a rules record and one target, whose state a test sets.
 class scripted_feed final : public record_feed {
 public:
     result<feed_page> list() override {
         const std::lock_guard lock(mutex_);
         ++lists_;
-        return feed_page{revision_, {{"rules", 1, operator_rules{}}}, era_};
+        ++calls_;
+        return fails_ ? failure() : feed_page{revision_, {rules(), registration(2)}, era_};
     }
     result<feed_page> changes_since(std::uint64_t, milliseconds) override {
         const std::lock_guard lock(mutex_);
-        return feed_page{revision_, {}, era_};
+        ++calls_;
+        return fails_ ? failure() : feed_page{revision_, std::exchange(changes_, {}), era_};
     }
     void interrupt() override {}
 
+    void set_failing(bool fails) {
+        const std::lock_guard lock(mutex_);
+        fails_ = fails;
+    }
+    void remove_target() {
+        const std::lock_guard lock(mutex_);
+        changes_.push_back({"targets/a", ++revision_, deleted_record{}});
+    }
+    int calls() {
+        const std::lock_guard lock(mutex_);
+        return calls_;
+    }
+
     void set(std::uint64_t era, std::uint64_t revision) {
         const std::lock_guard lock(mutex_);
         era_ = era;
@@ -33,7 +64,14 @@
     }
 
 private:
+    static result<feed_page> failure() {
+        return failed(error_kind::unavailable, "the store is down", "wait");
+    }
+
     std::mutex mutex_;
+    bool fails_{false};
+    std::vector<feed_record> changes_;
+    int calls_{0};
     std::uint64_t era_{1};
     std::uint64_t revision_{50};
     int lists_{0};
@@ -80,3 +118,27 @@
     CHECK_TRUE(waits_for([](const store_reading& it) { return it.failure.has_value(); }));
     LONGS_EQUAL(60, last_reading().as_of);
 }
+
+// Guards against calling a failing store again and again without a pause, while a target that
+// lapsed in an earlier outage is due to be removed.
+TEST(feed_thread, pauses_between_failed_calls_while_a_lapsed_target_is_due) {
+    const inventory_options options{.return_time = 300ms, .outage_time = 50ms};
+    feed_reader_thread reader({}, options, feed, clock, random, [this](const store_reading& it) {
+        const std::lock_guard lock(mutex);
+        latest = it;
+    });
+    CHECK_TRUE(waits_for([](const store_reading& it) { return it.configuration != nullptr; }));
+    reader.set_configuration_in_force(last_reading().configuration);
+    feed.set_failing(true);
+    CHECK_TRUE(waits_for([](const store_reading& it) { return it.failure.has_value(); }));
+    std::this_thread::sleep_for(400ms); // several calls, so that the outage is noticed
+    feed.remove_target();
+    feed.set_failing(false);
+    CHECK_TRUE(waits_for([](const store_reading& it) { return it.as_of == 51; }));
+    feed.set_failing(true);
+    std::this_thread::sleep_for(options.return_time + 100ms);
+    const auto before = feed.calls();
+    std::this_thread::sleep_for(1s);
+    // The pause after a failure is 200 ms at first, and grows.
+    CHECK(feed.calls() - before <= 10);
+}
--- a/wigeonrill/src/platform/feed_thread.cpp
+++ b/wigeonrill/src/platform/feed_thread.cpp
@@ -102,8 +102,8 @@
     while (!stopping_) {
         // Knowledge received from peers only delays the next call, so mark_up_to_date() doesn't
         // wake this thread.
-        const auto due = inventory_.next_expiry().value_or(instant::max());
-        const auto delay = std::min(schedule_.next_call_at(), due) - clock_->now();
+        const auto expiry = inventory_.next_expiry().value_or(instant::max());
+        const auto delay = schedule_.next_call_at(expiry) - clock_->now();
         if (delay > nanoseconds(0)) {
             wake_up_.wait_for(lock, delay);
             continue;
--- a/wigeonrill/src/platform/read_schedule.cpp
+++ b/wigeonrill/src/platform/read_schedule.cpp
@@ -15,14 +15,14 @@
     earliest_call_at_ = now + backoff_.next_delay(*random_);
 }
 
-instant read_schedule::next_call_at() const {
+instant read_schedule::next_call_at(instant requested) const {
     if (!up_to_date_at_ || rank_ == 0) {
         return earliest_call_at_;
     }
     const auto age =
         std::min(settings_.takeover_age + settings_.stagger * static_cast<int>(rank_ - 1),
                  settings_.max_age);
-    return std::max(*up_to_date_at_ + age, earliest_call_at_);
+    return std::max(std::min(*up_to_date_at_ + age, requested), earliest_call_at_);
 }
 
 milliseconds read_schedule::max_wait() const {
--- a/wigeonrill/src/platform/read_schedule.h
+++ b/wigeonrill/src/platform/read_schedule.h
@@ -51,7 +51,9 @@
     ///          nothing before the first successful read
     [[nodiscard]] std::optional<instant> up_to_date_at() const { return up_to_date_at_; }
     /// \returns the time at which the next call is due; may be in the past
-    [[nodiscard]] instant next_call_at() const;
+    /// \param requested time by which a call is wanted, even if the data isn't old then; it doesn't
+    ///        shorten the pause or the backoff after the last call
+    [[nodiscard]] instant next_call_at(instant requested = instant::max()) const;
     /// \returns how long the next call may wait for a change
     [[nodiscard]] milliseconds max_wait() const;
 
