Show a target's rate limit kept by real nodes

Three real nodes before the stand-in store and two targets: one names 1 request/s, then none; then both name 0.

The stand-in of the users' site takes several nodes now.

No change of the product.

--- a/test/fleet/users_site.cpp
+++ b/test/fleet/users_site.cpp
@@ -161,7 +161,8 @@
     bool down_{false};
 };
 
-/// Target that adds a signature header to each answer, or a not-executed header to a 503.
+/// Target that adds a signature header to each answer, or a not-executed header to a 503, and the
+/// rate limit that it was given.
 class site_target {
 public:
     void answer(net::HTTPServerRequest& request, net::HTTPServerResponse& response) {
@@ -172,6 +173,9 @@
             last_headers_[name] = value;
         }
         response.set("X-Wigeonrill-Request-Id", request.get("X-Wigeonrill-Request-Id", ""));
+        if (!rate_limit_.empty()) {
+            response.set("Server-Limit", rate_limit_);
+        }
         if (status_ == 503) {
             response.set("X-Wigeonrill-Not-Executed", "1");
         } else {
@@ -183,6 +187,10 @@
         const std::lock_guard lock(mutex_);
         status_ = status;
     }
+    void set_rate_limit(const std::string& per_second) {
+        const std::lock_guard lock(mutex_);
+        rate_limit_ = per_second;
+    }
     int requests() {
         const std::lock_guard lock(mutex_);
         return requests_;
@@ -195,6 +203,7 @@
 private:
     std::mutex mutex_;
     int status_{200};
+    std::string rate_limit_;
     int requests_{0};
     std::map<std::string, std::string> last_headers_;
 };
@@ -220,19 +229,45 @@
 
 } // namespace
 
+namespace {
+
+struct site_node {
+    int traffic_port{0};
+    int ready_port{0};
+    int control_port{0};
+    std::string settings; ///< path of the settings file
+    std::unique_ptr<process> running;
+};
+
+std::string loopback(int port) {
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::vector<site_node> make_nodes(int n) {
+    const auto ports = free_ports(3 * n);
+    std::vector<site_node> nodes(static_cast<std::size_t>(n));
+    auto next = ports.begin();
+    for (auto& it : nodes) {
+        it.traffic_port = *next++;
+        it.ready_port = *next++;
+        it.control_port = *next++;
+        it.settings = Poco::TemporaryFile::tempName();
+    }
+    return nodes;
+}
+
+} // namespace
+
 struct users_site::impl {
     // Shared with the threads of the servers, which may still answer a call when this object is
     // destroyed.
     std::shared_ptr<store> records{std::make_shared<store>()};
     std::vector<std::shared_ptr<site_target>> targets;
     std::vector<std::unique_ptr<net::HTTPServer>> servers; ///< first the store's, then the targets'
-    int traffic_port{0};
-    int ready_port{0};
-    std::string settings;
-    std::unique_ptr<process> node;
+    std::vector<site_node> nodes;
 };
 
-users_site::users_site(int targets) : impl_(std::make_unique<impl>()) {
+users_site::users_site(int targets, int nodes) : impl_(std::make_unique<impl>()) {
     auto& it = *impl_;
     it.servers.push_back(
         serve([shared_store = it.records](auto& in, auto& out) { shared_store->answer(in, out); }));
@@ -241,42 +276,52 @@
         it.servers.push_back(
             serve([target = it.targets.back()](auto& in, auto& out) { target->answer(in, out); }));
     }
-    const auto ports = free_ports(3);
-    it.traffic_port = ports.at(0);
-    it.ready_port = ports.at(1);
-    const auto control = "127.0.0.1:" + std::to_string(ports.at(2));
-    it.settings = Poco::TemporaryFile::tempName();
-    std::ofstream(it.settings) << expand_template(
-        read_text("deploy/settings.json.template"),
-        {{"zone", "glas-a"},
-         {"listen.front", "127.0.0.1:" + std::to_string(it.traffic_port)},
-         {"listen.ready", "127.0.0.1:" + std::to_string(it.ready_port)},
-         {"listen.control", control},
-         {"platform.address", "127.0.0.1:" + std::to_string(it.servers.at(0)->port())},
-         {"seeds|json", "[\"" + control + "\"]"},
-         {"bounds.grace_s", "6"}});
+    it.nodes = make_nodes(nodes);
+    auto seeds = json::array();
+    for (const auto& node : it.nodes) {
+        seeds.push_back(loopback(node.control_port));
+    }
+    for (const auto& node : it.nodes) {
+        std::ofstream(node.settings)
+            << expand_template(read_text("deploy/settings.json.template"),
+                               {{"zone", "glas-a"},
+                                {"listen.front", loopback(node.traffic_port)},
+                                {"listen.ready", loopback(node.ready_port)},
+                                {"listen.control", loopback(node.control_port)},
+                                {"platform.address", loopback(it.servers.at(0)->port())},
+                                {"seeds|json", seeds.dump()},
+                                {"bounds.grace_s", "6"}});
+    }
 }
 
 users_site::~users_site() {
-    impl_->node.reset();
+    for (auto& it : impl_->nodes) {
+        it.running.reset();
+    }
     for (auto& it : impl_->servers) {
         it->stopAll(true);
     }
-    std::remove(impl_->settings.c_str());
+    for (const auto& it : impl_->nodes) {
+        std::remove(it.settings.c_str());
+    }
 }
 
-void users_site::start_node() {
-    impl_->node = std::make_unique<process>(
-        binary("wigeonrilld"), std::vector<std::string>{"--settings", impl_->settings});
-    static_cast<void>(eventually(
-        [this] {
-            return send(impl_->ready_port, {"GET", "/ready", {}, ""}).status == 200;
-        },
-        10));
+void users_site::start_nodes() {
+    for (auto& it : impl_->nodes) {
+        it.running = std::make_unique<process>(binary("wigeonrilld"),
+                                               std::vector<std::string>{"--settings", it.settings});
+    }
+    for (const auto& it : impl_->nodes) {
+        static_cast<void>(eventually(
+            [&it] {
+                return send(it.ready_port, {"GET", "/ready", {}, ""}).status == 200;
+            },
+            10));
+    }
 }
 
-int users_site::port() const {
-    return impl_->traffic_port;
+int users_site::port(int node) const {
+    return impl_->nodes.at(static_cast<std::size_t>(node)).traffic_port;
 }
 
 std::string users_site::record_key(int target) {
@@ -286,7 +331,7 @@
 void users_site::register_target(int target, const std::string& state, int sequence) {
     const auto port = impl_->servers.at(static_cast<std::size_t>(target) + 1)->port();
     const json document{
-        {"address", "127.0.0.1:" + std::to_string(port)},
+        {"address", loopback(port)},
         {"born", 1'700'000'000'000 + target},
         {"info", {{"service", "stock"}, {"version", "v1"}, {"zone", "glas-a"}, {"capacity", 6}}},
         {"status", {{"state", state}, {"sequence", sequence}, {"cold_left_s", 0.0}}}};
@@ -336,6 +381,10 @@
     impl_->targets.at(static_cast<std::size_t>(target))->set_status(status);
 }
 
+void users_site::set_rate_limit(int target, const std::string& per_second) {
+    impl_->targets.at(static_cast<std::size_t>(target))->set_rate_limit(per_second);
+}
+
 int users_site::requests_at(int target) const {
     return impl_->targets.at(static_cast<std::size_t>(target))->requests();
 }
--- a/test/fleet/users_site.h
+++ b/test/fleet/users_site.h
@@ -9,19 +9,19 @@
 
 namespace fleet_test {
 
-/// \brief Stand-in for the users' platform on loopback: its key-value store, targets, and one node
-///        in front of them that is configured from the settings template in the deploy folder.
+/// \brief Stand-in for the users' platform on loopback: its key-value store, targets, and nodes in
+///        front of them that are configured from the settings template in the deploy folder.
 class users_site {
 public:
-    explicit users_site(int targets);
+    explicit users_site(int targets, int nodes = 1);
     users_site(const users_site&) = delete;
     users_site& operator=(const users_site&) = delete;
     ~users_site();
 
-    /// \brief Starts the node and waits until it is ready.
-    void start_node();
-    /// \returns the port on which the node takes requests of callers
-    [[nodiscard]] int port() const;
+    /// \brief Starts the nodes and waits until all are ready.
+    void start_nodes();
+    /// \returns the port on which a node takes requests of callers
+    [[nodiscard]] int port(int node = 0) const;
 
     /// \brief Writes the record of a target to the store.
     /// \param target index of the target, from 0
@@ -50,6 +50,9 @@
     /// \brief Sets the status that a target answers with. With 503 the answer also states that the
     ///        request was not executed.
     void set_status(int target, int status);
+    /// \brief Sets the rate limit that a target names in its answers.
+    /// \param per_second requests per second from all nodes together, as text; empty: none
+    void set_rate_limit(int target, const std::string& per_second);
     /// \returns the number of requests that a target received
     [[nodiscard]] int requests_at(int target) const;
     /// \returns the value of a header field of the last request that a target received
--- a/test/fleet/users_site_test.cpp
+++ b/test/fleet/users_site_test.cpp
@@ -40,7 +40,7 @@
 // Guards against faults of the adapter for the users' platform that only an end-to-end run shows:
 // in the settings template, the store's calls, or the header fields.
 TEST(users_site, serves_requests_through_the_platform_adapter) {
-    site.start_node();
+    site.start_nodes();
     const auto received = send_lookup();
     LONGS_EQUAL(200, received.status);
     STRCMP_EQUAL("answer", received.body.c_str());
@@ -55,7 +55,7 @@
 // Guards against requests to a target whose record says that it drains, or whose record was
 // deleted.
 TEST(users_site, leaving_targets_receive_no_requests) {
-    site.start_node();
+    site.start_nodes();
     site.register_target(1, "ready");
     site.register_target(0, "draining");
     std::this_thread::sleep_for(change_time_limit);
@@ -77,7 +77,7 @@
 // Guards against a node that stops serving or drops its configuration while the store is down, and
 // against one that keeps an old configuration after the store has compacted its history.
 TEST(users_site, continues_through_store_outage_and_compacted_history) {
-    site.start_node();
+    site.start_nodes();
     site.set_store_down(true);
     std::this_thread::sleep_for(1500ms);
     LONGS_EQUAL(200, send_lookup().status);
@@ -92,7 +92,7 @@
 // Guards against a store that comes back from an older copy, whose revisions are lower: changes
 // made after that were not put in force. Also against older rules from the copy.
 TEST(users_site, restored_store_changes_are_put_in_force) {
-    site.start_node();
+    site.start_nodes();
     site.save_store_copy();
     site.publish("/view/", 9);
     for (int sequence = 5; sequence < 15; ++sequence) {
@@ -119,7 +119,7 @@
 // requests to targets that have left because the copy still has them.
 TEST(users_site, restored_store_targets_are_used_as_known_before) {
     site.register_target(1, "ready", 4);
-    site.start_node();
+    site.start_nodes();
     site.remove(users_site::record_key(0));
     site.save_store_copy();
     site.register_target(0, "ready", 9);
@@ -143,7 +143,7 @@
     site.write("servers/i-8", "{\"address\":5}");
     site.write("servers/i-9", "no record");
     site.write("other/key", "anything");
-    site.start_node();
+    site.start_nodes();
     for (int i = 0; i < 10; ++i) {
         LONGS_EQUAL(200, send_lookup().status);
     }
@@ -152,7 +152,7 @@
 // Guards against a status that misleads the caller: 503 is allowed only when no target executed the
 // order, and a 500 of the target must be passed on.
 TEST(users_site, order_status_shows_whether_a_target_executed_it) {
-    site.start_node();
+    site.start_nodes();
     site.set_status(0, 503);
     const auto refused = send(site.port(), make_request("POST", "/order/1"));
     LONGS_EQUAL(503, refused.status);
@@ -162,3 +162,76 @@
     LONGS_EQUAL(500, failed.status);
     STRCMP_EQUAL("signed", failed.headers.at("X-Wigeonrill-Response-Signature").c_str());
 }
+
+// Rate limit that a target names, and the users' bound for it: from settling_time on, at most 1.5
+// times the limit and 5 requests more in any window.
+TEST_GROUP(rate_limited_site) {
+    static constexpr int nodes = 3;
+    static constexpr auto settling_time = 3s;
+    static constexpr auto window = 4s;
+    static constexpr auto pause = 25ms; // between two requests of the test
+
+    users_site site{2, nodes};
+    std::vector<std::pair<std::chrono::steady_clock::time_point, int>> counts;
+
+    void setup() override {
+        site.publish("/look/");
+        site.register_target(0, "ready");
+        site.register_target(1, "ready");
+        site.start_nodes();
+    }
+    // Sends requests to all nodes in turn, and counts those that reach target 0.
+    void send_lookups(std::chrono::seconds duration) {
+        const auto end = std::chrono::steady_clock::now() + duration;
+        for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+            LONGS_EQUAL(200, send(site.port(i % nodes), make_request("GET", "/look/1")).status);
+            counts.emplace_back(std::chrono::steady_clock::now(), site.requests_at(0));
+            std::this_thread::sleep_for(pause);
+        }
+    }
+    int most_in_window() const {
+        int most = 0;
+        for (auto first = counts.begin(); first != counts.end(); ++first) {
+            for (auto it = first; it != counts.end() && it->first - first->first <= window; ++it) {
+                most = std::max(most, it->second - first->second);
+            }
+        }
+        return most;
+    }
+};
+
+// Guards against a limit that isn't read from the answers, that each node keeps for itself, or that
+// outlasts its statement.
+TEST(rate_limited_site, target_gets_no_more_than_its_limit_from_all_nodes) {
+    site.set_rate_limit(0, "1.0");
+    send_lookups(settling_time);
+    counts.clear();
+    send_lookups(2 * window);
+    CHECK(most_in_window() <= 11);
+    site.set_rate_limit(0, "");
+    counts.clear();
+    send_lookups(2 * window);
+    CHECK(most_in_window() > 11);
+}
+
+// Guards against requests that wait although the limits leave no room for them, and against a
+// refusal without the time to return.
+TEST(rate_limited_site, requests_are_refused_at_once_while_all_targets_take_none) {
+    send_lookups(1s);
+    site.set_rate_limit(0, "0");
+    site.set_rate_limit(1, "0");
+    int refused = 0;
+    for (int i = 0; i < 60; ++i) {
+        const auto before = std::chrono::steady_clock::now();
+        const auto received = send(site.port(i % nodes), make_request("GET", "/look/1"));
+        if (received.status != 200) {
+            LONGS_EQUAL(503, received.status);
+            CHECK(std::chrono::steady_clock::now() - before < 500ms);
+            CHECK(received.headers.count("Retry-After") == 1);
+            ++refused;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    // A target that takes none gets a request now and then, to learn whether the limit has ended.
+    CHECK(refused >= 45);
+}
