--- a/test/dispatch/rate_limit_test.cpp
+++ b/test/dispatch/rate_limit_test.cpp
@@ -65,6 +65,22 @@
     }
 }
 
+// Guards against bursts of many senders: the more nodes and the higher the limit, the more of them
+// may send at the same time.
+TEST(rate_limit, holds_in_larger_fleets_and_for_higher_limits) {
+    for (const double per_second : {0.2, 1.0, 3.0, 10.0, 30.0}) {
+        for (const std::size_t nodes : {4U, 94U}) {
+            auto plan = quiet_day();
+            plan.nodes = nodes;
+            plan.requests_per_second = 300.0;
+            plan.mean_service_s = 0.1;
+            plan.limited_targets = 3;
+            plan.rate_limit = per_second;
+            check_limits(plan, fleet_simulation(plan).run());
+        }
+    }
+}
+
 // Guards against a limit that each node keeps only for itself, which shows when nodes don't reach
 // each other.
 TEST(rate_limit, holds_while_nodes_do_not_reach_each_other) {
