--- a/test/platform/feed_thread_test.cpp
+++ b/test/platform/feed_reader_thread_test.cpp
@@ -79,7 +79,7 @@
 
 } // namespace
 
-TEST_GROUP(feed_thread) {
+TEST_GROUP(feed_reader_thread) {
     scripted_feed feed;
     system_clock_source clock;
     seeded_random_source random{1};
@@ -103,7 +103,7 @@
 
 // Guards against adding changes of a restored store to records from before, which lack what the
 // store has lost, and against content of a store that is older than the one read before.
-TEST(feed_thread, lists_all_records_in_a_new_era_and_refuses_an_older_one) {
+TEST(feed_reader_thread, lists_all_records_in_a_new_era_and_refuses_an_older_one) {
     feed_reader_thread reader({}, {}, feed, clock, random, [this](const store_reading& it) {
         const std::lock_guard lock(mutex);
         latest = it;
@@ -121,7 +121,7 @@
 
 // Guards against calling a failing store again and again without a pause, while a target that
 // lapsed in an earlier outage is due to be removed.
-TEST(feed_thread, pauses_between_failed_calls_while_a_lapsed_target_is_due) {
+TEST(feed_reader_thread, pauses_between_failed_calls_while_a_lapsed_target_is_due) {
     const inventory_options options{.return_time = 300ms, .outage_time = 50ms};
     feed_reader_thread reader({}, options, feed, clock, random, [this](const store_reading& it) {
         const std::lock_guard lock(mutex);
--- a/wigeonrill/config.h
+++ b/wigeonrill/config.h
@@ -35,11 +35,11 @@
 #include "src/config/file_check.h"
 #include "src/config/loader.h"
 #include "src/config/sharding.h"
-#include "src/config/store.h"
+#include "src/config/configuration_store.h"
 #include "src/config/validator.h"
 // Checked access to JSON documents, also used for the settings of the daemon.
 #include "src/config/json_document.h"
-#include "src/config/reading_context.h"
+#include "src/config/parse_context.h"
 // Needs parse_context.h.
 #include "src/config/checked_object.h"
 
--- a/wigeonrill/health.h
+++ b/wigeonrill/health.h
@@ -27,7 +27,7 @@
 #include "src/health/fleet_nodes.h"
 #include "src/health/latency_baseline.h"
 #include "src/health/shared_cause_detector.h"
-#include "src/health/spell_estimate.h"
+#include "src/health/failure_burst_estimate.h"
 // Needs all of the above.
 #include "src/health/monitor.h"
 
--- a/wigeonrill/platform.h
+++ b/wigeonrill/platform.h
@@ -29,14 +29,14 @@
 // Needs value_source.h.
 #include "src/platform/http_value_source.h"
 // Needs the headers above.
-#include "src/platform/reader.h"
+#include "src/platform/manifest_reader.h"
 // Needs reader.h.
-#include "src/platform/reader_thread.h"
+#include "src/platform/manifest_reader_thread.h"
 
 #include "src/platform/inventory.h"
 #include "src/platform/read_schedule.h"
-#include "src/platform/reading_group.h"
+#include "src/platform/read_sharing_group.h"
 // Needs inventory.h and read_schedule.h.
-#include "src/platform/feed_thread.h"
+#include "src/platform/feed_reader_thread.h"
 
 #endif
--- a/wigeonrill/src/daemon/feed_link.h
+++ b/wigeonrill/src/daemon/store_reader_adapter.h
@@ -2,8 +2,8 @@
 #error "Include wigeonrill/daemon.h instead."
 #endif
 
-#ifndef WIGEONRILL_DAEMON_FEED_LINK_H
-#define WIGEONRILL_DAEMON_FEED_LINK_H
+#ifndef WIGEONRILL_DAEMON_STORE_READER_ADAPTER_H
+#define WIGEONRILL_DAEMON_STORE_READER_ADAPTER_H
 
 namespace wigeonrill::daemon {
 
--- a/wigeonrill/src/health/spell_estimate.h
+++ b/wigeonrill/src/health/failure_burst_estimate.h
@@ -2,8 +2,8 @@
 #error "Include wigeonrill/health.h instead."
 #endif
 
-#ifndef WIGEONRILL_HEALTH_SPELL_ESTIMATE_H
-#define WIGEONRILL_HEALTH_SPELL_ESTIMATE_H
+#ifndef WIGEONRILL_HEALTH_FAILURE_BURST_ESTIMATE_H
+#define WIGEONRILL_HEALTH_FAILURE_BURST_ESTIMATE_H
 
 namespace wigeonrill::health {
 
--- a/wigeonrill/src/platform/feed_thread.h
+++ b/wigeonrill/src/platform/feed_reader_thread.h
@@ -2,8 +2,8 @@
 #error "Include wigeonrill/platform.h instead."
 #endif
 
-#ifndef WIGEONRILL_PLATFORM_FEED_THREAD_H
-#define WIGEONRILL_PLATFORM_FEED_THREAD_H
+#ifndef WIGEONRILL_PLATFORM_FEED_READER_THREAD_H
+#define WIGEONRILL_PLATFORM_FEED_READER_THREAD_H
 
 namespace wigeonrill::platform {
 
--- a/wigeonrill/src/platform/reading_group.h
+++ b/wigeonrill/src/platform/read_sharing_group.h
@@ -2,8 +2,8 @@
 #error "Include wigeonrill/platform.h instead."
 #endif
 
-#ifndef WIGEONRILL_PLATFORM_READING_GROUP_H
-#define WIGEONRILL_PLATFORM_READING_GROUP_H
+#ifndef WIGEONRILL_PLATFORM_READ_SHARING_GROUP_H
+#define WIGEONRILL_PLATFORM_READ_SHARING_GROUP_H
 
 namespace wigeonrill::platform {
 
--- a/wigeonrill/src/traffic/call_client.h
+++ b/wigeonrill/src/traffic/http_get_client.h
@@ -2,8 +2,8 @@
 #error "Include wigeonrill/traffic.h instead."
 #endif
 
-#ifndef WIGEONRILL_TRAFFIC_CALL_CLIENT_H
-#define WIGEONRILL_TRAFFIC_CALL_CLIENT_H
+#ifndef WIGEONRILL_TRAFFIC_HTTP_GET_CLIENT_H
+#define WIGEONRILL_TRAFFIC_HTTP_GET_CLIENT_H
 
 namespace wigeonrill::traffic {
 
--- a/wigeonrill/traffic.h
+++ b/wigeonrill/traffic.h
@@ -15,7 +15,7 @@
 
 #include "health.h"
 
-#include "src/traffic/call_client.h"
+#include "src/traffic/http_get_client.h"
 #include "src/traffic/header_names.h"
 #include "src/traffic/refusal.h"
 // Needs refusal.h.
