Show what the logs of nodes say of one request

An engineer who has a request's id had to search the logs of 36 nodes by hand, and then again for each target.

No behaviour of the daemon changes.

--- a/wigeonrill/src/tool/command_line.cpp
+++ b/wigeonrill/src/tool/command_line.cpp
@@ -15,6 +15,7 @@
   wigeonrill check examples/scotland/configuration.json
   wigeonrill targets --admin 10.1.0.4:9090
   wigeonrill explain --method GET --path /proofs/881 --admin 10.1.0.4:9090
+  wigeonrill trace 9c41d07be2a35f68 node-1.log node-2.log
   wigeonrill config --admin 10.1.0.4:9090 --admin 10.1.0.5:9090 --json
 
 Exit codes: 0 success, 1 negative result, 2 invalid command line, 3 a daemon did not answer.)";
@@ -26,6 +27,8 @@
 struct arguments {
     std::vector<std::string> files;
     std::string trace;
+    std::string request_id;
+    std::vector<std::string> logs{"-"};
     std::vector<std::string> admin{default_admin_address};
     bool json{false};
     std::string method{"GET"};
@@ -47,6 +50,11 @@
         "replay", "Replay a recorded trace with the detector and the baseline policies");
     replay->add_option("TRACE", args.trace, "Trace file; see docs/reference/trace.md")->required();
     replay->add_flag("--json", args.json, "Print JSON instead of a table");
+    auto* trace = app.add_subcommand("trace", "Show what the logs of nodes say of one request");
+    trace->add_option("ID", args.request_id, "The caller's name of the request")->required();
+    trace->add_option("LOG", args.logs, "Log of one or more nodes; -: standard input")
+        ->capture_default_str();
+    trace->add_flag("--json", args.json, "Print JSON instead of text");
     add_remote_options(*app.add_subcommand("status", "Show the state of nodes"), args);
     add_remote_options(*app.add_subcommand("targets", "Show targets, their state and its reason"),
                        args);
@@ -81,6 +89,9 @@
     if (command == "replay") {
         return replay_trace(args.trace, args.json);
     }
+    if (command == "trace") {
+        return trace_request(args.request_id, args.logs, args.json);
+    }
     const auto addresses = parse_addresses(args.admin);
     if (!addresses) {
         std::cerr << "wigeonrill: " << to_string(addresses.error()) << '\n';
--- a/wigeonrill/src/tool/commands.h
+++ b/wigeonrill/src/tool/commands.h
@@ -19,6 +19,16 @@
 /// \returns negative_result if the trace can't be read
 [[nodiscard]] exit_code replay_trace(const std::string& path, bool json);
 
+/// \brief Prints what logs say of one request, in the order of time: the lines about it, marked
+/// with
+///        an asterisk, and those about its targets and the configuration from around that time.
+/// \param request_id the caller's name of the request, which is the field id of the log lines
+/// \param files logs of one or more nodes; "-" is standard input
+/// \param json print JSON instead of text
+/// \returns negative_result if a file can't be read or no line is about the request
+[[nodiscard]] exit_code trace_request(const std::string& request_id,
+                                      const std::vector<std::string>& files, bool json);
+
 /// \brief Prints an administration page of one or more daemons.
 /// \param page status, targets or config
 /// \param nodes administration addresses of the daemons
