Show that sound targets idle while few requests fail

Ruled out: trials that don't start in time (the nodes see 5 in 100 bad answers at that moment, trials start at 7).

suspected_targets_return_to_use_while_few_requests_fail fails on this code: 0.63 of the sound targets in use, bound 0.7.

--- a/test/dispatch/near_full_load_test.cpp
+++ b/test/dispatch/near_full_load_test.cpp
@@ -104,3 +104,22 @@
     CHECK(result.failed * 10 <= result.requests);
     CHECK(result.min_used_share >= 0.7);
 }
+
+// Guards against sound targets that get nothing for long after a failure because few requests fail.
+// When something else then keeps requests from being served, less of a service's sound capacity is
+// in use than the rule asks for.
+TEST(near_full_load, suspected_targets_return_to_use_while_few_requests_fail) {
+    auto grown = near_full_plan();
+    grown.nodes = 94;
+    grown.targets = 64;
+    grown.slots = 6;
+    grown.queue_limit = 24;
+    grown.mean_service_s = 0.65;
+    grown.requests_per_second = 270.0;
+    grown.latency_objective = milliseconds(2'000);
+    for (const int burst_s : {4, 6}) {
+        grown.burst_length = seconds(burst_s);
+        grown.failing_at_once = burst_s == 4 ? 12 : 20;
+        CHECK(simulate("suspected, large fleet", grown).min_used_share >= 0.7);
+    }
+}
