--- a/test/dispatch/near_full_load_test.cpp
+++ b/test/dispatch/near_full_load_test.cpp
@@ -16,6 +16,16 @@
     return plan;
 }
 
+// The nodes of a grown site before targets with room.
+simulation_plan large_fleet_plan() {
+    auto plan = near_full_plan();
+    plan.nodes = 94;
+    plan.slots = 6;
+    plan.queue_limit = 24;
+    plan.latency_objective = milliseconds(2'000);
+    return plan;
+}
+
 simulation_plan with_failure_bursts() {
     auto plan = near_full_plan();
     plan.failing_at_once = 4;
@@ -75,16 +85,12 @@
 // grown site, less than 0.7 of it got requests for 2 s while more than a tenth of the requests
 // failed.
 TEST(near_full_load, recovered_targets_return_to_use) {
-    auto grown = near_full_plan();
-    grown.nodes = 94;
+    auto grown = large_fleet_plan();
     grown.targets = 96;
-    grown.slots = 6;
-    grown.queue_limit = 24;
     grown.mean_service_s = 0.47;
     grown.requests_per_second = 389.0;
     grown.failing_at_once = 29;
     grown.burst_length = seconds(3);
-    grown.latency_objective = milliseconds(2'000);
     CHECK(simulate("recovered, large fleet", grown).min_used_share >= 0.7);
 }
 
@@ -109,14 +115,10 @@
 // When something else then keeps requests from being served, less of a service's sound capacity is
 // in use than the rule asks for.
 TEST(near_full_load, suspected_targets_return_to_use_while_few_requests_fail) {
-    auto grown = near_full_plan();
-    grown.nodes = 94;
+    auto grown = large_fleet_plan();
     grown.targets = 64;
-    grown.slots = 6;
-    grown.queue_limit = 24;
     grown.mean_service_s = 0.65;
     grown.requests_per_second = 270.0;
-    grown.latency_objective = milliseconds(2'000);
     for (const int burst_s : {4, 6}) {
         grown.burst_length = seconds(burst_s);
         grown.failing_at_once = burst_s == 4 ? 12 : 20;
