--- a/wigeonrill/config.h
+++ b/wigeonrill/config.h
@@ -31,11 +31,11 @@
 #include "src/config/change_set.h"
 #include "src/config/snapshot.h"
 // Needs change_set.h and snapshot.h.
+#include "src/config/configuration_store.h"
 #include "src/config/document_writer.h"
 #include "src/config/file_check.h"
 #include "src/config/loader.h"
 #include "src/config/sharding.h"
-#include "src/config/configuration_store.h"
 #include "src/config/validator.h"
 // Checked access to JSON documents, also used for the settings of the daemon.
 #include "src/config/json_document.h"
--- a/wigeonrill/daemon.h
+++ b/wigeonrill/daemon.h
@@ -41,7 +41,7 @@
 #include "src/daemon/platform_binding.h"
 // Needs platform_binding.h.
 #include "src/daemon/application.h"
-#include "src/daemon/store_reader_adapter.h"
 #include "src/daemon/platform_reader_adapter.h"
+#include "src/daemon/store_reader_adapter.h"
 
 #endif
--- a/wigeonrill/traffic.h
+++ b/wigeonrill/traffic.h
@@ -15,8 +15,8 @@
 
 #include "health.h"
 
-#include "src/traffic/http_get_client.h"
 #include "src/traffic/header_names.h"
+#include "src/traffic/http_get_client.h"
 #include "src/traffic/refusal.h"
 // Needs refusal.h.
 #include "src/traffic/dispatcher.h"
