Finish a request before the next one in a test of stored answers

A caller gets its answer before the request is finished, so the second request could finish first, and the stored answers are kept in the order of finishing. The test waits for the first one now; checks are the same.

--- a/test/traffic/node_forwarding_test.cpp
+++ b/test/traffic/node_forwarding_test.cpp
@@ -82,6 +82,8 @@
     it.decisions.default_step.store_answer = true;
     it.decisions.default_step.route.repeat = config::repeat_policy::at_most_once;
     static_cast<void>(it.send_request(plain_get));
+    // A caller gets its answer before the request is finished, so the next one may overtake it.
+    it.decisions.wait_finished(1);
     static_cast<void>(it.send_request("GET /large HTTP/1.1\r\nHost: a\r\n\r\n"));
     it.decisions.wait_finished(2);
     const auto stored = it.decisions.stored_answers.at(0);
