--- a/test/dispatch/fleet_simulation.h
+++ b/test/dispatch/fleet_simulation.h
@@ -196,7 +196,7 @@
     }
 
     bool names_limit(std::size_t target) const {
-        return target < plan_.limited_targets && now_ >= start_ + plan_.rate_limit_start;
+        return target < plan_.limited_targets && now_ >= simulation_start + plan_.rate_limit_start;
     }
     void record_limited_arrival(std::size_t node, std::size_t target) {
         const auto told = told_at_.find({node, target});
@@ -306,8 +306,8 @@
     std::vector<std::unique_ptr<dispatch::decision_core>> cores_;
     std::vector<simulated_target> targets_;
     std::map<std::pair<std::size_t, std::size_t>, instant> told_at_; ///< by node and target
-    static constexpr instant start_{seconds(1'000)};
-    instant now_{start_};
+    static constexpr instant simulation_start{seconds(1'000)};
+    instant now_{simulation_start};
     std::uint64_t last_event_number_{0};
     std::uint64_t last_id_{0};
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
--- a/test/dispatch/near_full_load_test.cpp
+++ b/test/dispatch/near_full_load_test.cpp
@@ -34,7 +34,7 @@
 }
 
 test::simulation_result simulate(const char* name, const simulation_plan& plan) {
-    const auto result = fleet_simulation(plan).run();
+    auto result = fleet_simulation(plan).run();
     std::printf("%s: %d requests, %d late, %d failed, %d refused, least used %.2f\n", name,
                 result.requests, result.late, result.failed, result.refused, result.min_used_share);
     return result;
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -292,7 +292,7 @@
         ips->insert(it.id.value.substr(0, it.id.value.rfind(':')));
     }
     peer_ips_ = std::move(ips);
-    dependencies_.dispatcher.set_nodes(dependencies_.gossip->id(), std::move(possible_senders));
+    dependencies_.dispatcher.set_nodes(dependencies_.gossip->id(), possible_senders);
 }
 
 void control_loop::apply_monitor_actions(const health::monitor_actions& actions) {
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -107,8 +107,8 @@
     void on_peer_observation(const health::observation& seen, instant now);
     /// \brief Sets the nodes among which the rate limits of targets are divided.
     /// \param others ids of all other nodes, also of those that don't respond
-    void set_nodes(node_id self, std::vector<node_id> others, instant now) {
-        rate_limits_.set_nodes(std::move(self), std::move(others), now);
+    void set_nodes(node_id self, const std::vector<node_id>& others, instant now) {
+        rate_limits_.set_nodes(std::move(self), others, now);
     }
     /// \brief Takes a notice of another node about the rate limit of a target.
     /// \returns true when it was news to this node
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -79,9 +79,9 @@
     core_.on_peer_observation(seen, clock_.now());
 }
 
-void request_dispatcher::set_nodes(node_id self, std::vector<node_id> others) {
+void request_dispatcher::set_nodes(node_id self, const std::vector<node_id>& others) {
     const std::lock_guard guard(mutex_);
-    core_.set_nodes(std::move(self), std::move(others), clock_.now());
+    core_.set_nodes(std::move(self), others, clock_.now());
 }
 
 bool request_dispatcher::on_peer_rate_limit(const health::rate_limit& notice) {
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -51,7 +51,7 @@
     void on_peer_observation(const health::observation& seen);
     /// \brief Sets the nodes among which the rate limits of targets are divided.
     /// \param others ids of all other nodes, also of those that don't respond
-    void set_nodes(node_id self, std::vector<node_id> others);
+    void set_nodes(node_id self, const std::vector<node_id>& others);
     /// \brief Takes a notice of another node about the rate limit of a target.
     /// \returns true when it was news to this node
     bool on_peer_rate_limit(const health::rate_limit& notice);
--- a/wigeonrill/src/routing/rate_limit_table.cpp
+++ b/wigeonrill/src/routing/rate_limit_table.cpp
@@ -21,8 +21,6 @@
 // Rate from which on the number of senders no longer matters.
 constexpr double max_rate = 1e6;
 
-constexpr double unlimited = std::numeric_limits<double>::infinity();
-
 // Bucket for a share: a request, or what the share allows in a second.
 double burst_of(double share) {
     return std::max(1.0, share);
@@ -35,7 +33,7 @@
     return min_senders + static_cast<std::size_t>(std::floor(rate * senders_per_rate));
 }
 
-void rate_limit_table::set_nodes(node_id self, std::vector<node_id> others, instant now) {
+void rate_limit_table::set_nodes(node_id self, const std::vector<node_id>& others, instant now) {
     self_ = std::move(self);
     other_hashes_.clear();
     for (const auto& it : others) {
@@ -175,8 +173,10 @@
 }
 
 double rate_limit_table::share_of(const target_id& target) const {
-    const auto* it = find_limited(target);
-    return it == nullptr ? unlimited : it->share;
+    if (const auto* it = find_limited(target)) {
+        return it->share;
+    }
+    return std::numeric_limits<double>::infinity();
 }
 
 } // namespace wigeonrill::routing
--- a/wigeonrill/src/routing/rate_limit_table.h
+++ b/wigeonrill/src/routing/rate_limit_table.h
@@ -35,7 +35,7 @@
     /// \brief Sets the nodes among which limits are divided. Nodes that don't respond belong to
     ///        them, because they may still send requests.
     /// \param others ids of all other nodes
-    void set_nodes(node_id self, std::vector<node_id> others, instant now);
+    void set_nodes(node_id self, const std::vector<node_id>& others, instant now);
 
     /// \brief Takes the statement of an answer that this node got.
     /// \param wall wall-clock time now
