--- a/test/routing/rate_limit_table_test.cpp
+++ b/test/routing/rate_limit_table_test.cpp
@@ -23,7 +23,7 @@
                 others.push_back(name_of(i));
             }
         }
-        table->set_nodes(name_of(self), std::move(others), start);
+        table->set_nodes(name_of(self), others, start);
         return table;
     }
     health::answer answer(std::optional<double> per_second, instant sent) const {
