Log crash marks and the fingerprint of refused requests

Now each mark that a node makes or receives is one line with fingerprint, target and source, and a refusal for crash marks names the same fingerprint. No decision changes. Tests: logs_crash_marks, refusal_for_crash_marks_names_the_fingerprint; the first finds no line on the code before, the second needs the new field.

--- a/test/daemon/control_loop_test.cpp
+++ b/test/daemon/control_loop_test.cpp
@@ -115,3 +115,14 @@
     CHECK(row(1).eligible);
     CHECK(row(1).kept_for_floor);
 }
+
+// Guards against a crash mark that leaves no trace in the log.
+TEST(control_loop, logs_crash_marks) {
+    events.on_crash_mark({0xab12, target_id("stock-1"), clock.wall_now()});
+    tick();
+    const auto lines = log.lines();
+    CHECK(std::ranges::any_of(lines, [](const auto& it) {
+        return it.find("fingerprint=000000000000ab12 target=stock-1 source=connection") !=
+               std::string::npos;
+    }));
+}
--- a/test/daemon/traffic_event_sink_test.cpp
+++ b/test/daemon/traffic_event_sink_test.cpp
@@ -29,3 +29,13 @@
     LONGS_EQUAL(0, wakes);
     LONGS_EQUAL(1, events.take_all().size());
 }
+
+// Guards against a refusal whose log line can't be related to the lines about the crash marks that
+// caused it.
+TEST(traffic_event_sink, refusal_for_crash_marks_names_the_fingerprint) {
+    dispatch::decision_record decision;
+    decision.refusal = "contained";
+    decision.contained_fingerprint = 0xab12;
+    events.on_decision(decision);
+    CHECK(log.lines().back().find("fingerprint=000000000000ab12") != std::string::npos);
+}
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -227,7 +227,16 @@
                                           to_seconds(decision.waited), dependencies_.clock.now());
 }
 
+void control_loop::log_crash_mark(const once::crash_mark& mark, std::string_view source) {
+    write_log(log_level::info, log_subsystem::once,
+              log_line("Target crashed while it ran a request.")
+                  .with("fingerprint", once::fingerprint_text(mark.fingerprint))
+                  .with("target", mark.target.value)
+                  .with("source", source));
+}
+
 void control_loop::handle(const once::crash_mark& mark) {
+    log_crash_mark(mark, "connection");
     monitor_.on_crash_mark(mark.fingerprint, mark.target, dependencies_.clock.now());
     if (dependencies_.gossip != nullptr) {
         dependencies_.gossip->announce(mark);
@@ -267,6 +276,7 @@
         handle_peer_reading(*items.reading);
     }
     for (const auto& it : items.marks) {
+        log_crash_mark(it, "peer");
         monitor_.on_crash_mark(it.fingerprint, it.target, now);
         dependencies_.dispatcher.add_crash_mark(it);
     }
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -85,6 +85,7 @@
     /// \returns true when the configuration in force now has that content
     [[nodiscard]] bool apply_store_content(const platform::store_reading& latest);
     void announce_leaving_target(const health::answer& answer);
+    void log_crash_mark(const once::crash_mark& mark, std::string_view source);
     void log_rate_limit(const health::rate_limit& notice, std::string_view source);
     void log_unreadable_rate_limit(const health::answer& answer);
     void process_peer_messages();
--- a/wigeonrill/src/daemon/traffic_event_sink.cpp
+++ b/wigeonrill/src/daemon/traffic_event_sink.cpp
@@ -42,6 +42,9 @@
         line.with("refusal", decision.refusal)
             .with("outcome", enum_name(traffic::outcome_names, decision.result));
     }
+    if (decision.contained_fingerprint != 0) {
+        line.with("fingerprint", once::fingerprint_text(decision.contained_fingerprint));
+    }
     return line.with("reason", decision.reason).with("waited_ms", decision.waited);
 }
 
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -270,7 +270,11 @@
     traffic::step step;
     step.kind = traffic::step_kind::refuse;
     step.reason = make_refusal(kind, result, retry_after);
-    set_next_step(record, std::move(step), {});
+    decision_record decision;
+    if (kind == refusal_kind::contained) {
+        decision.contained_fingerprint = record.fingerprint;
+    }
+    set_next_step(record, std::move(step), std::move(decision));
 }
 
 void decision_core::set_next_step(request_record& record, traffic::step step,
--- a/wigeonrill/src/once/crash_mark.h
+++ b/wigeonrill/src/once/crash_mark.h
@@ -16,6 +16,9 @@
     friend bool operator==(const crash_mark&, const crash_mark&) = default;
 };
 
+/// \returns a fingerprint as it is written to logs: 16 hexadecimal digits
+[[nodiscard]] std::string fingerprint_text(std::uint64_t fingerprint);
+
 } // namespace wigeonrill::once
 
 #endif
