Keep room for crash marks in every gossip message

Callers of a request that ends its targets repeat it at any node. What the users saw: after three targets had ended, the request was still sent on, on a deployment of 94 nodes.

Cause: the room of a gossip message follows the sender's byte budget, down to 150 bytes, and is divided among the kinds of items. While the budget is used up, the part for crash marks was smaller than one mark as soon as one verdict was fresh. At 94 nodes the observations of failing targets, sent to 93 peers each, use up the budget just when targets fail. The class: a share of a small message that is less than one item starves its kind for as long as the shortage lasts. The same holds for member records, and for verdicts beside rate limits.

Change: each kind may put a few items into a message whatever its share, two marks and one of each other kind, as long as the datagram holds them.

Ruled out: waiting behind other marks by itself (300 of them cost under 1 s).

--- a/test/peers/busy_fleet_test.cpp
+++ b/test/peers/busy_fleet_test.cpp
@@ -19,8 +19,11 @@
     // uses up its byte budget.
     void run_with_failures(seconds span) {
         constexpr milliseconds pause{100};
-        const health::observation failure{service_name("status-desk"), target_id("i-5a38e2c1f0"),
-                                          health::observation_kind::failed, -1, {}};
+        const health::observation failure{service_name("status-desk"),
+                                          target_id("i-5a38e2c1f0"),
+                                          health::observation_kind::failed,
+                                          -1,
+                                          {}};
         for (milliseconds done{0}; done < span; done += pause) {
             for (std::size_t i = 0; i < nodes; ++i) {
                 if ((i + static_cast<std::size_t>(done / pause)) % 3 == 0) {
@@ -56,3 +59,21 @@
     run_with_failures(seconds{3});
     UNSIGNED_LONGS_EQUAL(nodes - 1, nodes_with_mark(mark));
 }
+
+// Guards against the two marks that block a request if they wait behind marks of requests that
+// were in flight when connections were reset.
+TEST(busy_fleet, marks_that_block_a_request_do_not_wait_behind_others) {
+    announce_verdicts(20);
+    run_with_failures(seconds{6});
+    const auto now = fleet.clock.wall_now();
+    const once::crash_mark first{99, target_id("i-720d8bb7f4"), now};
+    const once::crash_mark second{99, target_id("i-8b5c88a80c"), now};
+    fleet.at(40).announce(first);
+    fleet.at(70).announce(second);
+    for (std::uint64_t i = 0; i < 300; ++i) {
+        fleet.at(i % 30).announce({1'000 + i, target_id("i-0f669d28c1"), now});
+    }
+    run_with_failures(seconds{3});
+    UNSIGNED_LONGS_EQUAL(nodes - 1, nodes_with_mark(first));
+    UNSIGNED_LONGS_EQUAL(nodes - 1, nodes_with_mark(second));
+}
--- a/wigeonrill/src/peers/digest_builder.cpp
+++ b/wigeonrill/src/peers/digest_builder.cpp
@@ -30,17 +30,37 @@
     return 3 * (static_cast<std::uint32_t>(std::bit_width(fleet_size)) + 2);
 }
 
-// Appends an item and reduces the room by its size bound. Returns false if it doesn't fit the room.
-template <typename Item>
-bool append_if_fits(std::vector<Item>& items, const Item& item, std::size_t& room) {
-    const auto size = size_bound(item);
-    if (size > room) {
-        return false;
+// Number of items of each kind that a message holds even if they exceed their share. Two crash
+// marks block a request.
+constexpr std::size_t guaranteed_items = 1;
+constexpr std::size_t guaranteed_marks = 2;
+
+// Room of a message for one kind of item.
+class kind_room {
+public:
+    // The capacity is that of the whole message; appended items reduce it.
+    kind_room(std::size_t share, std::size_t guaranteed, std::size_t& capacity)
+        : share_(share), guaranteed_(guaranteed), capacity_(&capacity) {}
+
+    // Returns false if the item doesn't fit.
+    template <typename Item>
+    bool append(std::vector<Item>& items, const Item& item) {
+        const auto size = size_bound(item);
+        if (size > *capacity_ || (size > share_ && items.size() >= guaranteed_)) {
+            return false;
+        }
+        items.push_back(item);
+        share_ -= std::min(share_, size);
+        *capacity_ -= size;
+        return true;
     }
-    items.push_back(item);
-    room -= size;
-    return true;
-}
+    [[nodiscard]] std::size_t unused_share() const { return share_; }
+
+private:
+    std::size_t share_;
+    std::size_t guaranteed_;
+    std::size_t* capacity_;
+};
 
 } // namespace
 
@@ -108,51 +128,54 @@
     });
 }
 
-void digest_builder::fill(message& content, std::size_t room, const digest_context& context) {
+void digest_builder::fill(message& content, const message_room& room,
+                          const digest_context& context) {
     const auto limit = sends_until_disseminated(context.members.all().size() + 1);
-    // Half of the room is for rate limits, half of the rest for verdicts and a fifth for crash
-    // marks, so that no kind of item can keep the others out of the message. Unused room is passed
-    // on to the next kind.
-    auto rate_limit_room = room / 2;
-    room -= rate_limit_room;
+    auto capacity = room.largest;
+    // Half of the share is for rate limits, half of the rest for verdicts and a fifth for crash
+    // marks, so that no kind of item can keep the others out of the message. An unused share is
+    // passed on to the next kind.
+    kind_room rate_limit_room(room.share / 2, guaranteed_items, capacity);
     rate_limit_queue_.offer_in_order(limit, repeats_per_message, [&](const target_id& target) {
         const auto& item = rate_limits_.at(target);
         return item.expires - context.now < min_remaining ||
-               append_if_fits(content.rate_limits, item, rate_limit_room);
+               rate_limit_room.append(content.rate_limits, item);
     });
-    room += rate_limit_room;
-    auto verdict_room = room / 2;
-    auto crash_mark_room = room / 5;
-    auto member_room = room - verdict_room - crash_mark_room;
+    const auto share = room.share - room.share / 2 + rate_limit_room.unused_share();
+    kind_room verdict_room(share / 2, guaranteed_items, capacity);
     verdict_queue_.offer_in_order(limit, repeats_per_message, [&](const verdict_key& key) {
         const auto& item = verdicts_.at(key);
         return item.expires - context.now < min_remaining ||
-               append_if_fits(content.verdicts, item, verdict_room);
+               verdict_room.append(content.verdicts, item);
     });
-    crash_mark_room += verdict_room / 2;
-    member_room += verdict_room - verdict_room / 2;
+    const auto unused = verdict_room.unused_share();
+    kind_room mark_room(share / 5 + unused / 2, guaranteed_marks, capacity);
     crash_mark_queue_.offer_in_order(limit, repeats_per_message, [&](const crash_mark_key& key) {
         const auto& item = crash_marks_.at(key);
         const bool ending = context.wall_now - item.observed > crash_mark_lifetime - min_remaining;
-        return ending || append_if_fits(content.marks, item, crash_mark_room);
+        return ending || mark_room.append(content.marks, item);
     });
-    fill_members(content, member_room + crash_mark_room, context, repeats_per_message);
+    const auto member_share = share - share / 2 - share / 5 + unused - unused / 2;
+    fill_members(content, {member_share + mark_room.unused_share(), capacity}, context,
+                 repeats_per_message);
 }
 
-void digest_builder::fill_members(message& content, std::size_t room, const digest_context& context,
-                                  std::size_t repeats) {
+void digest_builder::fill_members(message& content, const message_room& room,
+                                  const digest_context& context, std::size_t repeats) {
     std::vector<node_id> gone;
+    auto capacity = room.largest;
+    kind_room member_room(room.share, guaranteed_items, capacity);
     const auto limit = sends_until_disseminated(context.members.all().size() + 1);
     member_queue_.offer_in_order(limit, repeats, [&](const node_id& id) {
         if (id == context.own_record.id) {
-            return append_if_fits(content.members, context.own_record, room);
+            return member_room.append(content.members, context.own_record);
         }
         const auto* it = context.members.find(id);
         if (it == nullptr) {
             gone.push_back(id);
             return true;
         }
-        return append_if_fits(content.members, it->record, room);
+        return member_room.append(content.members, it->record);
     });
     for (const auto& id : gone) {
         member_queue_.erase(id);
--- a/wigeonrill/src/peers/digest_builder.h
+++ b/wigeonrill/src/peers/digest_builder.h
@@ -15,6 +15,12 @@
     wall_time wall_now;
 };
 
+/// \brief Room for the items of one gossip message, in bytes of their encoded sizes.
+struct message_room {
+    std::size_t share{0};   ///< part of the byte budget that the items may use
+    std::size_t largest{0}; ///< what the datagram can hold
+};
+
 /// \brief Holds the items that this node disseminates by gossip (verdicts, crash marks, rate
 /// limits and member records) and chooses those that go into the next message.
 class digest_builder {
@@ -39,12 +45,13 @@
     /// \brief Removes expired verdicts, crash marks and rate limits.
     void expire(instant now, wall_time wall_now);
     /// \brief Adds verdicts, crash marks, rate limits and member records to a gossip message.
-    /// \param room largest encoded size of all added items, in bytes
-    void fill(message& content, std::size_t room, const digest_context& context);
-    /// \brief Adds member records to a gossip message.
-    /// \param room largest encoded size of all added records, in bytes
+    ///
+    /// Each kind of item gets a part of the share. A few items of each kind are added even if they
+    /// exceed it, so that no kind has to wait while the byte budget is used up.
+    void fill(message& content, const message_room& room, const digest_context& context);
+    /// \brief Adds member records to a gossip message, at least one if there is any.
     /// \param repeats largest number of records that were already sent often enough
-    void fill_members(message& content, std::size_t room, const digest_context& context,
+    void fill_members(message& content, const message_room& room, const digest_context& context,
                       std::size_t repeats);
 
     /// \returns the number of verdicts held
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -30,11 +30,11 @@
 // This many observations fit one datagram if the names have 64 bytes each.
 constexpr std::size_t observations_per_message = 7;
 
-std::size_t gossip_room(double level, const domain_name& domain) {
+message_room gossip_room(double level, const domain_name& domain) {
     constexpr std::size_t max_room = max_datagram_bytes - header_size_bound;
     const auto share = static_cast<std::size_t>(std::max(0.0, level * gossip_share));
     const auto room = std::clamp(share, min_gossip_items, max_room);
-    return room - std::min(room, domain.value.size());
+    return {room - std::min(room, domain.value.size()), max_room - domain.value.size()};
 }
 
 } // namespace
@@ -232,7 +232,9 @@
     const auto* peer = members_.find(to);
     if (peer != nullptr && (include_record || peer->record.state != member_state::alive)) {
         content.members.push_back(peer->record);
-        room -= std::min(room, size_bound(peer->record));
+        const auto size = size_bound(peer->record);
+        room.share -= std::min(room.share, size);
+        room.largest -= std::min(room.largest, size);
     }
     digest_.fill(content, room, {members_, self_, now, clock_.wall_now()});
     send(to, std::move(content), now);
@@ -253,7 +255,8 @@
         contacted.insert(*peer);
         message content;
         content.kind = message_kind::gossip_reply;
-        digest_.fill_members(content, forward_room, {members_, self_, now, clock_.wall_now()}, 0);
+        digest_.fill_members(content, {forward_room, forward_room},
+                             {members_, self_, now, clock_.wall_now()}, 0);
         send(*peer, std::move(content), now);
     }
 }
