Don't take crash marks back after an error answer

A request that ends its targets was sent on by a node although two targets had ended: any answer counted as success of the request, also the 500 of a sick target that had not run it, and a success takes the marks back on that node for good.

The class: a failure counted as proof of health. Elsewhere: the limiter, the wait estimate and the health evidence already tell the two apart (read).

--- a/test/dispatch/retry_test.cpp
+++ b/test/dispatch/retry_test.cpp
@@ -158,6 +158,19 @@
     STRCMP_EQUAL("contained", d.first_step(poison).reason.type.c_str());
 }
 
+// Guards against forgetting crash marks because a sick target answers the request with an error
+// before it runs it.
+TEST(retry, error_answer_does_not_take_crash_marks_back) {
+    const auto poison = node.request("GET", "/poison");
+    const auto fingerprint = dispatch::request_fingerprint(poison, {});
+    CHECK(d.first_step(poison).kind == step_kind::send);
+    d.add_crash_mark({fingerprint, target_id("t0"), node.clock.wall_now()});
+    d.add_crash_mark({fingerprint, target_id("t1"), node.clock.wall_now()});
+    static_cast<void>(d.on_attempt_ended(poison, node.attempt(answer_kind::server_error)));
+    d.finish_request(poison, true, nullptr);
+    STRCMP_EQUAL("contained", d.first_step(node.request("GET", "/poison")).reason.type.c_str());
+}
+
 // Guards against an unbounded queue, in which callers wait for requests that can't be served in
 // time.
 TEST(retry, full_queue_refuses_new_requests_at_once) {
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -105,7 +105,10 @@
     observe_attempt(record, attempt, at.now);
     if (is_answer(attempt.kind)) {
         record.assigned_target->limiter.on_answer();
-        containment_.on_success(record.fingerprint, at.wall);
+        // A sick target may answer with an error before it runs the request.
+        if (attempt.kind == health::answer_kind::ok) {
+            containment_.on_success(record.fingerprint, at.wall);
+        }
         if (attempt.kind == health::answer_kind::server_error &&
             retry_server_error(record, attempt, at)) {
             return true;
