--- a/test/traffic/connection_reuse_test.cpp
+++ b/test/traffic/connection_reuse_test.cpp
@@ -80,6 +80,22 @@
     CHECK(it.decisions.attempts.at(1).request_bytes_sent);
 }
 
+// Guards against reporting a request as not run because its second send, on a new connection, was
+// not allowed.
+TEST(connection_reuse, keeps_the_first_failure_when_the_second_send_is_not_allowed) {
+    recording_dispatcher* decisions = nullptr;
+    proxy_fixture it([&](const std::string& request, int number) {
+        decisions->sending_allowed = number != 2;
+        return close_at_second(request, number);
+    });
+    decisions = &it.decisions;
+    STRCMP_CONTAINS("\r\n\r\nok", it.send_request(plain_get).c_str());
+    STRCMP_CONTAINS("Wigeonrill-Outcome: unknown\r\n", it.send_request(plain_get).c_str());
+    it.decisions.wait_finished(2);
+    CHECK(answer_kind::connection_lost == it.decisions.attempts.at(1).kind);
+    CHECK(it.decisions.attempts.at(1).request_bytes_sent);
+}
+
 // Guards against streaming a body to a reused connection that the target has just closed. The body
 // could not be sent again.
 TEST(connection_reuse, streams_bodies_on_new_connections) {
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -58,9 +58,8 @@
     if (!answered_ && reused && may_retry_on_new_connection()) {
         // A target may close an idle connection at any time, which is no evidence of a fault.
         const auto first_failure = result_;
-        if (open_connection(true)) {
-            answered_ = perform_exchange();
-        } else {
+        answered_ = open_connection(true) && perform_exchange();
+        if (!answered_ && !result_.request_bytes_sent) {
             result_ = first_failure;
         }
     }
