Ask for crash marks again before each send

A node asked for crash marks when a request arrived and when it was retried. Copies of a crashing request that waited in the queue, or had a target but no connection yet, were sent although the marks had arrived meanwhile; when load is high a copy waits for seconds.

Cause: a condition checked when a decision is made, not when it is carried out. Change: may_send() asks again, and a mark that blocks its request refuses the waiting copies at once. The refusal says not-run if that is so.

--- a/test/dispatch/retry_test.cpp
+++ b/test/dispatch/retry_test.cpp
@@ -171,6 +171,41 @@
     STRCMP_EQUAL("contained", d.first_step(node.request("GET", "/poison")).reason.type.c_str());
 }
 
+// Guards against sending a request whose crash marks arrive after it was placed.
+TEST(retry, placed_request_is_not_sent_after_crash_marks_arrive) {
+    const auto poison = node.request("GET", "/poison");
+    const auto fingerprint = dispatch::request_fingerprint(poison, {});
+    CHECK(d.first_step(poison).kind == step_kind::send);
+    d.add_crash_mark({fingerprint, target_id("t0"), node.clock.wall_now()});
+    d.add_crash_mark({fingerprint, target_id("t1"), node.clock.wall_now()});
+    CHECK_FALSE(d.may_send(poison));
+    const auto next = d.on_attempt_ended(poison, node.attempt(answer_kind::cancelled, false));
+    STRCMP_EQUAL("contained", next->reason.type.c_str());
+    CHECK(next->reason.result == outcome::not_run);
+}
+
+// Guards against a request that waits for a free target although crash marks block it meanwhile.
+TEST(retry, waiting_request_is_refused_when_crash_marks_arrive) {
+    test::dispatcher_fixture one{test::make_snapshot(1, 1)};
+    auto& busy = *one.dispatcher;
+    const auto running = one.request("GET", "/a");
+    CHECK(busy.first_step(running).kind == step_kind::send);
+    const auto poison = one.request("GET", "/poison");
+    const auto fingerprint = dispatch::request_fingerprint(poison, {});
+    std::string refusal;
+    std::thread waiting([&] { refusal = busy.first_step(poison).reason.type; });
+    while (busy.waiting() < 1) {
+        std::this_thread::yield();
+    }
+    busy.add_crash_mark({fingerprint, target_id("t1"), one.clock.wall_now()});
+    busy.add_crash_mark({fingerprint, target_id("t2"), one.clock.wall_now()});
+    const auto still_waiting = busy.waiting();
+    busy.finish_request(running, true, nullptr);
+    waiting.join();
+    LONGS_EQUAL(0, still_waiting);
+    STRCMP_EQUAL("contained", refusal.c_str());
+}
+
 // Guards against an unbounded queue, in which callers wait for requests that can't be served in
 // time.
 TEST(retry, full_queue_refuses_new_requests_at_once) {
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -63,17 +63,22 @@
 void decision_core::stop(instant now) {
     stopping_ = true;
     for (auto& [name, service] : services_) {
-        refuse_queued(*service, refusal_kind::stopping, now);
+        refuse_all_queued(*service, refusal_kind::stopping, now);
     }
 }
 
-void decision_core::refuse_queued(service_state& service, refusal_kind kind, instant now) {
+void decision_core::refuse_queued(service_state& service, std::uint64_t id, refusal_kind kind,
+                                  instant now, std::optional<seconds> retry_after) {
+    auto& record = record_of(id);
+    service.queue.remove(id);
+    record.queued_since.reset();
+    refuse(record, kind, outcome_of(record), now, retry_after);
+    ready_ids_.push_back(id);
+}
+
+void decision_core::refuse_all_queued(service_state& service, refusal_kind kind, instant now) {
     for (const auto id : service.queue.oldest(service.queue.size())) {
-        auto& record = record_of(id);
-        service.queue.remove(id);
-        record.queued_since.reset();
-        refuse(record, kind, outcome_of(record), now, seconds(1));
-        ready_ids_.push_back(id);
+        refuse_queued(service, id, kind, now, seconds(1));
     }
 }
 
@@ -303,7 +308,7 @@
 void decision_core::serve_queue(service_state& service, instant now) {
     expire_queued(service, now);
     if (!service.any_eligible(now)) {
-        refuse_queued(service, refusal_kind::no_target, now);
+        refuse_all_queued(service, refusal_kind::no_target, now);
     }
     std::size_t failed_placements = 0;
     for (const auto id : service.queue.oldest(service.queue.size())) {
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -96,10 +96,9 @@
     [[nodiscard]] std::string issue_key(instant now) { return key_admission_.issue(now); }
     /// \brief Records when the platform or a peer confirmed the current configuration.
     void set_config_confirmed_at(wall_time when) { key_admission_.set_config_confirmed_at(when); }
-    /// \brief Takes a crash mark from another node.
-    void add_crash_mark(const once::crash_mark& mark, wall_time now) {
-        containment_.add(mark, now);
-    }
+    /// \brief Takes a crash mark from this node or another one. If it blocks its request, the
+    ///        waiting copies of the request are refused.
+    void add_crash_mark(const once::crash_mark& mark, clock_reading at);
 
     /// \brief Sets the number of other nodes that receive the counts of outstanding requests.
     void set_count_receivers(std::size_t n) { count_receivers_ = n; }
@@ -183,8 +182,13 @@
     void serve_queue(service_state& service, instant now);
     /// \brief Refuses the queued requests whose deadline has passed.
     void expire_queued(service_state& service, instant now);
+    /// \brief Takes a request out of the queue and refuses it.
+    void refuse_queued(service_state& service, std::uint64_t id, refusal_kind kind, instant now,
+                       std::optional<seconds> retry_after = std::nullopt);
     /// \brief Refuses all queued requests of a service.
-    void refuse_queued(service_state& service, refusal_kind kind, instant now);
+    void refuse_all_queued(service_state& service, refusal_kind kind, instant now);
+    /// \brief Refuses the queued requests that have a fingerprint.
+    void refuse_queued_copies(service_state& service, std::uint64_t fingerprint, instant now);
 
     /// \brief Derives an observation of the target from the result of an attempt.
     void observe_attempt(request_record& record, const traffic::attempt_result& attempt,
@@ -226,7 +230,7 @@
     [[nodiscard]] static bool may_run_again(const request_record& record, std::uint32_t runs);
     /// \brief Records that a target's connection was lost while it ran a request, and adds an
     ///        event.
-    void mark_crash(const request_record& record, const target_id& target, wall_time wall);
+    void mark_crash(const request_record& record, const target_id& target, clock_reading at);
     /// \returns the Retry-After value for a refusal by a request's service
     [[nodiscard]] std::optional<seconds> retry_after(const request_record& record);
     /// \returns not_run when it is certain that no target ran the request, otherwise unknown
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -69,7 +69,8 @@
         return false;
     }
     const once::send_guard guard{record.decided_at->now, record.decided_at->wall, record.deadline};
-    if (!guard.may_send(at.now, at.wall)) {
+    // Crash marks may have arrived since the request was placed.
+    if (!guard.may_send(at.now, at.wall) || containment_.is_blocked(record.fingerprint, at.wall)) {
         return false;
     }
     if (record.holds_key) {
@@ -117,7 +118,7 @@
         return false;
     }
     if (attempt.kind == health::answer_kind::connection_lost && attempt.request_bytes_sent) {
-        mark_crash(record, record.assigned_target->id, at.wall);
+        mark_crash(record, record.assigned_target->id, at);
     }
     release_target(record, attempt, at.now);
     handle_failure(record, attempt, at);
@@ -224,12 +225,30 @@
 }
 
 void decision_core::mark_crash(const request_record& record, const target_id& target,
-                               wall_time wall) {
-    const once::crash_mark mark{record.fingerprint, target, wall};
-    containment_.add(mark, wall);
+                               clock_reading at) {
+    const once::crash_mark mark{record.fingerprint, target, at.wall};
+    add_crash_mark(mark, at);
     events_.emplace_back(mark);
 }
 
+void decision_core::add_crash_mark(const once::crash_mark& mark, clock_reading at) {
+    containment_.add(mark, at.wall);
+    if (containment_.is_blocked(mark.fingerprint, at.wall)) {
+        for (auto& [name, service] : services_) {
+            refuse_queued_copies(*service, mark.fingerprint, at.now);
+        }
+    }
+}
+
+void decision_core::refuse_queued_copies(service_state& service, std::uint64_t fingerprint,
+                                         instant now) {
+    for (const auto id : service.queue.oldest(service.queue.size())) {
+        if (record_of(id).fingerprint == fingerprint) {
+            refuse_queued(service, id, refusal_kind::contained, now);
+        }
+    }
+}
+
 void decision_core::release_target(request_record& record, const traffic::attempt_result& attempt,
                                    instant now) {
     // A target that refuses connections fails faster than others answer, and would attract
@@ -269,6 +288,8 @@
             ((0.5 + random_.uniform()) * static_cast<double>(1U << record.attempts) / 2.0);
         record.not_before = at.now + std::chrono::duration_cast<instant::duration>(delay);
         enqueue(record, at.now);
+    } else if (not_run && containment_.is_blocked(record.fingerprint, at.wall)) {
+        refuse(record, refusal_kind::contained, outcome_of(record), at.now);
     } else {
         refuse(record, refusal_of(attempt), outcome_of(record), at.now,
                not_run ? retry_after(record) : std::optional<seconds>{});
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -65,8 +65,9 @@
 }
 
 void request_dispatcher::add_crash_mark(const once::crash_mark& mark) {
-    const std::lock_guard guard(mutex_);
-    core_.add_crash_mark(mark, clock_.wall_now());
+    std::unique_lock lock(mutex_);
+    core_.add_crash_mark(mark, read_clocks(clock_));
+    unlock_and_notify_sink(lock);
 }
 
 void request_dispatcher::set_count_receivers(std::size_t n) {
