Tell a reset connection from a crashed target

Cause: any lost connection with a request in flight made a crash mark. These marks fill the messages and tables that a crashing request needs, and block harmless requests for 10 minutes.

Change: after a connection was lost in flight the node connects to the target again, for at most 250 ms. If the target accepts and keeps the connection for 5 ms it goes on running and no mark is made; the connection goes to the pool. If the connect fails in any way the mark is made as before. Price: a connect for each connection lost in flight.

--- a/test/dispatch/retry_test.cpp
+++ b/test/dispatch/retry_test.cpp
@@ -171,6 +171,22 @@
     STRCMP_EQUAL("contained", d.first_step(node.request("GET", "/poison")).reason.type.c_str());
 }
 
+// Guards against blocking a harmless request for all callers because its connections were reset by
+// targets that did not crash.
+TEST(retry, connections_reset_by_running_targets_do_not_block_a_request) {
+    const auto first = node.request("GET", "/popular");
+    CHECK(d.first_step(first).kind == step_kind::send);
+    for (int i = 0; i < 2; ++i) {
+        CHECK_TRUE(d.may_send(first));
+        auto attempt = node.attempt(answer_kind::connection_lost);
+        attempt.target_is_up = true;
+        static_cast<void>(d.on_attempt_ended(first, attempt));
+    }
+    d.finish_request(first, true, nullptr);
+    CHECK_EQUAL(0U, node.sink.marks.size());
+    CHECK(d.first_step(node.request("GET", "/popular")).kind == step_kind::send);
+}
+
 // Guards against sending a request whose crash marks arrive after it was placed.
 TEST(retry, placed_request_is_not_sent_after_crash_marks_arrive) {
     const auto poison = node.request("GET", "/poison");
--- a/test/traffic/connection_reuse_test.cpp
+++ b/test/traffic/connection_reuse_test.cpp
@@ -80,6 +80,31 @@
     CHECK(it.decisions.attempts.at(1).request_bytes_sent);
 }
 
+// Guards against taking a reset connection for the crash of a target that goes on running, and a
+// crash for a reset connection.
+TEST(connection_reuse, tells_a_lost_connection_from_a_crashed_target) {
+    proxy_fixture it([](const std::string& /*request*/, int /*number*/) {
+        return scripted_answer{"", true, false};
+    });
+    static_cast<void>(it.send_request(plain_get));
+    it.decisions.wait_finished(1);
+    CHECK(it.decisions.attempts.at(0).target_is_up);
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    it.decisions.default_step.address.port = listener.address().port();
+    std::thread dying([&] {
+        auto socket = listener.acceptConnection();
+        std::string buffered;
+        static_cast<void>(read_message(socket, buffered, true));
+        listener.close();
+        socket.close();
+    });
+    static_cast<void>(it.send_request(plain_get));
+    dying.join();
+    it.decisions.wait_finished(2);
+    CHECK(answer_kind::connection_lost == it.decisions.attempts.at(1).kind);
+    CHECK_FALSE(it.decisions.attempts.at(1).target_is_up);
+}
+
 // Guards against reporting a request as not run because its second send, on a new connection, was
 // not allowed.
 TEST(connection_reuse, keeps_the_first_failure_when_the_second_send_is_not_allowed) {
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -117,7 +117,8 @@
         record.answer_started = true;
         return false;
     }
-    if (attempt.kind == health::answer_kind::connection_lost && attempt.request_bytes_sent) {
+    if (attempt.kind == health::answer_kind::connection_lost && attempt.request_bytes_sent &&
+        !attempt.target_is_up) {
         mark_crash(record, record.assigned_target->id, at);
     }
     release_target(record, attempt, at.now);
--- a/wigeonrill/src/traffic/dispatcher.h
+++ b/wigeonrill/src/traffic/dispatcher.h
@@ -60,6 +60,9 @@
     health::answer_kind kind{health::answer_kind::ok};
     bool request_bytes_sent{false}; ///< at least one byte of the request was written
     bool answer_partly_sent{false}; ///< a part of the answer was already sent to the caller
+    /// The target accepted a new connection after the one with the request had been lost, so it
+    /// didn't crash. Only for connection_lost.
+    bool target_is_up{false};
     int status{0};                  ///< status code of the answer; 0 without an answer
     bool draining{false};           ///< the target announced that it is draining
     bool misdirected{false};        ///< status 421: another target has the address
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -33,6 +33,11 @@
 /// Number of interim answers to one request that are accepted.
 constexpr int max_interim_answers = 16;
 
+/// Longest time for the connection that shows whether a target is up after one was lost.
+constexpr milliseconds max_check_time{250};
+/// Time after which the new connection would have been reset by a process that ends.
+constexpr milliseconds process_end_time{5};
+
 /// Number of late answers to other requests that are skipped before the connection is closed.
 constexpr int max_skipped_answers = 3;
 
@@ -63,6 +68,26 @@
             result_ = first_failure;
         }
     }
+    check_whether_target_is_up();
+}
+
+void target_attempt::check_whether_target_is_up() {
+    const bool lost = result_.kind == answer_kind::connection_lost && result_.request_bytes_sent;
+    const auto left = std::chrono::floor<milliseconds>(deadline_ - context_->clock->now());
+    const auto limit = std::min({context_->options.connect_time, max_check_time, left});
+    if (answered_ || !lost || plan_->kind != step_kind::send || limit.count() <= 0) {
+        return;
+    }
+    auto connection = context_->pool.connect(plan_->address, limit);
+    if (!connection) {
+        return;
+    }
+    // A process that ends closes its sockets one after the other.
+    const auto end = context_->clock->now() + process_end_time;
+    if (wait_readable(connection->fd(), end, *context_->clock) == io_status::timed_out) {
+        result_.target_is_up = true;
+        context_->pool.put(plan_->address, std::move(connection));
+    }
 }
 
 bool target_attempt::may_retry_on_new_connection() const {
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -79,6 +79,9 @@
     /// \brief The same for a head or a late answer that has begun: if it takes too long, the answer
     ///        is malformed. Always returns false.
     [[nodiscard]] bool fail_unfinished(status reading);
+    /// \brief After the connection was lost with the request in flight, finds out whether the
+    ///        target accepts another one.
+    void check_whether_target_is_up();
     /// \returns true when the request may be sent again after a reused connection was lost
     [[nodiscard]] bool may_retry_on_new_connection() const;
     [[nodiscard]] bool is_head_request() const { return request_->info.method == "HEAD"; }
