Drop the least useful crash marks when their tables are full

After 4,096 crash marks a node passed no new one on for up to 10 minutes, and with 8,192 fingerprints its own table dropped any one, usually the newest: a crashing request was then sent on.

Cause: a full table that refuses what is new, or drops at random. Change: a newer mark replaces the oldest one of a request that has no other mark; marks of blocked requests stay.

--- a/test/once/crash_containment_test.cpp
+++ b/test/once/crash_containment_test.cpp
@@ -52,3 +52,21 @@
     }
     CHECK(containment.size() <= 8192);
 }
+
+// Guards against sending a blocked request again because many other requests were in flight when
+// targets crashed.
+TEST(crash_containment, other_marks_do_not_displace_a_blocked_request) {
+    mark(1, "t1", noon);
+    mark(1, "t2", noon);
+    for (std::uint64_t i = 2; i < 20'000; ++i) {
+        mark(i, "t1", noon + seconds(1));
+    }
+    CHECK_TRUE(containment.is_blocked(1, noon + seconds(1)));
+    CHECK(containment.size() <= 8192);
+    mark(20'000, "t1", noon + seconds(2));
+    for (std::uint64_t i = 30'000; i < 31'000; ++i) {
+        mark(i, "t1", noon + seconds(2));
+    }
+    mark(20'000, "t2", noon + seconds(2));
+    CHECK_TRUE(containment.is_blocked(20'000, noon + seconds(2)));
+}
--- a/test/peers/gossip_items_test.cpp
+++ b/test/peers/gossip_items_test.cpp
@@ -243,3 +243,25 @@
     }
     LONGS_EQUAL(35, informed);
 }
+
+// Guards against crash marks that aren't passed on because those of other requests use up the
+// memory for them.
+TEST(gossip_items, passes_crash_marks_on_after_thousands_of_others) {
+    const auto fleet = converged_fleet(3);
+    const auto now = fleet->clock.wall_now();
+    fleet->at(0).announce(once::crash_mark{1, target_id("stock-1"), now});
+    fleet->at(0).announce(once::crash_mark{1, target_id("stock-2"), now});
+    for (std::uint64_t i = 2; i < 10'000; ++i) {
+        fleet->at(0).announce(once::crash_mark{i, target_id("stock-1"), now});
+    }
+    fleet->run(seconds{1});
+    const auto later = fleet->clock.wall_now();
+    fleet->at(0).announce(once::crash_mark{10'000, target_id("stock-3"), later});
+    fleet->run(seconds{3});
+    const auto received = [&](std::uint64_t fingerprint) {
+        return std::ranges::count(fleet->nodes[2]->marks, fingerprint,
+                                  &once::crash_mark::fingerprint);
+    };
+    LONGS_EQUAL(2, received(1));
+    LONGS_EQUAL(1, received(10'000));
+}
--- a/wigeonrill/src/once/crash_containment.cpp
+++ b/wigeonrill/src/once/crash_containment.cpp
@@ -54,7 +54,9 @@
         last_purge_ = now;
     }
     if (marks_.size() >= max_fingerprints) {
-        marks_.erase(marks_.begin());
+        marks_.erase(std::ranges::min_element(marks_, std::ranges::less{}, [](const auto& one) {
+            return std::pair(one.second.size() >= marks_to_block, one.second.back().observed);
+        }));
     }
 }
 
--- a/wigeonrill/src/once/crash_containment.h
+++ b/wigeonrill/src/once/crash_containment.h
@@ -31,7 +31,8 @@
         wall_time when{};
     };
     static constexpr std::size_t success_slots = 1024;
-    /// \brief Drops expired marks, or else one fingerprint, when the table is full.
+    /// \brief When the table is full, drops expired marks, or else the oldest fingerprint,
+    ///        preferably one that isn't blocked.
     void make_room(wall_time now);
 
     std::unordered_map<std::uint64_t, std::vector<crash_mark>> marks_;
--- a/wigeonrill/src/peers/digest_builder.cpp
+++ b/wigeonrill/src/peers/digest_builder.cpp
@@ -81,15 +81,40 @@
 
 bool digest_builder::add_if_new(const once::crash_mark& item, wall_time now) {
     const crash_mark_key key{item.fingerprint, item.target};
-    if (crash_marks_.contains(key) || crash_marks_.size() >= max_crash_marks ||
-        now - item.observed >= crash_mark_lifetime) {
+    if (crash_marks_.contains(key) || now - item.observed >= crash_mark_lifetime) {
         return false;
     }
+    if (crash_marks_.size() >= max_crash_marks && !replace_lone_mark(item.observed)) {
+        return false;
+    }
+    add_to_lone_marks(key, item.observed);
     crash_marks_.emplace(key, item);
     crash_mark_queue_.mark_fresh(key);
     return true;
 }
 
+// Only an older mark is replaced, so that one which was replaced here is not taken again from peers
+// that still have it.
+bool digest_builder::replace_lone_mark(wall_time observed) {
+    if (lone_marks_.empty() || lone_marks_.begin()->first >= observed) {
+        return false;
+    }
+    const auto key = lone_marks_.begin()->second;
+    lone_marks_.erase(lone_marks_.begin());
+    crash_mark_queue_.erase(key);
+    crash_marks_.erase(key);
+    return true;
+}
+
+void digest_builder::add_to_lone_marks(const crash_mark_key& key, wall_time observed) {
+    const auto other = crash_marks_.lower_bound({key.first, target_id()});
+    if (other == crash_marks_.end() || other->first.first != key.first) {
+        lone_marks_.emplace(observed, key);
+    } else {
+        lone_marks_.erase({other->second.observed, other->first});
+    }
+}
+
 bool digest_builder::add_if_new(const health::rate_limit& item, instant now) {
     const auto it = rate_limits_.find(item.target);
     const bool known = it != rate_limits_.end();
@@ -123,6 +148,7 @@
         const bool ended = wall_now - entry.second.observed >= crash_mark_lifetime;
         if (ended) {
             crash_mark_queue_.erase(entry.first);
+            lone_marks_.erase({entry.second.observed, entry.first});
         }
         return ended;
     });
--- a/wigeonrill/src/peers/digest_builder.h
+++ b/wigeonrill/src/peers/digest_builder.h
@@ -30,7 +30,8 @@
     /// \returns whether it was added; false if it is expired, not newer than the one held, or there
     ///          is no space
     bool add_if_new(const health::verdict& item, instant now);
-    /// \brief Adds a crash mark.
+    /// \brief Adds a crash mark. If there is no space, it replaces the oldest one of a request that
+    ///        has no other mark.
     /// \returns whether it was added; false if it is already held, too old, or there is no space
     bool add_if_new(const once::crash_mark& item, wall_time now);
     /// \brief Adds a rate limit. Of each target only the latest one is kept.
@@ -63,9 +64,17 @@
     using verdict_key = std::tuple<target_id, service_name, node_id>;
     using crash_mark_key = std::pair<std::uint64_t, target_id>;
 
+    /// \returns false if there is no older mark to replace
+    bool replace_lone_mark(wall_time observed);
+    /// \brief Updates lone_marks_ for a mark that is about to be added.
+    void add_to_lone_marks(const crash_mark_key& key, wall_time observed);
+
     std::map<verdict_key, health::verdict> verdicts_;        ///< held until they expire
     std::map<crash_mark_key, once::crash_mark> crash_marks_; ///< held until they expire
     std::map<target_id, health::rate_limit> rate_limits_;    ///< held until they expire
+    /// Marks of requests that have no other mark, oldest first. Marks from two targets block a
+    /// request, so they are not replaced.
+    std::set<std::pair<wall_time, crash_mark_key>> lone_marks_;
     rumor_queue<verdict_key> verdict_queue_;
     rumor_queue<crash_mark_key> crash_mark_queue_;
     rumor_queue<target_id> rate_limit_queue_;
