Wait before a request is sent again after its target crashed

Cause: the node retried a few milliseconds after the crash, and its caller went to the next node as soon as that had failed too, while the marks waited for the control threads of both nodes (datagrams are collected for 10 ms, and a busy machine adds its own delay). Who may send while marks are on their way was nobody's decision.

Change: the next attempt of such a request waits in the queue for 100 ms, in which the other nodes learn of the first crash, so that one of their own blocks it. Price: requests that were in flight at a target that crashed for another reason wait 100 ms longer.

Conclusion: the marks of the first crash are known elsewhere before the second.

--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -21,6 +21,11 @@
 // arrive soon.
 constexpr seconds misdirected_exclusion{4};
 
+// Delay before the next attempt of a request whose target crashed, in which the other nodes learn
+// of the crash. A caller that sends the request to several nodes at once thus crashes fewer
+// targets.
+constexpr milliseconds crash_retry_delay{100};
+
 bool is_answer(health::answer_kind kind) {
     return kind == health::answer_kind::ok || kind == health::answer_kind::server_error;
 }
@@ -29,6 +34,11 @@
     return kind == health::answer_kind::shed;
 }
 
+bool shows_crash(const traffic::attempt_result& attempt) {
+    return attempt.kind == health::answer_kind::connection_lost && attempt.request_bytes_sent &&
+           !attempt.target_is_up;
+}
+
 bool was_not_run(const traffic::attempt_result& attempt) {
     return is_shed(attempt.kind) || !attempt.request_bytes_sent;
 }
@@ -117,8 +127,7 @@
         record.answer_started = true;
         return false;
     }
-    if (attempt.kind == health::answer_kind::connection_lost && attempt.request_bytes_sent &&
-        !attempt.target_is_up) {
+    if (shows_crash(attempt)) {
         mark_crash(record, record.assigned_target->id, at);
     }
     release_target(record, attempt, at.now);
@@ -281,7 +290,12 @@
     // An attempt without a connection costs no target capacity, so it needs no retry budget.
     const bool needs_no_budget = attempt.kind == health::answer_kind::connect_failed;
     if (retry && (needs_no_budget || record.service->retries.take(at.now))) {
-        place_or_queue(record, at);
+        if (shows_crash(attempt)) {
+            record.not_before = at.now + crash_retry_delay;
+            enqueue(record, at.now);
+        } else {
+            place_or_queue(record, at);
+        }
     } else if (retry && is_shed(attempt.kind) && options_.shed_may_wait) {
         // The request waits in the queue, so that a short overload does not cause a refusal.
         const auto delay =
--- a/wigeonrill/src/dispatch/request_record.h
+++ b/wigeonrill/src/dispatch/request_record.h
@@ -36,7 +36,7 @@
     std::string reason{"first"};     ///< reason for the next decision, for its log line
 
     std::optional<instant> queued_since; ///< since when the request is in the queue
-    instant not_before{instant::min()};  ///< earliest time of the next attempt; set after a shed
+    instant not_before{instant::min()};  ///< earliest time of the next attempt
     std::optional<traffic::step> ready_step; ///< decided step that poll() has not returned yet
 };
 
