Show that a node cut off from all targets refuses its callers

The node's configuration names the targets' addresses on another loopback address, where nobody listens; connect_node() gives it the right ones.

--- a/test/fleet/faults_test.cpp
+++ b/test/fleet/faults_test.cpp
@@ -118,6 +118,32 @@
     CHECK(eventually([&] { return test_fleet.observed_state(1, "lookups-1") == "leaving"; }, 5));
 }
 
+// Guards against refusing callers at a node that has lost all targets while other nodes reach them,
+// and against passing requests on after it reaches the targets again.
+TEST(faults, node_cut_off_from_all_targets_serves_its_callers) {
+    fleet test_fleet(3, 4);
+    test_fleet.start_node(0);
+    test_fleet.start_node(1);
+    test_fleet.start_cut_off_node(2);
+    // The nodes must know each other; 1 s is two rounds of gossip.
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    constexpr int requests = 30;
+    int served = 0;
+    for (int i = 0; i < requests; ++i) {
+        const auto got = send(test_fleet.traffic_port(2), {"GET", "/stock/" + std::to_string(i)});
+        served += got.status == 200 ? 1 : 0;
+    }
+    LONGS_EQUAL(requests, served);
+    test_fleet.connect_node(2);
+    test_fleet.kill_node(0);
+    test_fleet.kill_node(1);
+    CHECK(eventually(
+        [&] {
+            return send(test_fleet.traffic_port(2), {"GET", "/stock/1"}).status == 200;
+        },
+        5));
+}
+
 // Guards against a node that was suspended and counts its own pause as silence of the targets.
 TEST(faults, resumed_node_ejects_no_targets) {
     fleet test_fleet(2, 3);
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -31,8 +31,12 @@
 
 constexpr std::array<const char*, 3> domain_names{"edi-1", "edi-2", "edi-3"};
 
+constexpr const char* own_ip = "127.0.0.1";
+// The stand-in targets don't listen at this address, so connections to it are refused.
+constexpr const char* ip_without_targets = "127.0.0.2";
+
 std::string loopback(int port) {
-    return "127.0.0.1:" + std::to_string(port);
+    return std::string(own_ip) + ":" + std::to_string(port);
 }
 
 } // namespace
@@ -166,7 +170,6 @@
                                      std::to_string(slots_)}));
     }
     nodes_.resize(nodes);
-    write_inventory();
     for (const auto& [name, port] : target_ports_) {
         static_cast<void>(eventually(
             [&, it = port] {
@@ -182,7 +185,11 @@
     std::system(("rm -r " + folder_).c_str());
 }
 
-void fleet::write_inventory() const {
+std::string fleet::inventory_path(int node) const {
+    return folder_ + "/inventory-" + std::to_string(node) + ".json";
+}
+
+void fleet::write_inventory(int node, int version, const std::string& target_ip) const {
     json services;
     for (const auto& [name, port] : target_ports_) {
         const auto dash_position = name.find('-');
@@ -190,7 +197,7 @@
         auto& service = services[name.substr(0, dash_position)];
         service["floor_slots"] = slots_;
         service["weight"] = "detection";
-        service["targets"][name] = {{"address", loopback(port)},
+        service["targets"][name] = {{"address", target_ip + ":" + std::to_string(port)},
                                     {"domain", domain_names.at(number % 3)},
                                     {"slots", slots_},
                                     {"cold_start", "0s"}};
@@ -208,7 +215,7 @@
     }
     json limits = {{"total", "10s"}, {"first_byte", "1s"}, {"body_idle", "10s"}};
     const json document = {{"format", 1},
-                           {"version", 1},
+                           {"version", version},
                            {"published", "2026-12-01T00:00:00Z"},
                            {"services", services},
                            {"routes",
@@ -228,7 +235,7 @@
                                                         {"effective_from", "2026-11-20T00:00:00Z"},
                                                         {"owners", owners}}})},
                            {"vms", vms}};
-    std::ofstream(folder_ + "/inventory.json") << document.dump(2);
+    std::ofstream(inventory_path(node)) << document.dump(2);
 }
 
 std::string fleet::write_settings(int node, bool with_config_file) const {
@@ -238,7 +245,7 @@
     }
     json source = {{"platform", json::array({loopback(unused_port_)})}};
     if (with_config_file) {
-        source = {{"file", folder_ + "/inventory.json"}};
+        source = {{"file", inventory_path(node)}};
     }
     const json document = {{"node",
                             {{"domain", domain_names.at(node % 3)},
@@ -254,6 +261,21 @@
 }
 
 void fleet::start_node(int node, bool with_config_file) {
+    write_inventory(node, 1, own_ip);
+    start_process(node, with_config_file);
+}
+
+void fleet::start_cut_off_node(int node) {
+    write_inventory(node, 1, ip_without_targets);
+    start_process(node, true);
+}
+
+void fleet::connect_node(int node) {
+    write_inventory(node, 2, own_ip);
+    nodes_.at(node)->signal(SIGHUP);
+}
+
+void fleet::start_process(int node, bool with_config_file) {
     nodes_.at(node) = std::make_unique<process>(
         binary("wigeonrilld"),
         std::vector<std::string>{"--settings", write_settings(node, with_config_file)});
--- a/test/fleet/fleet.h
+++ b/test/fleet/fleet.h
@@ -68,6 +68,10 @@
     /// \param with_config_file false: the node has no configuration file, and its platform address
     ///        refuses connections
     void start_node(int node, bool with_config_file = true);
+    /// \brief Starts a node whose connections to all targets are refused until connect_node().
+    void start_cut_off_node(int node);
+    /// \brief Lets a node that was started cut off reach the targets.
+    void connect_node(int node);
     [[nodiscard]] process& node(int index) { return *nodes_.at(index); }
     /// \brief Kills a node with SIGKILL and waits until it has exited.
     void kill_node(int index);
@@ -91,8 +95,12 @@
     [[nodiscard]] std::vector<std::string> targets() const;
 
 private:
-    void write_inventory() const;
+    /// \brief Writes the configuration file of a node.
+    /// \param target_ip address of the targets; they listen at 127.0.0.1 only
+    void write_inventory(int node, int version, const std::string& target_ip) const;
+    [[nodiscard]] std::string inventory_path(int node) const;
     [[nodiscard]] std::string write_settings(int node, bool with_config_file) const;
+    void start_process(int node, bool with_config_file);
 
     int slots_;
     std::string folder_;
