Pass requests to other nodes while no target is reached

Cause: such a node had no other way to serve. Each request tried eight targets, 18 ms when they refused and 1.2 s when connections hung, and was refused. The class: a fault of the node's own links treated as one of the targets, request by request. Ruled out: harm to other nodes, which served as usual.

Change: health::target_reachability decides whether the node is cut off, from new connections of requests and of checks that a thread makes while that may be so. While it is, or after three failed connections of one request, the request goes to a node that reaches targets, once, unless a target or node may have run it. Messages and member records say who is cut off, and the port for callers (optional fields, so older builds take no such requests and lose nothing else).

Elsewhere: forwarding to key owners keeps its own path; a key's owner that is cut off still refuses. A node that is cut off isn't taken out of the balancer.

--- a/test/peers/busy_fleet_test.cpp
+++ b/test/peers/busy_fleet_test.cpp
@@ -77,3 +77,30 @@
     UNSIGNED_LONGS_EQUAL(nodes - 1, nodes_with_mark(first));
     UNSIGNED_LONGS_EQUAL(nodes - 1, nodes_with_mark(second));
 }
+
+// Guards against passing requests to nodes that reach no target either, and against leaving nodes
+// unused that reach the targets again, while the byte budget is used up.
+TEST(busy_fleet, all_nodes_know_which_nodes_are_cut_off) {
+    announce_verdicts(20);
+    run_with_failures(seconds{6});
+    constexpr std::size_t cut_off = 60;
+    const auto nodes_with_relays = [&](std::size_t count) {
+        std::size_t n = 0;
+        for (std::size_t i = 0; i < nodes; ++i) {
+            n += fleet.at(i).relays().size() == count ? 1 : 0;
+        }
+        return n;
+    };
+    UNSIGNED_LONGS_EQUAL(nodes, nodes_with_relays(nodes - 1));
+    for (std::size_t i = 0; i < cut_off; ++i) {
+        fleet.at(i).announce_cut_off(true);
+    }
+    run_with_failures(seconds{2});
+    UNSIGNED_LONGS_EQUAL(cut_off, nodes_with_relays(nodes - cut_off));
+    UNSIGNED_LONGS_EQUAL(nodes - cut_off, nodes_with_relays(nodes - cut_off - 1));
+    for (std::size_t i = 0; i < cut_off; ++i) {
+        fleet.at(i).announce_cut_off(false);
+    }
+    run_with_failures(seconds{2});
+    UNSIGNED_LONGS_EQUAL(nodes, nodes_with_relays(nodes - 1));
+}
--- a/test/peers/codec_test.cpp
+++ b/test/peers/codec_test.cpp
@@ -35,10 +35,17 @@
         out.sequence = 9;
         out.echo = 8;
         out.domain = domain_name("rack-1");
+        out.traffic_port = 65'535;
+        out.cut_off = true;
         out.config_digest = 0xfedcba9876543210U;
         out.confirmed = clock.wall_now() - milliseconds{1'500};
-        out.members.push_back(
-            {bob, domain_name("rack-2"), {1'699'999'998'000, 5}, 2, member_state::suspect});
+        out.members.push_back({bob,
+                               domain_name("rack-2"),
+                               {1'699'999'998'000, 5},
+                               2,
+                               member_state::suspect,
+                               65'535,
+                               true});
         out.verdicts.push_back(make_verdict(alice, "stock-1", 40, clock.now() + seconds(25)));
         out.marks.push_back({0xffffffffffffffffU, target_id("stock-2"), clock.wall_now()});
         auto evidence = make_evidence("stock-3", 12);
--- a/test/peers/fake_fleet.h
+++ b/test/peers/fake_fleet.h
@@ -118,6 +118,7 @@
     }
     static node_id id(std::size_t i) { return node_id(to_string(address(i))); }
 
+    static constexpr std::uint16_t traffic_port = 8'080; ///< of all nodes
     /// Budget for observations with the number of outstanding requests, in bytes per second.
     static constexpr std::int64_t count_budget = 4'000;
 
@@ -130,6 +131,7 @@
             static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since).count()),
             nonce};
         out.seeds = {address(0), address(1)};
+        out.traffic_port = traffic_port;
         out.load_bytes_per_second = static_cast<double>(count_budget);
         return out;
     }
--- a/wigeonrill/daemon.h
+++ b/wigeonrill/daemon.h
@@ -7,6 +7,7 @@
 #define WIGEONRILL_DAEMON_MODULE
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <future>
 #include <map>
@@ -28,6 +29,7 @@
 #include "src/daemon/event_queue.h"
 #include "src/daemon/node_state.h"
 #include "src/daemon/process_signals.h"
+#include "src/daemon/reachability_checker.h"
 #include "src/daemon/settings.h"
 // Needs event_queue.h.
 #include "src/daemon/traffic_event_sink.h"
--- a/wigeonrill/gen-cpp/messages_types.cpp
+++ b/wigeonrill/gen-cpp/messages_types.cpp
@@ -41,6 +41,16 @@
 void Member::__set_state(const int8_t val) {
   this->state = val;
 }
+
+void Member::__set_traffic_port(const int32_t val) {
+  this->traffic_port = val;
+__isset.traffic_port = true;
+}
+
+void Member::__set_cut_off(const bool val) {
+  this->cut_off = val;
+__isset.cut_off = true;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -117,6 +127,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->traffic_port);
+          this->__isset.traffic_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cut_off);
+          this->__isset.cut_off = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -158,6 +184,16 @@
   xfer += oprot->writeByte(this->state);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.traffic_port) {
+    xfer += oprot->writeFieldBegin("traffic_port", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->traffic_port);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.cut_off) {
+    xfer += oprot->writeFieldBegin("cut_off", ::apache::thrift::protocol::T_BOOL, 8);
+    xfer += oprot->writeBool(this->cut_off);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -171,6 +207,8 @@
   swap(a.nonce, b.nonce);
   swap(a.epoch, b.epoch);
   swap(a.state, b.state);
+  swap(a.traffic_port, b.traffic_port);
+  swap(a.cut_off, b.cut_off);
   swap(a.__isset, b.__isset);
 }
 
@@ -181,6 +219,8 @@
   nonce = other0.nonce;
   epoch = other0.epoch;
   state = other0.state;
+  traffic_port = other0.traffic_port;
+  cut_off = other0.cut_off;
   __isset = other0.__isset;
 }
 Member& Member::operator=(const Member& other1) {
@@ -190,6 +230,8 @@
   nonce = other1.nonce;
   epoch = other1.epoch;
   state = other1.state;
+  traffic_port = other1.traffic_port;
+  cut_off = other1.cut_off;
   __isset = other1.__isset;
   return *this;
 }
@@ -202,6 +244,8 @@
   out << ", " << "nonce=" << to_string(nonce);
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "state=" << to_string(state);
+  out << ", " << "traffic_port="; (__isset.traffic_port ? (out << to_string(traffic_port)) : (out << "<null>"));
+  out << ", " << "cut_off="; (__isset.cut_off ? (out << to_string(cut_off)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1162,6 +1206,16 @@
   this->rate_limits = val;
 __isset.rate_limits = true;
 }
+
+void Message::__set_traffic_port(const int32_t val) {
+  this->traffic_port = val;
+__isset.traffic_port = true;
+}
+
+void Message::__set_cut_off(const bool val) {
+  this->cut_off = val;
+__isset.cut_off = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -1414,6 +1468,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->traffic_port);
+          this->__isset.traffic_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cut_off);
+          this->__isset.cut_off = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1566,6 +1636,16 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.traffic_port) {
+    xfer += oprot->writeFieldBegin("traffic_port", ::apache::thrift::protocol::T_I32, 20);
+    xfer += oprot->writeI32(this->traffic_port);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.cut_off) {
+    xfer += oprot->writeFieldBegin("cut_off", ::apache::thrift::protocol::T_BOOL, 21);
+    xfer += oprot->writeBool(this->cut_off);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1592,6 +1672,8 @@
   swap(a.reading_age_ms, b.reading_age_ms);
   swap(a.observations, b.observations);
   swap(a.rate_limits, b.rate_limits);
+  swap(a.traffic_port, b.traffic_port);
+  swap(a.cut_off, b.cut_off);
   swap(a.__isset, b.__isset);
 }
 
@@ -1615,6 +1697,8 @@
   reading_age_ms = other48.reading_age_ms;
   observations = other48.observations;
   rate_limits = other48.rate_limits;
+  traffic_port = other48.traffic_port;
+  cut_off = other48.cut_off;
   __isset = other48.__isset;
 }
 Message& Message::operator=(const Message& other49) {
@@ -1637,6 +1721,8 @@
   reading_age_ms = other49.reading_age_ms;
   observations = other49.observations;
   rate_limits = other49.rate_limits;
+  traffic_port = other49.traffic_port;
+  cut_off = other49.cut_off;
   __isset = other49.__isset;
   return *this;
 }
@@ -1662,6 +1748,8 @@
   out << ", " << "reading_age_ms="; (__isset.reading_age_ms ? (out << to_string(reading_age_ms)) : (out << "<null>"));
   out << ", " << "observations="; (__isset.observations ? (out << to_string(observations)) : (out << "<null>"));
   out << ", " << "rate_limits="; (__isset.rate_limits ? (out << to_string(rate_limits)) : (out << "<null>"));
+  out << ", " << "traffic_port="; (__isset.traffic_port ? (out << to_string(traffic_port)) : (out << "<null>"));
+  out << ", " << "cut_off="; (__isset.cut_off ? (out << to_string(cut_off)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wigeonrill/gen-cpp/messages_types.h
+++ b/wigeonrill/gen-cpp/messages_types.h
@@ -44,13 +44,15 @@
 class Refusal;
 
 typedef struct _Member__isset {
-  _Member__isset() : id(false), domain(false), started_ms(false), nonce(false), epoch(false), state(false) {}
+  _Member__isset() : id(false), domain(false), started_ms(false), nonce(false), epoch(false), state(false), traffic_port(false), cut_off(false) {}
   bool id :1;
   bool domain :1;
   bool started_ms :1;
   bool nonce :1;
   bool epoch :1;
   bool state :1;
+  bool traffic_port :1;
+  bool cut_off :1;
 } _Member__isset;
 
 class Member : public virtual ::apache::thrift::TBase {
@@ -64,7 +66,9 @@
            started_ms(0),
            nonce(0),
            epoch(0),
-           state(0) {
+           state(0),
+           traffic_port(0),
+           cut_off(0) {
   }
 
   virtual ~Member() noexcept;
@@ -74,6 +78,8 @@
   int32_t nonce;
   int32_t epoch;
   int8_t state;
+  int32_t traffic_port;
+  bool cut_off;
 
   _Member__isset __isset;
 
@@ -89,6 +95,10 @@
 
   void __set_state(const int8_t val);
 
+  void __set_traffic_port(const int32_t val);
+
+  void __set_cut_off(const bool val);
+
   bool operator == (const Member & rhs) const
   {
     if (!(id == rhs.id))
@@ -103,6 +113,14 @@
       return false;
     if (!(state == rhs.state))
       return false;
+    if (__isset.traffic_port != rhs.__isset.traffic_port)
+      return false;
+    else if (__isset.traffic_port && !(traffic_port == rhs.traffic_port))
+      return false;
+    if (__isset.cut_off != rhs.__isset.cut_off)
+      return false;
+    else if (__isset.cut_off && !(cut_off == rhs.cut_off))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
@@ -483,7 +501,7 @@
 std::ostream& operator<<(std::ostream& out, const RateLimit& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : protocol(false), kind(false), started_ms(false), nonce(false), epoch(false), config_version(false), sequence(false), echo(false), leaving(false), domain(false), config_digest(false), confirmed_ms(false), members(false), verdicts(false), crash_marks(false), evidence(false), reading_age_ms(false), observations(false), rate_limits(false) {}
+  _Message__isset() : protocol(false), kind(false), started_ms(false), nonce(false), epoch(false), config_version(false), sequence(false), echo(false), leaving(false), domain(false), config_digest(false), confirmed_ms(false), members(false), verdicts(false), crash_marks(false), evidence(false), reading_age_ms(false), observations(false), rate_limits(false), traffic_port(false), cut_off(false) {}
   bool protocol :1;
   bool kind :1;
   bool started_ms :1;
@@ -503,6 +521,8 @@
   bool reading_age_ms :1;
   bool observations :1;
   bool rate_limits :1;
+  bool traffic_port :1;
+  bool cut_off :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -523,7 +543,9 @@
             domain(),
             config_digest(0),
             confirmed_ms(0),
-            reading_age_ms(0) {
+            reading_age_ms(0),
+            traffic_port(0),
+            cut_off(0) {
   }
 
   virtual ~Message() noexcept;
@@ -546,6 +568,8 @@
   int32_t reading_age_ms;
   std::vector<Observation>  observations;
   std::vector<RateLimit>  rate_limits;
+  int32_t traffic_port;
+  bool cut_off;
 
   _Message__isset __isset;
 
@@ -587,6 +611,10 @@
 
   void __set_rate_limits(const std::vector<RateLimit> & val);
 
+  void __set_traffic_port(const int32_t val);
+
+  void __set_cut_off(const bool val);
+
   bool operator == (const Message & rhs) const
   {
     if (!(protocol == rhs.protocol))
@@ -649,6 +677,14 @@
       return false;
     else if (__isset.rate_limits && !(rate_limits == rhs.rate_limits))
       return false;
+    if (__isset.traffic_port != rhs.__isset.traffic_port)
+      return false;
+    else if (__isset.traffic_port && !(traffic_port == rhs.traffic_port))
+      return false;
+    if (__isset.cut_off != rhs.__isset.cut_off)
+      return false;
+    else if (__isset.cut_off && !(cut_off == rhs.cut_off))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/wigeonrill/health.h
+++ b/wigeonrill/health.h
@@ -28,6 +28,7 @@
 #include "src/health/fleet_nodes.h"
 #include "src/health/latency_baseline.h"
 #include "src/health/shared_cause_detector.h"
+#include "src/health/target_reachability.h"
 // Needs all of the above.
 #include "src/health/monitor.h"
 
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -14,6 +14,8 @@
 // Updating 3,700 members on each tick would take over 1% of a core. Once a second is enough,
 // because the failure of a node that aggregates evidence is detected only after seconds.
 constexpr std::uint64_t ticks_per_member_update = 20;
+// Other nodes may be cut off at the same moment.
+constexpr std::uint64_t ticks_per_relay_update_while_cut_off = 5;
 // The monitor requests another probe 5 s after the last one. An unused request expires before that,
 // so that requests for probes don't accumulate.
 constexpr seconds probe_request_lifetime{4};
@@ -127,6 +129,7 @@
         update_members();
     }
     exchange_events();
+    update_reachability();
     for (const auto& it : dependencies_.dispatcher.outstanding()) {
         monitor_.on_outstanding(it.service, it.target, it.route, now - it.sent, it.request);
     }
@@ -305,6 +308,24 @@
     dependencies_.dispatcher.set_nodes(dependencies_.gossip->id(), possible_senders);
 }
 
+void control_loop::update_reachability() {
+    const bool was_cut_off = std::exchange(cut_off_, dependencies_.dispatcher.is_cut_off());
+    if (cut_off_ != was_cut_off) {
+        write_log(log_level::warning, log_subsystem::daemon,
+                  log_line(cut_off_ ? "This node reaches no target; other nodes serve its callers."
+                                    : "This node reaches targets again."));
+    }
+    if (dependencies_.gossip == nullptr) {
+        return;
+    }
+    dependencies_.gossip->announce_cut_off(cut_off_);
+    const auto ticks_per_update =
+        cut_off_ ? ticks_per_relay_update_while_cut_off : ticks_per_member_update;
+    if (cut_off_ != was_cut_off || ticks_ % ticks_per_update == 0) {
+        dependencies_.dispatcher.set_relays(dependencies_.gossip->relays());
+    }
+}
+
 void control_loop::apply_monitor_actions(const health::monitor_actions& actions) {
     for (const auto& it : actions.log) {
         write_log(log_level::info, log_subsystem::health,
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -90,6 +90,8 @@
     void log_unreadable_rate_limit(const health::answer& answer);
     void process_peer_messages();
     void update_members();
+    /// \brief Announces whether this node reaches targets, and tells the dispatcher which nodes do.
+    void update_reachability();
     void set_group(platform::read_sharing_group next);
     void apply_monitor_actions(const health::monitor_actions& actions);
     void activate_configuration();
@@ -113,6 +115,7 @@
     /// Ejected targets for which a probe was requested. Their next answer is its result.
     std::set<target_id> probed_targets_;
     bool plans_changed_{true};
+    bool cut_off_{false}; ///< this node reaches no target
     std::uint64_t ticks_{0};
     std::map<std::string, std::size_t> peers_by_state_;
     std::shared_ptr<const std::set<std::string>> peer_ips_;
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -111,6 +111,7 @@
     std::unique_ptr<control_loop> loop;
     std::unique_ptr<node_admin_queries> queries;
     std::unique_ptr<control_thread> control;
+    std::unique_ptr<reachability_checker> checker;
     std::unique_ptr<platform_reader_adapter> platform_reader;
     std::unique_ptr<store_reader_adapter> store_reader;
     std::unique_ptr<peers::change_server> configuration_server;
@@ -150,6 +151,9 @@
     gossip_settings.seeds = node_settings.seeds;
     // With a store there is no list of nodes, since the store has targets only, and the platform
     // assigns each address to one process.
+    if (node_settings.traffic.ip == node_settings.peer->ip) {
+        gossip_settings.traffic_port = node_settings.traffic.port;
+    }
     gossip_settings.load_bytes_per_second = static_cast<double>(node_settings.count_budget);
     gossip_settings.accepts_unlisted_peers = node_settings.store.has_value();
     gossip_settings.exclusive_address = node_settings.store.has_value();
@@ -251,6 +255,7 @@
     components_->admin.reset();
     components_->traffic_server.reset();
     components_->configuration_server.reset();
+    components_->checker.reset();
     // Readers post tasks that use their adapters, so the control thread, which runs them, ends
     // before the adapters are destroyed.
     components_->control->stop();
@@ -272,6 +277,8 @@
     initial->apply_file_content(initial->file_content);
     initial->start_readers();
     initial->control->start();
+    initial->checker = std::make_unique<reachability_checker>(initial->dispatcher,
+                                                              initial->node_settings.connect_time);
     std::unique_ptr<running_node> node(new running_node(std::move(initial)));
     auto& it = *node->components_;
     if (auto started = it.start_change_server(); !started) {
--- a/wigeonrill/src/daemon/traffic_event_sink.cpp
+++ b/wigeonrill/src/daemon/traffic_event_sink.cpp
@@ -12,7 +12,7 @@
     case traffic::step_kind::send:
         return "Request placed.";
     case traffic::step_kind::forward:
-        return "Request forwarded to the owner of its key.";
+        return "Request passed to another node.";
     case traffic::step_kind::replay:
         return "Stored answer sent.";
     case traffic::step_kind::refuse:
@@ -36,7 +36,7 @@
             .with("attempt", static_cast<std::int64_t>(decision.attempt));
     }
     if (decision.kind == traffic::step_kind::forward) {
-        line.with("owner", to_string(decision.address));
+        line.with("node", to_string(decision.address));
     }
     if (decision.kind == traffic::step_kind::refuse) {
         line.with("refusal", decision.refusal)
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -45,6 +45,7 @@
     view_ = std::move(view);
     table_ = std::move(table);
     ++generation_;
+    update_reachability_size();
     // Services without waiting requests take over the view when they are next used.
     for (auto& [name, service] : services_) {
         if (service->queue.size() > 0) {
@@ -131,7 +132,7 @@
     record.deadline = info.deadline;
     record.fingerprint = request_fingerprint(info, info.idempotency_key);
     if (find_route(record, at.now) && admit(record, at) && check_key(record, at) &&
-        find_service(record, at)) {
+        find_service(record, at) && !handle_while_cut_off(record, at.now)) {
         record.service->on_request(at.now);
         place_or_queue(record, at);
     }
@@ -316,6 +317,12 @@
         if (now < record.not_before) {
             continue;
         }
+        if (handle_while_cut_off(record, now)) {
+            service.queue.remove(id);
+            record.queued_since.reset();
+            ready_ids_.push_back(id);
+            continue;
+        }
         auto placed = service.place(record.tried_targets, now, random_);
         if (!placed.chosen_target) {
             if (++failed_placements == max_failed_placements) {
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -17,6 +17,13 @@
 /// nodes that all know the same old counts choose the same target.
 inline constexpr std::size_t max_count_receivers = 48;
 
+/// \brief Connection to a target that is tried to learn whether this node reaches targets.
+struct connection_check {
+    service_name service;
+    target_id target;
+    endpoint address;
+};
+
 /// \brief Options of a decision_core.
 struct core_options {
     /// \brief Creates the placement policy of one service.
@@ -100,6 +107,17 @@
     ///        waiting copies of the request are refused.
     void add_crash_mark(const once::crash_mark& mark, clock_reading at);
 
+    /// \brief Sets the addresses of the other nodes that reach targets. While this node reaches
+    ///        none, it passes the requests of its callers to them.
+    void set_relays(std::vector<endpoint> relays) { relays_ = std::move(relays); }
+    /// \returns whether this node reaches no target
+    [[nodiscard]] bool is_cut_off() const { return reachability_.is_cut_off(); }
+    /// \returns the connections that should be tried now; none while targets are reached
+    [[nodiscard]] std::vector<connection_check> connection_checks(instant now);
+    /// \brief Takes the result of a check.
+    void on_connection_check(const connection_check& check, bool connected, instant now) {
+        reachability_.on_connection(check.service, check.target, connected, now);
+    }
     /// \brief Sets the number of other nodes that receive the counts of outstanding requests.
     void set_count_receivers(std::size_t n) { count_receivers_ = n; }
     /// \brief Takes an observation of a target that another node made.
@@ -166,6 +184,19 @@
                 std::optional<seconds> retry_after = std::nullopt);
     /// \brief Makes forwarding to the key's owner the next step of a request.
     void forward(request_record& record, std::string reason);
+    void update_reachability_size();
+    /// \brief Updates reachability_ from an attempt at a target.
+    void observe_connection(const request_record& record, const traffic::attempt_result& attempt,
+                            instant now);
+    /// \brief Decides about a new request while this node reaches no target.
+    /// \returns false when the request must be placed at a target all the same
+    [[nodiscard]] bool handle_while_cut_off(request_record& record, instant now);
+    /// \brief Makes passing a request that no target has received to another node its next step.
+    /// \returns false when that is not possible
+    [[nodiscard]] bool try_relay(request_record& record, std::string reason);
+    /// \brief Passes a request to the next node, or refuses it, after a node sent no answer.
+    void handle_relay_failure(request_record& record, const traffic::attempt_result& attempt,
+                              clock_reading at);
     /// \brief Makes sending a stored answer the next step of a request.
     void replay(request_record& record, std::shared_ptr<const traffic::stored_answer> answer);
     /// \brief Records the final state of the key that a request holds, and decides about the
@@ -254,6 +285,9 @@
     admission::workspace_allowance allowance_;
     key_admission key_admission_;
     once::crash_containment containment_;
+    health::target_reachability reachability_;
+    instant next_connection_checks_{instant::min()};
+    std::vector<endpoint> relays_;         ///< other nodes that reach targets
     std::vector<event> events_;            ///< not yet taken by take_events()
     std::vector<std::uint64_t> ready_ids_; ///< not yet taken by take_ready()
 };
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -21,6 +21,9 @@
 // arrive soon.
 constexpr seconds misdirected_exclusion{4};
 
+// Number of targets that can't be connected to after which a request is passed to another node. A
+// few targets may be down at once.
+constexpr std::uint32_t failed_connects_to_relay = 3;
 // Delay before the next attempt of a request whose target crashed, in which the other nodes learn
 // of the crash. A caller that sends the request to several nodes at once thus crashes fewer
 // targets.
@@ -43,6 +46,8 @@
     return is_shed(attempt.kind) || !attempt.request_bytes_sent;
 }
 
+} // namespace
+
 refusal_kind refusal_of(const traffic::attempt_result& attempt) {
     if (is_shed(attempt.kind)) {
         return refusal_kind::shed;
@@ -62,8 +67,6 @@
     }
 }
 
-} // namespace
-
 traffic::outcome decision_core::outcome_of(const request_record& record) const {
     // A request with a key is provably not run only if it holds the key. Otherwise an earlier
     // request with the same key may have run, through this node or another one.
@@ -106,6 +109,13 @@
         handle_forward_failure(record, attempt, at.now);
         return true;
     }
+    if (record.relaying) {
+        if (is_answer(attempt.kind) || is_shed(attempt.kind)) {
+            return false;
+        }
+        handle_relay_failure(record, attempt, at);
+        return true;
+    }
     if (!record.assigned_target) {
         // The attempt already ended with the answer's head or a refusal; then the body broke off.
         refuse(record, refusal_of(attempt), outcome_of(record), at.now);
@@ -114,6 +124,7 @@
     sync_service(record.chosen_service, *record.service);
     report_attempt(record, attempt, at.wall);
     observe_attempt(record, attempt, at.now);
+    observe_connection(record, attempt, at.now);
     if (is_answer(attempt.kind)) {
         record.assigned_target->limiter.on_answer();
         // A sick target may answer with an error before it runs the request.
@@ -289,7 +300,12 @@
         "retry after " + std::string(enum_name(health::answer_kind_names, attempt.kind));
     // An attempt without a connection costs no target capacity, so it needs no retry budget.
     const bool needs_no_budget = attempt.kind == health::answer_kind::connect_failed;
-    if (retry && (needs_no_budget || record.service->retries.take(at.now))) {
+    record.failed_connects += needs_no_budget ? 1 : 0;
+    const bool seems_cut_off =
+        record.failed_connects >= failed_connects_to_relay || reachability_.is_cut_off();
+    if (retry && seems_cut_off && try_relay(record, "connections to several targets failed")) {
+        record.failed_connects = 0;
+    } else if (retry && (needs_no_budget || record.service->retries.take(at.now))) {
         if (shows_crash(attempt)) {
             record.not_before = at.now + crash_retry_delay;
             enqueue(record, at.now);
@@ -319,6 +335,9 @@
 
 bool decision_core::may_retry_elsewhere(std::uint64_t id, instant now) {
     const auto& record = record_of(id);
+    if (record.relaying) {
+        return false;
+    }
     if (record.forwarding || !record.assigned_target) {
         return true;
     }
--- /dev/null
+++ b/wigeonrill/src/dispatch/decision_core_relays.cpp
@@ -0,0 +1,119 @@
+#include "wigeonrill/dispatch.h"
+
+#include <algorithm>
+
+// Members of decision_core for a node that is cut off from the targets: other nodes that reach them
+// serve the requests of its callers.
+
+namespace wigeonrill::dispatch {
+
+namespace {
+
+// Number of nodes that one request is passed to.
+constexpr std::size_t max_relays = 3;
+// Number of connections per round of checks. One that succeeds ends the checks.
+constexpr std::size_t checks_per_round = 3;
+constexpr milliseconds check_interval{250};
+
+std::size_t count_targets(const routing::view& view) {
+    std::size_t n = 0;
+    for (const auto& it : view.services) {
+        n += it.eligible.size();
+    }
+    return n;
+}
+
+} // namespace
+
+std::vector<connection_check> decision_core::connection_checks(instant now) {
+    std::vector<connection_check> checks;
+    if (!view_ || !reachability_.needs_checks(now) || now < next_connection_checks_) {
+        return checks;
+    }
+    next_connection_checks_ = now + check_interval;
+    std::vector<const routing::service_view*> services;
+    for (const auto& it : view_->services) {
+        if (!it.eligible.empty()) {
+            services.push_back(&it);
+        }
+    }
+    for (std::size_t i = 0; i < checks_per_round && !services.empty(); ++i) {
+        const auto& service = *services[random_.next_below(services.size())];
+        const auto& it = service.eligible[random_.next_below(service.eligible.size())];
+        checks.push_back({service.service->name, it.target->id, it.target->address});
+    }
+    return checks;
+}
+
+void decision_core::observe_connection(const request_record& record,
+                                       const traffic::attempt_result& attempt, instant now) {
+    const bool failed = attempt.kind == health::answer_kind::connect_failed;
+    if (failed || attempt.connected) {
+        reachability_.on_connection(record.chosen_service, record.assigned_target->id, !failed,
+                                    now);
+    }
+}
+
+void decision_core::update_reachability_size() {
+    const auto services = std::ranges::count_if(
+        view_->services, [](const routing::service_view& it) { return !it.eligible.empty(); });
+    reachability_.set_size(static_cast<std::size_t>(services), count_targets(*view_));
+}
+
+bool decision_core::handle_while_cut_off(request_record& record, instant now) {
+    if (!reachability_.is_cut_off()) {
+        return false;
+    }
+    if (record.info.from_node) {
+        // Another node passed the request on before it knew that this one is cut off as well.
+        refuse(record, refusal_kind::unreachable, outcome_of(record), now, seconds(1));
+        return true;
+    }
+    return try_relay(record, "this node reaches no target");
+}
+
+// A request whose key this node owns must not be run by another one. A request that a target may
+// have run isn't passed on, since the other node doesn't know how many targets may still run it.
+bool decision_core::try_relay(request_record& record, std::string reason) {
+    if (record.info.from_node || record.holds_key || record.inconclusive_attempts > 0 ||
+        record.tried_relays.size() >= max_relays) {
+        return false;
+    }
+    std::vector<const endpoint*> untried;
+    for (const auto& it : relays_) {
+        if (std::ranges::find(record.tried_relays, it) == record.tried_relays.end()) {
+            untried.push_back(&it);
+        }
+    }
+    if (untried.empty()) {
+        return false;
+    }
+    record.relay = *untried[random_.next_below(untried.size())];
+    record.relaying = true;
+    record.reason = std::move(reason);
+    ++record.attempts;
+    traffic::step step;
+    step.kind = traffic::step_kind::forward;
+    step.address = record.relay;
+    step.needs_fresh_connection = at_most_once(record);
+    set_next_step(record, std::move(step), {});
+    return true;
+}
+
+void decision_core::handle_relay_failure(request_record& record,
+                                         const traffic::attempt_result& attempt, clock_reading at) {
+    record.relaying = false;
+    record.tried_relays.push_back(record.relay);
+    const bool not_run = !attempt.request_bytes_sent;
+    record.inconclusive_attempts += not_run ? 0 : 1;
+    const bool wanted = attempt.kind != health::answer_kind::cancelled && !stopping_ &&
+                        at.now < record.deadline &&
+                        !containment_.is_blocked(record.fingerprint, at.wall);
+    if (wanted && try_relay(record, "the connection to another node failed")) {
+        return;
+    }
+    refuse(record, refusal_of(attempt), outcome_of(record), at.now,
+           not_run ? std::optional(seconds(1)) : std::nullopt);
+}
+
+} // namespace wigeonrill::dispatch
--- a/wigeonrill/src/dispatch/refusals.h
+++ b/wigeonrill/src/dispatch/refusals.h
@@ -46,6 +46,9 @@
     key_owner_unreachable  ///< the owner of the key sent no answer
 };
 
+/// \returns the reason to refuse a request after a failed attempt
+[[nodiscard]] refusal_kind refusal_of(const traffic::attempt_result& attempt);
+
 /// \brief Builds the refusal sent to the caller: HTTP status, type, title and advice.
 /// \param kind reason for the refusal
 /// \param result whether a target may have run the request
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -70,6 +70,26 @@
     unlock_and_notify_sink(lock);
 }
 
+void request_dispatcher::set_relays(std::vector<endpoint> relays) {
+    const std::lock_guard guard(mutex_);
+    core_.set_relays(std::move(relays));
+}
+
+bool request_dispatcher::is_cut_off() const {
+    const std::lock_guard guard(mutex_);
+    return core_.is_cut_off();
+}
+
+std::vector<connection_check> request_dispatcher::connection_checks() {
+    const std::lock_guard guard(mutex_);
+    return core_.connection_checks(clock_.now());
+}
+
+void request_dispatcher::on_connection_check(const connection_check& check, bool connected) {
+    const std::lock_guard guard(mutex_);
+    core_.on_connection_check(check, connected, clock_.now());
+}
+
 void request_dispatcher::set_count_receivers(std::size_t n) {
     const std::lock_guard guard(mutex_);
     core_.set_count_receivers(n);
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -45,6 +45,15 @@
     /// \brief Records when the platform or a peer confirmed the current configuration. Without a
     ///        confirmation within owner_lease this node refuses keys created by callers.
     void set_config_confirmed_at(wall_time when);
+    /// \brief Sets the addresses of the other nodes that reach targets. While this node reaches
+    ///        none, it passes the requests of its callers to them.
+    void set_relays(std::vector<endpoint> relays);
+    /// \returns whether this node reaches no target
+    [[nodiscard]] bool is_cut_off() const;
+    /// \returns the connections that should be tried now; none while targets are reached
+    [[nodiscard]] std::vector<connection_check> connection_checks();
+    /// \brief Takes the result of a check.
+    void on_connection_check(const connection_check& check, bool connected);
     /// \brief Sets the number of other nodes that receive the counts of outstanding requests.
     void set_count_receivers(std::size_t n);
     /// \brief Takes an observation of a target that another node made.
--- a/wigeonrill/src/dispatch/request_record.h
+++ b/wigeonrill/src/dispatch/request_record.h
@@ -27,6 +27,10 @@
     bool holds_key{false};              ///< this request is the only one that may run the key
     bool waits_for_key{false};          ///< another request holds the key; this one waits for it
     bool forwarding{false};             ///< the current step sends the request to another node
+    bool relaying{false}; ///< the current step passes it to a node that reaches targets
+    endpoint relay;       ///< that node; set when relaying
+    std::vector<endpoint> tried_relays; ///< nodes that the request was passed to without an answer
+    std::uint32_t failed_connects{0};   ///< targets to which no connection could be made
     endpoint key_owner;                 ///< node that owns the key; set when forwarding
     std::optional<clock_reading> decided_at; ///< when poll() handed out the current step
     std::optional<instant> sent;             ///< when may_send() allowed the current attempt
@@ -35,8 +39,8 @@
     bool unpublished_success{false}; ///< success to be published with the next request count
     std::string reason{"first"};     ///< reason for the next decision, for its log line
 
-    std::optional<instant> queued_since; ///< since when the request is in the queue
-    instant not_before{instant::min()};  ///< earliest time of the next attempt
+    std::optional<instant> queued_since;     ///< since when the request is in the queue
+    instant not_before{instant::min()};      ///< earliest time of the next attempt
     std::optional<traffic::step> ready_step; ///< decided step that poll() has not returned yet
 };
 
--- a/wigeonrill/src/peers/codec.cpp
+++ b/wigeonrill/src/peers/codec.cpp
@@ -60,6 +60,23 @@
     return !name.empty() && name.size() <= max_name_bytes;
 }
 
+// Sets the optional fields that a member's record and the header of its messages share.
+template <typename Wire, typename Item>
+void fill_reachability(Wire& out, const Item& item) {
+    if (item.traffic_port != 0) {
+        out.__set_traffic_port(item.traffic_port);
+    }
+    if (item.cut_off) {
+        out.__set_cut_off(true);
+    }
+}
+
+// Returns 0 for a value that is no port.
+std::uint16_t port_from_wire(std::int32_t value) {
+    const bool valid = value > 0 && value <= std::numeric_limits<std::uint16_t>::max();
+    return valid ? static_cast<std::uint16_t>(value) : std::uint16_t{0};
+}
+
 wire::Member to_wire(const member_record& item) {
     wire::Member out;
     out.id = item.id.value;
@@ -68,6 +85,7 @@
     out.nonce = static_cast<std::int32_t>(item.process.nonce);
     out.epoch = static_cast<std::int32_t>(item.epoch);
     out.state = static_cast<std::int8_t>(item.state);
+    fill_reachability(out, item);
     return out;
 }
 
@@ -142,6 +160,7 @@
     if (!content.domain.value.empty()) {
         out.__set_domain(content.domain.value);
     }
+    fill_reachability(out, content);
     if (content.config_digest != 0) {
         out.__set_config_digest(static_cast<std::int64_t>(content.config_digest));
     }
@@ -190,11 +209,14 @@
         !valid_process(item.started_ms, item.nonce, item.epoch, wall_now)) {
         return std::nullopt;
     }
-    return member_record{node_id(item.id), domain_name(item.domain),
+    return member_record{node_id(item.id),
+                         domain_name(item.domain),
                          incarnation{static_cast<std::uint64_t>(item.started_ms),
                                      static_cast<std::uint32_t>(item.nonce)},
                          static_cast<std::uint32_t>(item.epoch),
-                         static_cast<member_state>(item.state)};
+                         static_cast<member_state>(item.state),
+                         port_from_wire(item.traffic_port),
+                         item.cut_off};
 }
 
 std::optional<health::verdict> from_wire(const wire::Verdict& item, instant now) {
@@ -292,6 +314,8 @@
     out.sequence = static_cast<std::uint64_t>(in.sequence);
     out.echo = static_cast<std::uint64_t>(in.echo);
     out.domain = domain_name(in.domain);
+    out.traffic_port = port_from_wire(in.traffic_port);
+    out.cut_off = in.cut_off;
     out.config_digest = static_cast<std::uint64_t>(in.config_digest);
     if (in.__isset.confirmed_ms) {
         const auto latest =
@@ -406,7 +430,7 @@
 }
 
 std::size_t size_bound(const member_record& item) {
-    return 32 + item.id.value.size() + item.domain.value.size();
+    return 38 + item.id.value.size() + item.domain.value.size();
 }
 
 std::size_t size_bound(const health::verdict& item) {
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -41,8 +41,12 @@
 
 gossip_node::gossip_node(gossip_settings settings, const clock_source& clock, random_source& random)
     : settings_(std::move(settings)), clock_(clock),
-      random_(random), self_{node_id(to_string(settings_.address)), settings_.domain,
-                             settings_.process, 0, member_state::alive},
+      random_(random), self_{node_id(to_string(settings_.address)),
+                             settings_.domain,
+                             settings_.process,
+                             0,
+                             member_state::alive,
+                             settings_.traffic_port},
       members_(self_.id), byte_budget_(settings_.bytes_per_second,
                                        settings_.bytes_per_second * burst_seconds, clock.now()),
       load_budget_(settings_.load_bytes_per_second, settings_.load_bytes_per_second * burst_seconds,
@@ -205,6 +209,28 @@
     gossip_immediately(clock_.now());
 }
 
+void gossip_node::announce_cut_off(bool cut_off) {
+    if (self_.cut_off == cut_off) {
+        return;
+    }
+    self_.cut_off = cut_off;
+    ++self_.epoch;
+    digest_.mark_fresh(self_.id);
+    gossip_immediately(clock_.now());
+}
+
+std::vector<endpoint> gossip_node::relays() const {
+    std::vector<endpoint> found;
+    for (const auto& it : members_.all()) {
+        const auto peer = parse_endpoint(it.record.id.value);
+        const bool usable = it.state() == member_state::alive && !it.record.cut_off;
+        if (usable && peer && it.record.traffic_port != 0) {
+            found.push_back({peer->ip, it.record.traffic_port});
+        }
+    }
+    return found;
+}
+
 void gossip_node::gossip_immediately(instant now) {
     std::set<node_id> contacted;
     for (int i = 0; i < immediate_receivers; ++i) {
@@ -277,6 +303,8 @@
     content.process = self_.process;
     content.epoch = self_.epoch;
     content.leaving = self_.state == member_state::leaving;
+    content.traffic_port = self_.traffic_port;
+    content.cut_off = self_.cut_off;
     content.config_version = config_version_;
     content.sequence = peer->link.next_sequence(now);
     content.echo = peer->link.last_received_sequence();
--- a/wigeonrill/src/peers/gossip_node.h
+++ b/wigeonrill/src/peers/gossip_node.h
@@ -23,6 +23,9 @@
     /// know at this address is then an earlier process of this node that started under another wall
     /// clock, and this process takes a newer incarnation instead of stopping.
     bool exclusive_address{false};
+    /// Port at which this node serves callers, at the IP address of `address`; 0: it can't serve
+    /// the requests of nodes that reach no target.
+    std::uint16_t traffic_port{0};
 };
 
 /// \brief Time and version of a reading, which is a successful read of the platform's store by a
@@ -130,6 +133,8 @@
     /// \brief Announces the planned stop of this node to several peers at once and to all by
     /// gossip.
     void announce_leaving();
+    /// \brief Announces whether this node reaches no target.
+    void announce_cut_off(bool cut_off);
     ///@}
 
     /// \name Results
@@ -150,6 +155,8 @@
     /// \returns this node, unless it is leaving, and all peers that are alive and whose link works
     ///          in both directions
     [[nodiscard]] std::vector<live_node> live_nodes() const;
+    /// \returns the addresses at which other nodes that reach targets serve callers
+    [[nodiscard]] std::vector<endpoint> relays() const;
     /// \returns the status of all peers, sorted by id
     [[nodiscard]] std::vector<member_status> status() const;
     /// \returns the state of a peer; nothing if it is not a member
--- a/wigeonrill/src/peers/gossip_rounds.cpp
+++ b/wigeonrill/src/peers/gossip_rounds.cpp
@@ -163,8 +163,13 @@
 
 bool gossip_node::accept_header(const node_id& from, const message& content, instant now) {
     auto* sender = members_.find(from);
-    const member_record record{from, content.domain, content.process, content.epoch,
-                               content.leaving ? member_state::leaving : member_state::alive};
+    const member_record record{from,
+                               content.domain,
+                               content.process,
+                               content.epoch,
+                               content.leaving ? member_state::leaving : member_state::alive,
+                               content.traffic_port,
+                               content.cut_off};
     if (sender == nullptr && settings_.accepts_unlisted_peers) {
         handle_merge_outcome(from, members_.merge(record, now), now);
         sender = members_.find(from);
--- a/wigeonrill/src/peers/member_table.cpp
+++ b/wigeonrill/src/peers/member_table.cpp
@@ -107,8 +107,18 @@
         set_state(*it, record.state, now);
         return merge_outcome::changed;
     }
+    if (older(record, it->record)) {
+        return merge_outcome::older;
+    }
+    // Messages outside gossip don't name the domain, and builds before the port don't name that.
+    if (!record.domain.value.empty()) {
+        it->record.domain = record.domain;
+    }
+    if (record.traffic_port != 0) {
+        it->record.traffic_port = record.traffic_port;
+    }
     if (!newer(record, it->record)) {
-        return older(record, it->record) ? merge_outcome::older : merge_outcome::unchanged;
+        return merge_outcome::unchanged;
     }
     const bool first = it->record.process == incarnation{} && record.state == member_state::alive;
     if (record.process != it->record.process) {
@@ -118,9 +128,7 @@
     }
     it->record.process = record.process;
     it->record.epoch = record.epoch;
-    if (!record.domain.value.empty()) {
-        it->record.domain = record.domain;
-    }
+    it->record.cut_off = record.cut_off;
     const bool was_alive = it->record.state == member_state::alive;
     set_state(*it, record.state, now);
     return first && was_alive ? merge_outcome::first : merge_outcome::changed;
--- a/wigeonrill/src/peers/message.h
+++ b/wigeonrill/src/peers/message.h
@@ -43,6 +43,8 @@
     incarnation process;
     std::uint32_t epoch{0};                  ///< increased by the node itself to refute a suspicion
     member_state state{member_state::alive}; ///< never one_way, which isn't sent to others
+    std::uint16_t traffic_port{0}; ///< for callers, at the IP address of the id; 0: not known
+    bool cut_off{false};           ///< whether it reaches no target
 
     friend bool operator==(const member_record&, const member_record&) = default;
 };
@@ -60,6 +62,8 @@
     std::uint64_t sequence{0};          ///< counted from 1 per pair of sender and receiver
     std::uint64_t echo{0};              ///< highest sequence that the sender got from the receiver
     domain_name domain;                 ///< failure domain of the sender; empty outside gossip
+    std::uint16_t traffic_port{0};      ///< of the sender, as in its record
+    bool cut_off{false};                ///< whether the sender reaches no target
     std::uint64_t config_digest{0};     ///< hash of the digest in force; 0 outside gossip
     std::optional<wall_time> confirmed; ///< time of the platform's newest confirmation
     std::vector<member_record> members; ///< only in gossip
--- a/wigeonrill/src/peers/messages.thrift
+++ b/wigeonrill/src/peers/messages.thrift
@@ -14,6 +14,10 @@
   4: i32 nonce
   5: i32 epoch
   6: i8 state
+  // Port at which the node serves callers, at the IP address of its id; absent if not known.
+  7: optional i32 traffic_port
+  // Whether the node reaches no target.
+  8: optional bool cut_off
 }
 
 // Judgement on the health of a target. The expiry is sent as the remaining time, because the clocks
@@ -92,6 +96,9 @@
   17: optional i32 reading_age_ms
   18: optional list<Observation> observations
   19: optional list<RateLimit> rate_limits
+  // The same as in Member, for the sender.
+  20: optional i32 traffic_port
+  21: optional bool cut_off
 }
 
 // One part of the configuration.
--- a/wigeonrill/src/traffic/dispatcher.h
+++ b/wigeonrill/src/traffic/dispatcher.h
@@ -58,6 +58,7 @@
 /// \brief Result of one attempt at a target or node, as seen on its connection.
 struct attempt_result {
     health::answer_kind kind{health::answer_kind::ok};
+    bool connected{false};          ///< a new connection to the target was opened
     bool request_bytes_sent{false}; ///< at least one byte of the request was written
     bool answer_partly_sent{false}; ///< a part of the answer was already sent to the caller
     /// The target accepted a new connection after the one with the request had been lost, so it
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -68,6 +68,7 @@
             result_ = first_failure;
         }
     }
+    result_.connected = new_connection_opened_;
     check_whether_target_is_up();
 }
 
@@ -108,6 +109,7 @@
         const auto left = std::chrono::ceil<milliseconds>(deadline_ - context_->clock->now());
         const auto limit = std::min(context_->options.connect_time, left);
         connection_ = limit.count() > 0 ? context_->pool.connect(plan_->address, limit) : nullptr;
+        new_connection_opened_ = new_connection_opened_ || connection_ != nullptr;
     }
     return connection_ != nullptr;
 }
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -100,7 +100,8 @@
     instant deadline_{};              ///< until when the head of the answer must be read
     bool answered_{false};
     bool caller_disconnected_{false};
-    bool answer_started_{false};     ///< at least one byte of the answer has arrived
+    bool answer_started_{false}; ///< at least one byte of the answer has arrived
+    bool new_connection_opened_{false};
     bool request_fully_sent_{false}; ///< the whole request has been written
 };
 
--- a/wigeonrill/src/traffic/target_pool.cpp
+++ b/wigeonrill/src/traffic/target_pool.cpp
@@ -2,11 +2,7 @@
 
 #include "wigeonrill/src/traffic/target_pool.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 #include <algorithm>
-#include <fcntl.h>
 #include <unistd.h>
 
 namespace wigeonrill::traffic::detail {
@@ -94,17 +90,8 @@
 }
 
 connection_ptr target_pool::connect(const endpoint& address, milliseconds limit) const {
-    try {
-        Poco::Net::StreamSocket socket;
-        socket.connect(Poco::Net::SocketAddress(address.ip, address.port),
-                       Poco::Timespan(std::chrono::microseconds(limit).count()));
-        socket.setNoDelay(true);
-        // The Poco socket closes its descriptor when it is destroyed; the duplicate stays open.
-        const int fd = ::fcntl(socket.impl()->sockfd(), F_DUPFD_CLOEXEC, 0);
-        return fd < 0 ? nullptr : std::make_unique<target_connection>(fd, *clock_);
-    } catch (const Poco::Exception&) {
-        return nullptr;
-    }
+    const int fd = detail::connect(address, limit);
+    return fd < 0 ? nullptr : std::make_unique<target_connection>(fd, *clock_);
 }
 
 } // namespace wigeonrill::traffic::detail
