Leave out targets whose records a configuration may not contain

It can happen here: a failure domain with a line break, an id with a space or an address like 999.0.0.1 decoded well, but then the configuration made of it was invalid, so that no node followed the list any more. Very deep nesting (500,000 levels) is harmless.

--- a/wigeonrill/config.h
+++ b/wigeonrill/config.h
@@ -21,6 +21,7 @@
 #include "src/config/shared_list.h"
 #include "src/config/target.h"
 #include "src/config/units.h"
+#include "src/config/value_rules.h"
 // Needs target.h.
 #include "src/config/key_owner_set.h"
 #include "src/config/route.h"
--- a/wigeonrill/src/config/checked_object.cpp
+++ b/wigeonrill/src/config/checked_object.cpp
@@ -1,7 +1,6 @@
 #include "wigeonrill/config.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <nlohmann/json.hpp>
 
 namespace wigeonrill::config {
@@ -13,29 +12,6 @@
     return empty_value;
 }
 
-bool is_valid_name(const std::string& text) {
-    constexpr std::string_view allowed =
-        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-";
-    constexpr std::size_t max_length = 64;
-    return !text.empty() && text.size() <= max_length &&
-           text.find_first_not_of(allowed) == std::string::npos;
-}
-
-constexpr const char* name_remedy = "use 1 to 64 letters, digits, '.', '_' or '-'";
-
-// Returns an IP address in canonical form, so that different spellings of it compare equal. Returns
-// nothing if the text is not an IP address.
-std::optional<std::string> canonical_ip(const std::string& ip) {
-    const int family = ip.find(':') == std::string::npos ? AF_INET : AF_INET6;
-    std::array<unsigned char, sizeof(in6_addr)> binary{};
-    std::array<char, INET6_ADDRSTRLEN> buf{};
-    if (inet_pton(family, ip.c_str(), binary.data()) != 1 ||
-        inet_ntop(family, binary.data(), buf.data(), buf.size()) == nullptr) {
-        return std::nullopt;
-    }
-    return std::string(buf.data());
-}
-
 std::string range_remedy(const std::string& minimum, const std::string& maximum) {
     return "use a value from " + minimum + " to " + maximum;
 }
--- a/wigeonrill/src/config/section_parsers.cpp
+++ b/wigeonrill/src/config/section_parsers.cpp
@@ -10,7 +10,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint64_t max_slots = 65'535;
 constexpr std::uint64_t max_floor_slots = 100'000'000;
 constexpr std::uint64_t max_queue_limit = 1'000'000;
 constexpr std::uint64_t max_requests_per_second = 10'000'000;
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -132,16 +132,25 @@
     } else if (const auto* rules = std::get_if<operator_rules>(&record.content)) {
         apply_rules(record, *rules);
     } else if (const auto* target = std::get_if<target_registration>(&record.content)) {
-        apply_target(record.key, record.revision, *target);
+        // One target with a wrong value would make the whole configuration invalid.
+        if (const auto found = config::find_error(target->target)) {
+            reject_record(record, *found, now);
+        } else {
+            auto content = *target;
+            content.target.address.ip = *config::canonical_ip(content.target.address.ip);
+            apply_target(record.key, record.revision, content);
+        }
     } else {
-        const auto& reason = std::get<unreadable_record>(record.content).reason;
-        notes_.push_back(
-            {true, "Record is not used.", record.key, to_string(reason), record.revision});
-        // The unreadable record has replaced the target's registration, so the target is removed.
-        remove_target(record, now);
+        reject_record(record, std::get<unreadable_record>(record.content).reason, now);
     }
 }
 
+// The record has replaced the target's registration, so the target is removed.
+void inventory::reject_record(const feed_record& record, const error& reason, instant now) {
+    notes_.push_back({true, "Record is not used.", record.key, to_string(reason), record.revision});
+    remove_target(record, now);
+}
+
 void inventory::apply_rules(const feed_record& record, const operator_rules& rules) {
     stored_rules_version_ = rules.version;
     if (rules_ == rules) {
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -111,6 +111,8 @@
     };
 
     void apply_record(const feed_record& record, instant now);
+    /// \brief Handles a record that can't be used.
+    void reject_record(const feed_record& record, const error& reason, instant now);
     void apply_rules(const feed_record& record, const operator_rules& rules);
     void apply_target(const std::string& key, std::uint64_t revision,
                       const target_registration& content);
