Don't believe an earlier refusal that a target writes again

Cause: a refusal was believed for whichever request the connection carried. An answer's id guards against that only if the target sends one.

Change: a refusal that doesn't name its request ends its connection, and on a connection that has carried a refusal before only one with the request's id is believed; another one is a broken answer with an unknown outcome. Weighed: never using a connection again after a refusal, also where ids are sent, costs a connection for each refusal there and gains nothing.

Elsewhere: an earlier success that is written again on the own format, which has no ids, is found only if it arrives before the next request is sent; open in docs/unproved.md.

--- a/test/traffic/connection_reuse_test.cpp
+++ b/test/traffic/connection_reuse_test.cpp
@@ -121,6 +121,43 @@
     CHECK(it.decisions.attempts.at(1).request_bytes_sent);
 }
 
+// Guards against believing an earlier refusal that a target writes once more on a kept connection:
+// a request that the target runs would be sent again, or reported as not run.
+TEST(connection_reuse, refusal_without_an_id_ends_the_connection) {
+    proxy_fixture it([](const std::string& /*request*/, int /*number*/) {
+        return scripted_answer{make_answer(503, "Target-Shed: 1\r\n", ""), false, false};
+    });
+    it.decisions.default_step = it.send_step(repeat_policy::at_most_once);
+    for (int i = 0; i < 3; ++i) {
+        static_cast<void>(it.send_request(plain_get));
+    }
+    it.decisions.wait_finished(3);
+    CHECK(answer_kind::shed == it.decisions.attempts.at(2).kind);
+    LONGS_EQUAL(3, it.target.connections());
+}
+
+// The same where answers name their request: such a connection is kept.
+TEST(connection_reuse, earlier_refusal_is_not_believed_without_the_id) {
+    traffic::server_options options;
+    options.names.request_id = "Request-Name";
+    options.names.not_run = "Not-Run";
+    proxy_fixture it(
+        [](const std::string& /*request*/, int number) {
+            const auto* name = number == 3 ? "" : "Request-Name: r1\r\n";
+            return scripted_answer{make_answer(503, std::string(name) + "Not-Run: 1\r\n", ""),
+                                   false, false};
+        },
+        options);
+    for (int i = 0; i < 3; ++i) {
+        static_cast<void>(
+            it.send_request("GET /a HTTP/1.1\r\nHost: shop\r\nRequest-Name: r1\r\n\r\n"));
+    }
+    it.decisions.wait_finished(3);
+    LONGS_EQUAL(1, it.target.connections());
+    CHECK(answer_kind::shed == it.decisions.attempts.at(1).kind);
+    CHECK(answer_kind::malformed == it.decisions.attempts.at(2).kind);
+}
+
 // Guards against streaming a body to a reused connection that the target has just closed. The body
 // could not be sent again.
 TEST(connection_reuse, streams_bodies_on_new_connections) {
--- a/wigeonrill/src/traffic/answer_statements.cpp
+++ b/wigeonrill/src/traffic/answer_statements.cpp
@@ -77,6 +77,13 @@
            head.value(name) != request.name;
 }
 
+bool names_request(const message_head& head, const header_names& names,
+                   const request_info& request) {
+    const auto& name = names.request_id;
+    return !name.empty() && !request.name.empty() && head.count(name) == 1 &&
+           head.value(name) == request.name;
+}
+
 void record_statements(const message_head& head, const header_names& names, step_kind kind,
                        attempt_result& result) {
     result.status = head.status;
--- a/wigeonrill/src/traffic/answer_statements.h
+++ b/wigeonrill/src/traffic/answer_statements.h
@@ -20,6 +20,10 @@
 [[nodiscard]] bool answers_other_request(const message_head& head, const header_names& names,
                                          step_kind kind, const request_info& request);
 
+/// \returns true when the head names the given request
+[[nodiscard]] bool names_request(const message_head& head, const header_names& names,
+                                 const request_info& request);
+
 /// \brief Records in a result the status, the kind of the answer, and the target's statements about
 ///        its load, its rate limit, and that it is draining or not the expected one.
 void record_statements(const message_head& head, const header_names& names, step_kind kind,
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -197,6 +197,9 @@
     if (!has_required_signature(head_, context_->options.names, plan_->kind)) {
         return fail(answer_kind::malformed);
     }
+    if (result_.kind == answer_kind::shed && !is_own_refusal()) {
+        return fail(answer_kind::malformed);
+    }
     const auto& parser = connection_->reader().parser();
     length_ = parser.content_length();
     const auto limit = plan_->route.repeat == config::repeat_policy::idempotent
@@ -208,6 +211,17 @@
     return true;
 }
 
+// A faulty target may write an earlier refusal once more. If that were believed, a request that the
+// target runs would be sent again. Without the request's id, only the first refusal on a connection
+// is certain to be none of an earlier request.
+bool target_attempt::is_own_refusal() {
+    const bool named = names_request(head_, context_->options.names, request_->info);
+    const bool certain = named || !connection_->carried_refusal();
+    connection_->mark_refusal();
+    may_reuse_connection_ = named;
+    return certain;
+}
+
 bool target_attempt::skip_answer() {
     std::array<char, transfer_buffer_bytes> discarded{};
     const auto limit = std::min(deadline_, context_->clock->now() + max_head_time);
@@ -360,8 +374,8 @@
 }
 
 void target_attempt::release() {
-    if (connection_ && request_fully_sent_ && connection_->reader().parser().done() &&
-        connection_->reader().parser().keep_alive()) {
+    if (connection_ && may_reuse_connection_ && request_fully_sent_ &&
+        connection_->reader().parser().done() && connection_->reader().parser().keep_alive()) {
         context_->pool.put(plan_->address, std::move(connection_));
     }
     connection_.reset();
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -69,6 +69,10 @@
     [[nodiscard]] bool buffer_answer_body();
     /// \returns true when no bytes follow the answer on the connection
     [[nodiscard]] bool is_complete() const;
+    /// \brief Decides about a refusal whether it belongs to this request, and whether the
+    /// connection
+    ///        can carry another one.
+    [[nodiscard]] bool is_own_refusal();
     /// \brief Reads and discards the rest of an answer to another request.
     /// \returns false when no further answer can follow on the connection
     [[nodiscard]] bool skip_answer();
@@ -102,6 +106,7 @@
     bool caller_disconnected_{false};
     bool answer_started_{false}; ///< at least one byte of the answer has arrived
     bool new_connection_opened_{false};
+    bool may_reuse_connection_{true};
     bool request_fully_sent_{false}; ///< the whole request has been written
 };
 
--- a/wigeonrill/src/traffic/target_pool.h
+++ b/wigeonrill/src/traffic/target_pool.h
@@ -21,6 +21,9 @@
     [[nodiscard]] message_reader& reader() { return reader_; }
     /// \returns true when the connection has carried a request and its answer
     [[nodiscard]] bool used() const { return used_; }
+    /// \returns true when a target has refused a request on the connection
+    [[nodiscard]] bool carried_refusal() const { return carried_refusal_; }
+    void mark_refusal() { carried_refusal_ = true; }
     /// \returns when the last answer on the connection was complete
     [[nodiscard]] instant last_used() const { return last_used_; }
     /// \brief Records that a request and its answer are complete.
@@ -33,6 +36,7 @@
     int fd_;
     message_reader reader_;
     bool used_{false};
+    bool carried_refusal_{false};
     instant last_used_{};
 };
 
