Show that an answer that ends in its head is no success

It does not happen here: a head cut after each of its bytes, with a length and without one, gives 502 each time. It passed on its first run, so it was not seen to fail.

--- a/test/traffic/named_headers_test.cpp
+++ b/test/traffic/named_headers_test.cpp
@@ -208,3 +208,23 @@
     stopper.join();
     CHECK(!it.get("/x", std::chrono::hours{1}).has_value());
 }
+
+// Guards against passing on the head of an answer that ends in the middle as a whole answer, with
+// and without a length.
+TEST(named_headers, answer_that_ends_in_its_head_is_never_a_success) {
+    const std::string start = "HTTP/1.1 200 OK\r\nRequest-Name: r1\r\nSigned: s\r\n";
+    for (const std::string& head :
+         {start + "Content-Length: 2\r\n\r\n", start + "Connection: close\r\n\r\n"}) {
+        proxy_fixture it(
+            [&head](const std::string& /*request*/, int number) {
+                return scripted_answer{head.substr(0, static_cast<std::size_t>(number)), true,
+                                       false};
+            },
+            custom_header_options());
+        it.decisions.default_step = it.send_step(config::repeat_policy::at_most_once);
+        for (std::size_t n = 1; n < head.size(); ++n) {
+            const auto got = it.send_request(get_with_custom_headers);
+            STRCMP_CONTAINS("HTTP/1.1 502 ", got.substr(0, 13).c_str());
+        }
+    }
+}
