--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -37,11 +37,6 @@
     return kind == health::answer_kind::shed;
 }
 
-bool shows_crash(const traffic::attempt_result& attempt) {
-    return attempt.kind == health::answer_kind::connection_lost && attempt.request_bytes_sent &&
-           !attempt.target_is_up;
-}
-
 bool was_not_run(const traffic::attempt_result& attempt) {
     return is_shed(attempt.kind) || !attempt.request_bytes_sent;
 }
@@ -138,7 +133,7 @@
         record.answer_started = true;
         return false;
     }
-    if (shows_crash(attempt)) {
+    if (attempt.shows_crash()) {
         mark_crash(record, record.assigned_target->id, at);
     }
     release_target(record, attempt, at.now);
@@ -245,31 +240,6 @@
     }
 }
 
-void decision_core::mark_crash(const request_record& record, const target_id& target,
-                               clock_reading at) {
-    const once::crash_mark mark{record.fingerprint, target, at.wall};
-    add_crash_mark(mark, at);
-    events_.emplace_back(mark);
-}
-
-void decision_core::add_crash_mark(const once::crash_mark& mark, clock_reading at) {
-    containment_.add(mark, at.wall);
-    if (containment_.is_blocked(mark.fingerprint, at.wall)) {
-        for (auto& [name, service] : services_) {
-            refuse_queued_copies(*service, mark.fingerprint, at.now);
-        }
-    }
-}
-
-void decision_core::refuse_queued_copies(service_state& service, std::uint64_t fingerprint,
-                                         instant now) {
-    for (const auto id : service.queue.oldest(service.queue.size())) {
-        if (record_of(id).fingerprint == fingerprint) {
-            refuse_queued(service, id, refusal_kind::contained, now);
-        }
-    }
-}
-
 void decision_core::release_target(request_record& record, const traffic::attempt_result& attempt,
                                    instant now) {
     // A target that refuses connections fails faster than others answer, and would attract
@@ -306,7 +276,7 @@
     if (retry && seems_cut_off && try_relay(record, "connections to several targets failed")) {
         record.failed_connects = 0;
     } else if (retry && (needs_no_budget || record.service->retries.take(at.now))) {
-        if (shows_crash(attempt)) {
+        if (attempt.shows_crash()) {
             record.not_before = at.now + crash_retry_delay;
             enqueue(record, at.now);
         } else {
--- a/wigeonrill/src/traffic/dispatcher.h
+++ b/wigeonrill/src/traffic/dispatcher.h
@@ -71,6 +71,11 @@
     health::rate_limit_statement rate_limit; ///< what the answer states; nothing without one
     instant sent{};  ///< directly before the first byte of the request was written
     instant ended{}; ///< when the answer's head had been read or the attempt failed
+
+    /// \returns whether the target seems to have crashed while it ran the request
+    [[nodiscard]] bool shows_crash() const {
+        return kind == health::answer_kind::connection_lost && request_bytes_sent && !target_is_up;
+    }
 };
 
 /// \brief Interface that decides how requests are handled. It is called on the threads that serve
