--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -184,6 +184,7 @@
                 std::optional<seconds> retry_after = std::nullopt);
     /// \brief Makes forwarding to the key's owner the next step of a request.
     void forward(request_record& record, std::string reason);
+    /// \brief Tells reachability_ how many services and targets the view has.
     void update_reachability_size();
     /// \brief Updates reachability_ from an attempt at a target.
     void observe_connection(const request_record& record, const traffic::attempt_result& attempt,
