--- a/test/fleet/faults_test.cpp
+++ b/test/fleet/faults_test.cpp
@@ -144,6 +144,33 @@
         5));
 }
 
+// The same where connections hang instead of being refused, and against callers that wait for each
+// of them.
+TEST(faults, node_whose_connections_to_targets_hang_serves_its_callers) {
+    fleet test_fleet(2, 4);
+    test_fleet.start_node(0);
+    test_fleet.start_node_with_hanging_connections(1);
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    const auto is_served = [&] {
+        return send(test_fleet.traffic_port(1), {"GET", "/stock/1"}).status == 200;
+    };
+    CHECK(is_served());
+    // The node knows after a few connections, which may take 1 s each, that it reaches no target.
+    CHECK(eventually(
+        [&] {
+            const auto start = std::chrono::steady_clock::now();
+            return is_served() &&
+                   std::chrono::steady_clock::now() - start < std::chrono::milliseconds(500);
+        },
+        15));
+    for (int i = 0; i < 20; ++i) {
+        CHECK(is_served());
+    }
+    test_fleet.connect_node(1);
+    test_fleet.kill_node(0);
+    CHECK(eventually(is_served, 5));
+}
+
 // Guards against a node that was suspended and counts its own pause as silence of the targets.
 TEST(faults, resumed_node_ejects_no_targets) {
     fleet test_fleet(2, 3);
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -13,10 +13,12 @@
 #include <Poco/Timespan.h>
 #include <nlohmann/json.hpp>
 
+#include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <random>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -34,6 +36,7 @@
 constexpr const char* own_ip = "127.0.0.1";
 // The stand-in targets don't listen at this address, so connections to it are refused.
 constexpr const char* ip_without_targets = "127.0.0.2";
+constexpr const char* ip_of_full_listeners = "127.0.0.3";
 
 std::string loopback(int port) {
     return std::string(own_ip) + ":" + std::to_string(port);
@@ -147,6 +150,32 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+full_listener::full_listener(const std::string& ip, int port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+    const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockets_.push_back(listener);
+    if (bind(listener, generic, sizeof(address)) != 0 || listen(listener, 0) != 0) {
+        throw std::runtime_error("cannot listen at " + ip + ":" + std::to_string(port));
+    }
+    constexpr int connections = 4; // more than the shortest queue holds
+    for (int i = 0; i < connections; ++i) {
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        sockets_.push_back(fd);
+        static_cast<void>(connect(fd, generic, sizeof(address)));
+    }
+}
+
+full_listener::~full_listener() {
+    for (const int it : sockets_) {
+        close(it);
+    }
+}
+
 fleet::fleet(int nodes, int targets_per_service, int slots) : slots_(slots) {
     folder_ = Poco::TemporaryFile::tempName();
     std::system(("mkdir -p " + folder_).c_str());
@@ -270,6 +299,14 @@
     start_process(node, true);
 }
 
+void fleet::start_node_with_hanging_connections(int node) {
+    for (const auto& [name, port] : target_ports_) {
+        full_listeners_.push_back(std::make_unique<full_listener>(ip_of_full_listeners, port));
+    }
+    write_inventory(node, 1, ip_of_full_listeners);
+    start_process(node, true);
+}
+
 void fleet::connect_node(int node) {
     write_inventory(node, 2, own_ip);
     nodes_.at(node)->signal(SIGHUP);
--- a/test/fleet/fleet.h
+++ b/test/fleet/fleet.h
@@ -52,6 +52,18 @@
     bool has_exited_{false};
 };
 
+/// \brief Port with a full queue of connections, so that further ones hang.
+class full_listener {
+public:
+    full_listener(const std::string& ip, int port);
+    full_listener(const full_listener&) = delete;
+    full_listener& operator=(const full_listener&) = delete;
+    ~full_listener();
+
+private:
+    std::vector<int> sockets_;
+};
+
 /// \brief Stand-in targets and nodes on loopback that serve one idempotent and one at-most-once
 ///        service.
 ///
@@ -70,6 +82,8 @@
     void start_node(int node, bool with_config_file = true);
     /// \brief Starts a node whose connections to all targets are refused until connect_node().
     void start_cut_off_node(int node);
+    /// \brief Starts a node whose connections to all targets hang until connect_node().
+    void start_node_with_hanging_connections(int node);
     /// \brief Lets a node that was started cut off reach the targets.
     void connect_node(int node);
     [[nodiscard]] process& node(int index) { return *nodes_.at(index); }
@@ -111,6 +125,7 @@
     int unused_port_{0}; ///< port without a listener, so that connections are refused
     std::vector<std::unique_ptr<process>> standin_targets_;
     std::vector<std::unique_ptr<process>> nodes_;
+    std::vector<std::unique_ptr<full_listener>> full_listeners_;
 };
 
 /// \returns the path of a program of this build, in $WIGEONRILL_BIN or build/bin
