Name crash marks as the reason when a request isn't passed on

If crash marks arrived after a cut-off node had chosen another node and before it sent the request, the caller was told that the deadline had passed; it is 'contained', as elsewhere. The log line of a cut-off node no longer claims that other nodes serve its callers, which a node without peers can't say.

Test: request_blocked_by_crash_marks_is_not_passed_on, deadline-passed before.

--- a/test/dispatch/relay_test.cpp
+++ b/test/dispatch/relay_test.cpp
@@ -165,3 +165,19 @@
     core.tick(at.now);
     CHECK(is_relayed(poll(running.back())));
 }
+
+// Guards against telling the caller that the deadline passed when crash marks arrive before a
+// request is passed on.
+TEST(relay, request_blocked_by_crash_marks_is_not_passed_on) {
+    cut_off();
+    const auto request = begin("/poison");
+    CHECK(is_relayed(poll(request)));
+    const auto fingerprint = dispatch::request_fingerprint(request, {});
+    core.add_crash_mark({fingerprint, target_id("t0"), at.wall}, at);
+    core.add_crash_mark({fingerprint, target_id("t1"), at.wall}, at);
+    CHECK_FALSE(core.may_send(request.id, at));
+    fail(request, answer_kind::cancelled, false);
+    const auto refused = poll(request);
+    STRCMP_EQUAL("contained", refused.reason.type.c_str());
+    CHECK(refused.reason.result == outcome::not_run);
+}
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -312,7 +312,7 @@
     const bool was_cut_off = std::exchange(cut_off_, dependencies_.dispatcher.is_cut_off());
     if (cut_off_ != was_cut_off) {
         write_log(log_level::warning, log_subsystem::daemon,
-                  log_line(cut_off_ ? "This node reaches no target; other nodes serve its callers."
+                  log_line(cut_off_ ? "This node reaches no target."
                                     : "This node reaches targets again."));
     }
     if (dependencies_.gossip == nullptr) {
--- a/wigeonrill/src/dispatch/decision_core_relays.cpp
+++ b/wigeonrill/src/dispatch/decision_core_relays.cpp
@@ -106,14 +106,15 @@
     record.tried_relays.push_back(record.relay);
     const bool not_run = !attempt.request_bytes_sent;
     record.inconclusive_attempts += not_run ? 0 : 1;
-    const bool wanted = attempt.kind != health::answer_kind::cancelled && !stopping_ &&
-                        at.now < record.deadline &&
-                        !containment_.is_blocked(record.fingerprint, at.wall);
-    if (wanted && try_relay(record, "the connection to another node failed")) {
-        return;
+    const bool blocked = not_run && containment_.is_blocked(record.fingerprint, at.wall);
+    const bool wanted =
+        attempt.kind != health::answer_kind::cancelled && !stopping_ && at.now < record.deadline;
+    if (blocked) {
+        refuse(record, refusal_kind::contained, outcome_of(record), at.now);
+    } else if (!wanted || !try_relay(record, "the connection to another node failed")) {
+        refuse(record, refusal_of(attempt), outcome_of(record), at.now,
+               not_run ? std::optional(seconds(1)) : std::nullopt);
     }
-    refuse(record, refusal_of(attempt), outcome_of(record), at.now,
-           not_run ? std::optional(seconds(1)) : std::nullopt);
 }
 
 } // namespace wigeonrill::dispatch
