Show sound targets of a grown site idle between failure bursts

Cause: a failed answer keeps a target out of use for 9 to 11 s, while less than 7 in 100 requests fail (docs/incidents/2026-12-05-suspected-targets-idle.md).

--- a/test/dispatch/fleet_simulation.h
+++ b/test/dispatch/fleet_simulation.h
@@ -9,16 +9,22 @@
 
 namespace wigeonrill::test {
 
-/// Parameters of a simulated fleet that serves at-most-once requests of one service.
+/// Parameters of a simulated fleet that serves requests of one service.
 struct simulation_plan {
     std::size_t nodes{36};
     int targets{13};
     std::uint32_t slots{2};           ///< concurrent requests per target
     std::uint32_t queue_limit{8};     ///< requests that wait in a target; further ones are shed
+    bool repeatable{false};           ///< the requests are idempotent
     double requests_per_second{90.0}; ///< mean rate of Poisson arrivals at random nodes
     double mean_service_s{0.22};      ///< service times are uniform within 50% of it
     std::size_t failing_at_once{0};   ///< number of failing targets; they change in turn
     seconds burst_length{6};          ///< time for which the same targets fail
+    /// Time from the start of a target's burst of failures to that of its next one. The bursts of
+    /// the targets are independent, and replace those by turns. 0: no such bursts.
+    seconds burst_period{0};
+    double failed_share_in_bursts{1.0}; ///< share of the requests that a failing target fails
+    double failed_share_else{0.0};      ///< share of the requests that other targets fail
     /// Time after a failure in which a target doesn't count as healthy.
     seconds recovery_time{2};
     milliseconds latency_objective{800}; ///< slower answers count as late
@@ -43,7 +49,10 @@
     /// at least `telling_time` before.
     std::vector<std::vector<instant>> told_arrivals;
     nanoseconds longest_refusal{0}; ///< longest time from arrival until a refusal
-    double min_used_share{1.0}; ///< least share of healthy targets that got a request within 2 s
+    double min_used_share{1.0};  ///< least share of healthy targets that got a request within 2 s
+    double mean_used_share{0.0}; ///< mean of the same
+    int windows{0};              ///< number of spans of 2 s that were examined
+    int windows_below_floor{0};  ///< those with a share below 0.7
 };
 
 /// Discrete-event simulation of the decision cores of a fleet, and of targets that queue and shed
@@ -94,6 +103,7 @@
 private:
     /// Interval of record_usage().
     static constexpr seconds usage_window{2};
+    static constexpr double floor_share = 0.7;
 
     using task = std::function<void()>;
     struct event {
@@ -133,13 +143,30 @@
         const std::chrono::duration<double> drawn((0.5 + random_.uniform()) * plan_.mean_service_s);
         return std::chrono::duration_cast<nanoseconds>(drawn);
     }
+    bool is_in_own_burst(std::size_t target) const {
+        constexpr double golden_ratio = 0.618033988749895; // spreads the starts of the bursts
+        const double start = static_cast<double>(target) * golden_ratio;
+        const std::chrono::duration<double> time = now_.time_since_epoch();
+        const double position = time / plan_.burst_period + start;
+        const double share = std::chrono::duration<double>(plan_.burst_length) / plan_.burst_period;
+        return position - std::floor(position) < share;
+    }
     bool is_failing(std::size_t target) const {
+        if (plan_.burst_period.count() > 0) {
+            return is_in_own_burst(target);
+        }
         const auto turn = static_cast<std::size_t>(now_.time_since_epoch() / plan_.burst_length);
         const auto first_failing = turn * plan_.failing_at_once;
         return (target + targets_.size() * 1'000 - first_failing) % targets_.size() <
                plan_.failing_at_once;
     }
 
+    bool draw_failure(std::size_t target) {
+        const double share =
+            is_failing(target) ? plan_.failed_share_in_bursts : plan_.failed_share_else;
+        return share >= 1.0 || (share > 0.0 && random_.uniform() < share);
+    }
+
     /// Updates the least share of healthy targets that got a request since the last call.
     void record_usage() {
         int healthy = 0;
@@ -151,8 +178,10 @@
             it.was_used = false;
         }
         if (healthy > 0) {
-            result_.min_used_share = std::min(
-                result_.min_used_share, static_cast<double>(used) / static_cast<double>(healthy));
+            const double share = static_cast<double>(used) / static_cast<double>(healthy);
+            result_.min_used_share = std::min(result_.min_used_share, share);
+            result_.mean_used_share += (share - result_.mean_used_share) / ++result_.windows;
+            result_.windows_below_floor += share < floor_share ? 1 : 0;
         }
     }
 
@@ -164,9 +193,10 @@
         ++result_.requests;
         traffic::request_info info;
         info.id = ++last_id_;
-        info.method = "POST";
+        info.method = plan_.repeatable ? "GET" : "POST";
         info.host = "api.example";
-        info.path = "/runs/" + std::to_string(info.id);
+        info.path = (plan_.repeatable ? "/read/" : "/runs/") + std::to_string(info.id);
+        info.body_replayable = plan_.repeatable;
         info.arrived = now_;
         info.deadline = now_ + seconds(5);
         const auto node = random_.next_below(cores_.size());
@@ -218,7 +248,7 @@
         }
     }
     void run_request(std::size_t index, const reply_function& reply) {
-        const bool fails = is_failing(index);
+        const bool fails = draw_failure(index);
         ++targets_[index].running;
         const auto time = fails ? milliseconds(1) : service_time();
         schedule(now_ + time, [this, index, reply, fails] {
--- a/test/dispatch/near_full_load_test.cpp
+++ b/test/dispatch/near_full_load_test.cpp
@@ -35,8 +35,11 @@
 
 test::simulation_result simulate(const char* name, const simulation_plan& plan) {
     auto result = fleet_simulation(plan).run();
-    std::printf("%s: %d requests, %d late, %d failed, %d refused, least used %.2f\n", name,
-                result.requests, result.late, result.failed, result.refused, result.min_used_share);
+    std::printf("%s: %d requests, %d late, %d failed, %d refused, least used %.2f, mean %.2f, "
+                "%d of %d windows below the floor\n",
+                name, result.requests, result.late, result.failed, result.refused,
+                result.min_used_share, result.mean_used_share, result.windows_below_floor,
+                result.windows);
     return result;
 }
 
@@ -125,3 +128,27 @@
         CHECK(simulate("suspected, large fleet", grown).min_used_share >= 0.7);
     }
 }
+
+// Guards against sound targets that get nothing for long after each failure, while most of them had
+// one some seconds ago: targets fail in bursts at any time, and a few requests fail at any target.
+TEST(near_full_load, sound_targets_stay_in_use_between_their_failure_bursts) {
+    auto grown = large_fleet_plan();
+    grown.nodes = 91;
+    grown.slots = 2;
+    grown.queue_limit = 8;
+    grown.burst_length = seconds(4);
+    grown.burst_period = seconds(12);
+    grown.failed_share_in_bursts = 0.85;
+    grown.failed_share_else = 0.012;
+    grown.targets = 109;
+    grown.requests_per_second = 315.0;
+    const auto orders = simulate("own bursts, orders", grown);
+    grown.burst_length = seconds(2);
+    grown.targets = 80;
+    grown.mean_service_s = 0.29;
+    grown.requests_per_second = 177.0;
+    grown.repeatable = true;
+    const auto lookups = simulate("own bursts, lookups", grown);
+    CHECK(orders.min_used_share >= 0.7);
+    CHECK(lookups.min_used_share >= 0.7);
+}
