Try targets again some seconds after a single failure

Cause: least_cost takes the cheapest target, so a lower preference is none while any other target is free. After one failure a target is suspected for 9 to 11 s, and it was tried sooner only while 7 in 100 requests fail. With 1.2 failures in 100 at any target and bursts at some, a third of all targets idled. Class of fault: a preference that acts as an exclusion, with an end that depends on something else (how many requests of the whole service fail). Ruled out: placement by domain or load (no idle target was without a failure); a longer list of verdicts (1 or 2 targets in the record). Change: a suspected target is tried 3.5 s after its last bad answer with at-most-once requests and 2 s after with repeatable ones, which another target can answer if the trial fails. A node tries a target at most once in 0.7 s times the nodes, so that all nodes don't go back to it at once.

--- a/bench/decision/main.cpp
+++ b/bench/decision/main.cpp
@@ -102,7 +102,7 @@
     service.sync(1, make_view(snapshot)->services.front());
     const instant now{};
     return median_ns(20'000, [&] {
-        const auto placed = service.place({}, now, random);
+        const auto placed = service.place({}, config::repeat_policy::at_most_once, now, random);
         placed.chosen_target->limiter.release();
     });
 }
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -193,7 +193,8 @@
     // Requests that are already waiting take precedence.
     serve_queue(*record.service, at.now);
     if (record.service->queue.size() == 0) {
-        auto placed = record.service->place(record.tried_targets, at.now, random_);
+        auto placed =
+            record.service->place(record.tried_targets, record.route->repeat, at.now, random_);
         if (placed.chosen_target) {
             assign_target(record, std::move(placed), at.now, at.now);
             return;
@@ -323,7 +324,7 @@
             ready_ids_.push_back(id);
             continue;
         }
-        auto placed = service.place(record.tried_targets, now, random_);
+        auto placed = service.place(record.tried_targets, record.route->repeat, now, random_);
         if (!placed.chosen_target) {
             if (++failed_placements == max_failed_placements) {
                 return;
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -21,8 +21,15 @@
 // Above this share of failed requests, healthy capacity must not be kept out of use by old
 // failures.
 constexpr double max_failure_share = 0.07;
-// A target whose last bad answer is older may have recovered, and is tried then.
-constexpr milliseconds recent_failure_time{1'500};
+// Time since its last bad answer after which a suspected target is tried: while the share of failed
+// requests is above max_failure_share, and otherwise. A failed trial costs the caller of an
+// at-most-once request the answer, and other callers only the time for another target.
+constexpr milliseconds rest_while_many_fail{1'500};
+constexpr milliseconds rest_before_repeatable{2'000};
+constexpr milliseconds rest_before_at_most_once{3'500};
+// Mean time between two trials of a suspected target by all nodes together, unless many requests
+// fail.
+constexpr milliseconds trial_interval{700};
 
 // Share of the requests that may go to any failure domain. Without it, the targets of a domain
 // whose nodes have stopped would get nothing while the other domains are lightly loaded.
@@ -38,8 +45,12 @@
     return std::max(std::pow(1.0 - probability, steepness), least);
 }
 
-bool may_have_recovered(const target_record& record, instant now) {
-    return record.failure_burst.last_bad_at() < now - recent_failure_time;
+bool may_have_recovered(const target_record& record, instant now, milliseconds rest) {
+    return record.failure_burst.last_bad_at() < now - rest;
+}
+
+bool is_suspected(const target_record& record, instant now) {
+    return record.failure_burst.probability(now) > failure_probability_floor;
 }
 
 bool contains(std::span<const target_id> all, const target_id& one) {
@@ -135,10 +146,22 @@
     failures_.on_request(now);
 }
 
-service_state::placement_conditions service_state::conditions(instant now,
-                                                              random_source& random) const {
-    return {now, !own_domain_.value.empty() && random.uniform() >= any_domain_share,
-            failures_.at(now, nodes_) > max_failure_share};
+service_state::placement_conditions
+service_state::conditions(config::repeat_policy repeat, instant now, random_source& random) const {
+    placement_conditions found;
+    found.now = now;
+    found.prefers_own_domain = !own_domain_.value.empty() && random.uniform() >= any_domain_share;
+    found.many_fail = failures_.at(now, nodes_) > max_failure_share;
+    const auto rest = repeat == config::repeat_policy::at_most_once ? rest_before_at_most_once
+                                                                    : rest_before_repeatable;
+    found.rest = found.many_fail ? rest_while_many_fail : rest;
+    return found;
+}
+
+bool service_state::is_trial_due(const target_record& record,
+                                 const placement_conditions& conditions) {
+    return may_have_recovered(record, conditions.now, conditions.rest) &&
+           (conditions.many_fail || conditions.now >= record.next_trial_at);
 }
 
 routing::placement_candidate
@@ -146,10 +169,10 @@
                               const placement_conditions& conditions) const {
     const auto now = conditions.now;
     const auto& record = *it.record;
-    const bool tried = conditions.spreads && may_have_recovered(record, now);
+    const bool tried = is_trial_due(record, conditions);
     routing::placement_candidate candidate;
     candidate.failure_probability = tried ? 0.0 : record.failure_burst.probability(now);
-    candidate.weight = tried ? 1.0 : it.weight;
+    candidate.weight = tried && conditions.many_fail ? 1.0 : it.weight;
     candidate.capacity = static_cast<double>(record.slots) * candidate.weight *
                          traffic_share(candidate.failure_probability);
     candidate.failure_probability =
@@ -180,8 +203,8 @@
     const bool is_known = it != known_.end();
     // A failure of a suspected target that was only tried doesn't count. Otherwise the trials would
     // keep the share of failures above the limit from which on targets are tried.
-    const bool tried = is_known && may_have_recovered(*it->second, now) &&
-                       it->second->failure_burst.probability(now) > failure_probability_floor;
+    const bool tried = is_known && may_have_recovered(*it->second, now, rest_while_many_fail) &&
+                       is_suspected(*it->second, now);
     if (kind == health::observation_kind::failed && !tried) {
         failures_.on_failure(now);
     }
@@ -231,17 +254,21 @@
     return std::max<nanoseconds>(std::chrono::duration_cast<nanoseconds>(late), least);
 }
 
-placement service_state::place(std::span<const target_id> avoid, instant now,
-                               random_source& random) {
+placement service_state::place(std::span<const target_id> avoid, config::repeat_policy repeat,
+                               instant now, random_source& random) {
     const bool all_tried = std::ranges::all_of(eligible_, [&](const weighted_target& it) {
         return now < it.record->draining_until || contains(avoid, it.record->id);
     });
-    collect_candidates(all_tried ? std::span<const target_id>{} : avoid, conditions(now, random));
+    const auto found = conditions(repeat, now, random);
+    collect_candidates(all_tried ? std::span<const target_id>{} : avoid, found);
     if (candidates_.empty()) {
         return {};
     }
     const auto chosen = positions_[policy_->choose(candidates_, random)];
     const auto& record = eligible_[chosen].record;
+    if (is_suspected(*record, now)) {
+        record->next_trial_at = now + trial_interval * static_cast<std::int64_t>(nodes_);
+    }
     record->limiter.acquire();
     limits_->on_send(record->id, now);
     return {record, static_cast<std::uint32_t>(candidates_.size())};
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -30,8 +30,10 @@
     /// \brief Chooses a target and counts one more request against its concurrency and rate limits.
     /// \param avoid targets that this request already tried; chosen only if no other target is
     ///        eligible
-    [[nodiscard]] placement place(std::span<const target_id> avoid, instant now,
-                                  random_source& random);
+    /// \param repeat policy of the request's route; targets that may still be failing are tried
+    ///        sooner with requests that can be repeated
+    [[nodiscard]] placement place(std::span<const target_id> avoid, config::repeat_policy repeat,
+                                  instant now, random_source& random);
 
     /// \brief Requests a probe: one caller's request is sent to an ejected target, to learn whether
     ///        the target has recovered.
@@ -105,9 +107,14 @@
         instant now;
         bool prefers_own_domain{true};
         /// Many requests of the service fail, so targets without a recent failure are used evenly.
-        bool spreads{false};
+        bool many_fail{false};
+        milliseconds rest{}; ///< time after its last bad answer until a target is tried again
     };
-    [[nodiscard]] placement_conditions conditions(instant now, random_source& random) const;
+    [[nodiscard]] placement_conditions conditions(config::repeat_policy repeat, instant now,
+                                                  random_source& random) const;
+    /// \returns true when a target, if it is suspected of failing, may be tried by this node now
+    [[nodiscard]] static bool is_trial_due(const target_record& record,
+                                           const placement_conditions& conditions);
     /// \brief Fills candidates_ and positions_ with the targets that can take a request now.
     void collect_candidates(std::span<const target_id> avoid,
                             const placement_conditions& conditions);
--- a/wigeonrill/src/dispatch/target_record.h
+++ b/wigeonrill/src/dispatch/target_record.h
@@ -25,6 +25,8 @@
     /// No new requests before this time; set when the target reports that it is draining, or that
     /// another target has its address.
     instant draining_until{instant::min()};
+    /// While the target is suspected of failing, this node doesn't try it before this time.
+    instant next_trial_at{instant::min()};
 };
 
 /// \brief Shared by the service and by the requests in the target.
