End the server without waiting for an idle thread of POCO's

Cause: a thread of POCO's TCP server that waits for its next connection when the server stops may miss the notice to stop, and waits for the idle time of 10 s; the end of the process joins it. Found by stack traces of a node that had logged the end of its shutdown. Ruled out: the reader of the store and the control thread, which had not been asked to end yet. Change: the idle time is 0.1 s.

--- a/wigeonrill/src/traffic/server.cpp
+++ b/wigeonrill/src/traffic/server.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/TCPServerConnection.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
+#include <Poco/Timespan.h>
 #include <sys/socket.h>
 
 namespace wigeonrill::traffic {
@@ -18,6 +19,10 @@
 /// connections overflows the queue, and callers wait 1 s until their SYN is retransmitted.
 constexpr int listen_backlog = 1024;
 
+/// Time that the last idle thread waits for a connection before it checks whether the server stops.
+/// POCO's default of 10 s would delay the end of the process as much.
+constexpr milliseconds thread_idle_time{100};
+
 /// Number of threads beyond the connection limit. They read one request each and refuse it.
 constexpr std::uint32_t refusal_threads = 64;
 
@@ -90,6 +95,7 @@
         auto* params = new Poco::Net::TCPServerParams;
         params->setMaxThreads(threads.capacity());
         params->setMaxQueued(listen_backlog);
+        params->setThreadIdleTime(Poco::Timespan(0, microseconds(thread_idle_time).count()));
         listener = std::make_unique<Poco::Net::TCPServer>(new connection_factory(context), threads,
                                                           socket, params);
         listener->setConnectionFilter(new connection_filter(context));
