Refuse requests that can't end before a planned stop does

Cause: nothing compared the time that a request takes with what was left of the grace period, for new requests, waiting ones and retries; and the two spans of the grace period ran one after the other, whatever stopping the listener took between them. Ruled out: connections closed while idle; a request that crosses such a close isn't passed on. Change: from SIGTERM on there is one end for both spans, a tenth of the grace period (at least 250 ms) before the platform kills. A request is placed only if 2.5 times the mean latency of its route fits (its total limit while few latencies are known), or its own deadline comes first. Others are refused at once as not run, with Retry-After. Conclusion: fixed for nodes that know the latency of their routes; a request that takes more than 2.5 times the mean may still be cut.

--- /dev/null
+++ b/test/dispatch/planned_stop_test.cpp
@@ -0,0 +1,106 @@
+#include "fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using health::answer_kind;
+using traffic::step_kind;
+
+TEST_GROUP(planned_stop) {
+    std::shared_ptr<config::snapshot> snapshot;
+    std::unique_ptr<test::dispatcher_fixture> node;
+
+    void setup() override {
+        snapshot = test::make_snapshot(3, 6);
+        snapshot->routes.at(1).key = config::key_policy::optional;
+        snapshot->routes.at(1).limits.total = seconds(30);
+        node = std::make_unique<test::dispatcher_fixture>(snapshot);
+    }
+    // Lets the node learn that orders take one second.
+    void learn_latency() {
+        for (int i = 0; i < 20; ++i) {
+            const auto request = node->request("POST", "/runs/1");
+            CHECK(node->dispatcher->first_step(request).kind == step_kind::send);
+            CHECK(node->dispatcher->may_send(request));
+            const auto sent = node->clock.now();
+            node->clock.advance(seconds(1));
+            auto attempt = node->attempt(answer_kind::ok);
+            attempt.sent = sent;
+            CHECK_FALSE(node->dispatcher->on_attempt_ended(request, attempt));
+            node->dispatcher->finish_request(request, true, nullptr);
+        }
+    }
+};
+
+// Guards against a stop that passes on requests which their targets can't answer in time.
+TEST(planned_stop, request_that_may_outlast_the_stop_is_refused) {
+    learn_latency();
+    node->dispatcher->begin_stop(seconds(5));
+    const auto early = node->request("POST", "/runs/1");
+    CHECK(node->dispatcher->first_step(early).kind == step_kind::send);
+    node->clock.advance(seconds(3));
+    const auto step = node->dispatcher->first_step(node->request("POST", "/runs/1"));
+    CHECK(step.kind == step_kind::refuse);
+    LONGS_EQUAL(503, step.reason.status);
+    CHECK(step.reason.result == traffic::outcome::not_run);
+    CHECK(step.reason.retry_after.has_value());
+}
+
+// Guards against a refusal of requests that end in time because of their own deadline.
+TEST(planned_stop, request_with_an_earlier_deadline_is_sent) {
+    learn_latency();
+    node->dispatcher->begin_stop(seconds(2));
+    auto request = node->request("POST", "/runs/1");
+    request.deadline = node->clock.now() + milliseconds(1'500);
+    CHECK(node->dispatcher->first_step(request).kind == step_kind::send);
+}
+
+// Guards against placing requests of unknown latency late in a stop.
+TEST(planned_stop, without_measured_latency_the_total_limit_counts) {
+    snapshot->routes.at(1).limits.total = seconds(4);
+    node->dispatcher->begin_stop(seconds(5));
+    CHECK(node->dispatcher->first_step(node->request("POST", "/runs/1")).kind == step_kind::send);
+    node->clock.advance(milliseconds(1'500));
+    CHECK(node->dispatcher->first_step(node->request("POST", "/runs/1")).kind == step_kind::refuse);
+}
+
+// Guards against a retry that is sent too late after a target shed the request.
+TEST(planned_stop, shed_request_is_not_sent_again_too_late) {
+    learn_latency();
+    node->dispatcher->begin_stop(seconds(3));
+    const auto request = node->request("POST", "/runs/1");
+    CHECK(node->dispatcher->first_step(request).kind == step_kind::send);
+    CHECK(node->dispatcher->may_send(request));
+    node->clock.advance(seconds(1));
+    const auto next = node->dispatcher->on_attempt_ended(request, node->attempt(answer_kind::shed));
+    CHECK(next.has_value() && next->kind == step_kind::refuse);
+    CHECK(next->reason.result == traffic::outcome::not_run);
+}
+
+// Guards against a request that waits for a slot until it can't end in time any more.
+TEST(planned_stop, waiting_request_is_refused_when_it_can_not_end_in_time) {
+    dispatch::clock_reading at{instant{} + seconds(100), wall_time{} + seconds(100)};
+    dispatch::core_options options;
+    dispatch::decision_core core({"10.1.0.1", 80}, 7, at, options, node->random);
+    const auto one_slot = test::make_snapshot(1, 1);
+    one_slot->routes.at(1).key = config::key_policy::optional;
+    one_slot->routes.at(1).limits.total = seconds(2);
+    core.set_view(test::make_view(one_slot), std::make_shared<routing::route_table>(one_slot),
+                  at.now);
+    const auto begin = [&] {
+        auto request = node->request("POST", "/runs/1");
+        request.arrived = at.now;
+        request.deadline = at.now + seconds(10);
+        core.begin_request(request, at);
+        return request.id;
+    };
+    const auto running = begin();
+    CHECK(core.poll(running, at)->kind == step_kind::send);
+    at.now += milliseconds(800);
+    const auto waiting = begin();
+    CHECK_FALSE(core.poll(waiting, at).has_value());
+    core.begin_stop(at.now + milliseconds(1'900), at.now);
+    const auto step = core.poll(waiting, at);
+    CHECK(step.has_value() && step->kind == step_kind::refuse);
+    CHECK(step->reason.result == traffic::outcome::not_run);
+}
--- a/test/fleet/planned_stop_test.cpp
+++ b/test/fleet/planned_stop_test.cpp
@@ -1,4 +1,10 @@
-#include "test/fleet/fleet.h"
+#include "test/fleet/users_site.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -7,6 +13,7 @@
 #include <thread>
 
 using namespace fleet_test;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -94,3 +101,94 @@
     LONGS_EQUAL(0, lookups.failed_answers);
     LONGS_EQUAL(0, test_fleet.node(0).wait());
 }
+
+namespace {
+
+// Connection of a caller that is kept open between its requests.
+class kept_connection {
+public:
+    explicit kept_connection(int port) : session_("127.0.0.1", static_cast<Poco::UInt16>(port)) {
+        session_.setKeepAlive(true);
+        session_.setTimeout(Poco::Timespan(20, 0));
+    }
+    // Returns the status, or 0 if no complete answer arrived.
+    int send(const std::string& method, const std::string& path) {
+        try {
+            Poco::Net::HTTPRequest message(method, path, "HTTP/1.1");
+            message.setContentLength(0);
+            message.set("Host", "h.example");
+            message.set("X-Wigeonrill-Request-Id", make_key());
+            message.set("X-Wigeonrill-Deadline-Ms", "8000");
+            session_.sendRequest(message);
+            Poco::Net::HTTPResponse response;
+            std::string body;
+            Poco::StreamCopier::copyToString(session_.receiveResponse(response), body);
+            return response.getStatus();
+        } catch (const Poco::Exception&) {
+            return 0;
+        }
+    }
+
+private:
+    Poco::Net::HTTPClientSession session_;
+};
+
+} // namespace
+
+TEST_GROUP(planned_stop_with_grace) {
+    static constexpr int callers = 40;
+    static constexpr auto grace = 6s; // of the settings template
+    static constexpr auto last_send = 4s;
+
+    users_site site{2};
+    std::atomic<int> connected{0};
+    std::atomic<bool> stopped{false};
+    std::chrono::steady_clock::time_point stopped_at;
+    std::atomic<int> answered{0};
+
+    void setup() override {
+        site.publish("/look/");
+        for (int i = 0; i < 2; ++i) {
+            site.register_target(i, "ready");
+        }
+        site.start_nodes();
+    }
+    // Sends an order before the stop, and another one at a moment between the stop and last_send.
+    void run_caller(int number) {
+        const auto path = std::string("/order/1?work_ms=") + (number % 2 == 0 ? "400" : "2700");
+        kept_connection connection(site.port());
+        std::this_thread::sleep_for(number * 150ms);
+        static_cast<void>(connection.send("POST", path));
+        ++connected;
+        while (!stopped) {
+            std::this_thread::sleep_for(5ms);
+        }
+        std::this_thread::sleep_until(stopped_at + last_send * (number + 1) / callers);
+        answered += connection.send("POST", path) == 200 ? 1 : 0;
+    }
+};
+
+// Guards against a stop that passes on requests which can't end within the grace period, and cuts
+// them at its end, and against a process that outlasts its grace period.
+TEST(planned_stop_with_grace, no_request_that_was_passed_on_is_cut) {
+    std::vector<std::thread> threads;
+    for (int i = 0; i < callers; ++i) {
+        threads.emplace_back([this, i] { run_caller(i); });
+    }
+    const bool ready = eventually([this] { return connected == callers; }, 20);
+    const int passed_on_before = site.requests_at(0) + site.requests_at(1);
+    stopped_at = std::chrono::steady_clock::now();
+    site.node().signal(SIGTERM);
+    stopped = true;
+    const int exit_code = site.node().wait();
+    const auto ended = std::chrono::steady_clock::now();
+    for (auto& it : threads) {
+        it.join();
+    }
+    CHECK(ready);
+    LONGS_EQUAL(site.requests_at(0) + site.requests_at(1) - passed_on_before, answered);
+    CHECK(ended - stopped_at < grace);
+    LONGS_EQUAL(0, exit_code);
+    // The node still serves what it has time for.
+    CHECK(answered > callers / 8);
+}
--- a/test/fleet/users_site.cpp
+++ b/test/fleet/users_site.cpp
@@ -8,12 +8,14 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/TemporaryFile.h>
+#include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 #include <condition_variable>
 #include <fstream>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <thread>
 
 namespace fleet_test {
 
@@ -46,12 +48,32 @@
     request_callback callback_;
 };
 
-std::unique_ptr<net::HTTPServer> serve(const request_callback& callback) {
-    net::ServerSocket socket(net::SocketAddress("127.0.0.1", 0));
-    auto server =
-        std::make_unique<net::HTTPServer>(new factory(callback), socket, new net::HTTPServerParams);
-    server->start();
-    return server;
+/// HTTP server on a free loopback port, with threads for as many connections as a test opens.
+class http_server {
+public:
+    explicit http_server(const request_callback& callback)
+        : server_(new factory(callback), threads_,
+                  net::ServerSocket(net::SocketAddress("127.0.0.1", 0)), make_params()) {
+        server_.start();
+    }
+    ~http_server() { server_.stopAll(true); }
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    [[nodiscard]] int port() const { return server_.port(); }
+
+private:
+    static constexpr int max_threads = 128;
+    static net::HTTPServerParams* make_params() {
+        auto* params = new net::HTTPServerParams; // NOLINT(cppcoreguidelines-owning-memory)
+        params->setMaxThreads(max_threads);
+        return params;
+    }
+    Poco::ThreadPool threads_{2, max_threads};
+    net::HTTPServer server_;
+};
+
+std::unique_ptr<http_server> serve(const request_callback& callback) {
+    return std::make_unique<http_server>(callback);
 }
 
 void send_text(net::HTTPServerResponse& response, int status, const std::string& body) {
@@ -162,19 +184,16 @@
 };
 
 /// Target that adds a signature header to each answer, or a not-executed header to a 503, and the
-/// rate limit that it was given.
+/// header fields that it was given.
 class site_target {
 public:
     void answer(net::HTTPServerRequest& request, net::HTTPServerResponse& response) {
+        record(request);
+        std::this_thread::sleep_for(work_of(request));
         const std::lock_guard lock(mutex_);
-        ++requests_;
-        last_headers_.clear();
-        for (const auto& [name, value] : request) {
-            last_headers_[name] = value;
-        }
         response.set("X-Wigeonrill-Request-Id", request.get("X-Wigeonrill-Request-Id", ""));
-        if (!rate_limit_.empty()) {
-            response.set("Server-Limit", rate_limit_);
+        for (const auto& [name, value] : answer_headers_) {
+            response.set(name, value);
         }
         if (status_ == 503) {
             response.set("X-Wigeonrill-Not-Executed", "1");
@@ -187,9 +206,13 @@
         const std::lock_guard lock(mutex_);
         status_ = status;
     }
-    void set_rate_limit(const std::string& per_second) {
+    void set_answer_header(const std::string& name, const std::string& value) {
         const std::lock_guard lock(mutex_);
-        rate_limit_ = per_second;
+        if (value.empty()) {
+            answer_headers_.erase(name);
+        } else {
+            answer_headers_[name] = value;
+        }
     }
     int requests() {
         const std::lock_guard lock(mutex_);
@@ -201,9 +224,27 @@
     }
 
 private:
+    void record(const net::HTTPServerRequest& request) {
+        const std::lock_guard lock(mutex_);
+        ++requests_;
+        last_headers_.clear();
+        for (const auto& [name, value] : request) {
+            last_headers_[name] = value;
+        }
+    }
+    /// \returns the time that a request takes, from its query parameter work_ms
+    static std::chrono::milliseconds work_of(const net::HTTPServerRequest& request) {
+        for (const auto& [name, value] : Poco::URI(request.getURI()).getQueryParameters()) {
+            if (name == "work_ms") {
+                return std::chrono::milliseconds(std::stoi(value));
+            }
+        }
+        return std::chrono::milliseconds(0);
+    }
+
     std::mutex mutex_;
     int status_{200};
-    std::string rate_limit_;
+    std::map<std::string, std::string> answer_headers_;
     int requests_{0};
     std::map<std::string, std::string> last_headers_;
 };
@@ -263,7 +304,7 @@
     // destroyed.
     std::shared_ptr<store> records{std::make_shared<store>()};
     std::vector<std::shared_ptr<site_target>> targets;
-    std::vector<std::unique_ptr<net::HTTPServer>> servers; ///< first the store's, then the targets'
+    std::vector<std::unique_ptr<http_server>> servers; ///< first the store's, then the targets'
     std::vector<site_node> nodes;
 };
 
@@ -298,9 +339,7 @@
     for (auto& it : impl_->nodes) {
         it.running.reset();
     }
-    for (auto& it : impl_->servers) {
-        it->stopAll(true);
-    }
+    impl_->servers.clear();
     for (const auto& it : impl_->nodes) {
         std::remove(it.settings.c_str());
     }
@@ -320,6 +359,10 @@
     }
 }
 
+process& users_site::node(int index) {
+    return *impl_->nodes.at(static_cast<std::size_t>(index)).running;
+}
+
 int users_site::port(int node) const {
     return impl_->nodes.at(static_cast<std::size_t>(node)).traffic_port;
 }
@@ -381,8 +424,8 @@
     impl_->targets.at(static_cast<std::size_t>(target))->set_status(status);
 }
 
-void users_site::set_rate_limit(int target, const std::string& per_second) {
-    impl_->targets.at(static_cast<std::size_t>(target))->set_rate_limit(per_second);
+void users_site::set_answer_header(int target, const std::string& name, const std::string& value) {
+    impl_->targets.at(static_cast<std::size_t>(target))->set_answer_header(name, value);
 }
 
 int users_site::requests_at(int target) const {
--- a/test/fleet/users_site.h
+++ b/test/fleet/users_site.h
@@ -11,6 +11,8 @@
 
 /// \brief Stand-in for the users' platform on loopback: its key-value store, targets, and nodes in
 ///        front of them that are configured from the settings template in the deploy folder.
+///
+/// A target takes the time for a request that its query parameter work_ms names.
 class users_site {
 public:
     explicit users_site(int targets, int nodes = 1);
@@ -20,6 +22,7 @@
 
     /// \brief Starts the nodes and waits until all are ready.
     void start_nodes();
+    [[nodiscard]] process& node(int index = 0);
     /// \returns the port on which a node takes requests of callers
     [[nodiscard]] int port(int node = 0) const;
 
@@ -50,9 +53,9 @@
     /// \brief Sets the status that a target answers with. With 503 the answer also states that the
     ///        request was not executed.
     void set_status(int target, int status);
-    /// \brief Sets the rate limit that a target names in its answers.
-    /// \param per_second requests per second from all nodes together, as text; empty: none
-    void set_rate_limit(int target, const std::string& per_second);
+    /// \brief Sets a header field of a target's answers.
+    /// \param value empty: the answers don't have the field
+    void set_answer_header(int target, const std::string& name, const std::string& value);
     /// \returns the number of requests that a target received
     [[nodiscard]] int requests_at(int target) const;
     /// \returns the value of a header field of the last request that a target received
--- a/test/fleet/users_site_test.cpp
+++ b/test/fleet/users_site_test.cpp
@@ -203,12 +203,12 @@
 // Guards against a limit that isn't read from the answers, that each node keeps for itself, or that
 // outlasts its statement.
 TEST(rate_limited_site, target_gets_no_more_than_its_limit_from_all_nodes) {
-    site.set_rate_limit(0, "1.0");
+    site.set_answer_header(0, "Server-Limit", "1.0");
     send_lookups(settling_time);
     counts.clear();
     send_lookups(2 * window);
     CHECK(most_in_window() <= 11);
-    site.set_rate_limit(0, "");
+    site.set_answer_header(0, "Server-Limit", "");
     counts.clear();
     send_lookups(2 * window);
     CHECK(most_in_window() > 11);
@@ -218,8 +218,8 @@
 // refusal without the time to return.
 TEST(rate_limited_site, requests_are_refused_at_once_while_all_targets_take_none) {
     send_lookups(1s);
-    site.set_rate_limit(0, "0");
-    site.set_rate_limit(1, "0");
+    site.set_answer_header(0, "Server-Limit", "0");
+    site.set_answer_header(1, "Server-Limit", "0");
     int refused = 0;
     for (int i = 0; i < 60; ++i) {
         const auto before = std::chrono::steady_clock::now();
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -341,15 +341,17 @@
     if (it.gossip) {
         it.control->post([&it] { it.gossip->announce_leaving(); });
     }
-    it.traffic_server->begin_drain();
+    // Both spans count from here, so that nothing that takes time between them delays the end.
     const auto accept_until = it.clock.now() + it.node_settings.accept_for;
+    const auto finish_until = accept_until + it.node_settings.finish_within;
+    it.traffic_server->begin_drain();
+    it.dispatcher.begin_stop(it.node_settings.accept_for + it.node_settings.finish_within);
     while (it.clock.now() < accept_until) {
         if (signals.wait_for_request(step) == process_request::force) {
             return false;
         }
     }
     it.traffic_server->stop_listening();
-    const auto finish_until = it.clock.now() + it.node_settings.finish_within;
     while (!it.traffic_server->wait_idle(it.clock.now() + step)) {
         const bool late = it.clock.now() >= finish_until;
         if (late || signals.wait_for_request(milliseconds(0)) == process_request::force) {
--- a/wigeonrill/src/daemon/settings.cpp
+++ b/wigeonrill/src/daemon/settings.cpp
@@ -1,5 +1,7 @@
 #include "wigeonrill/daemon.h"
 
+#include <algorithm>
+
 namespace wigeonrill::daemon {
 
 namespace {
@@ -85,10 +87,11 @@
 }
 
 // Divides the time between SIGTERM and SIGKILL. During the first half the node accepts connections,
-// until the load balancer has removed it. The margin lets the process end before the platform kills
-// it.
+// until the load balancer has removed it. The margin lets the process notice the signal and end
+// before the platform kills it.
 void split_grace_period(milliseconds grace, settings& it) {
-    constexpr milliseconds margin{250};
+    constexpr milliseconds min_margin{250};
+    const auto margin = std::max(min_margin, grace / 10);
     it.accept_for = grace / 2;
     it.finish_within = grace - it.accept_for - margin;
 }
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -61,13 +61,6 @@
     }
 }
 
-void decision_core::stop(instant now) {
-    stopping_ = true;
-    for (auto& [name, service] : services_) {
-        refuse_all_queued(*service, refusal_kind::stopping, now);
-    }
-}
-
 void decision_core::refuse_queued(service_state& service, std::uint64_t id, refusal_kind kind,
                                   instant now, std::optional<seconds> retry_after) {
     auto& record = record_of(id);
@@ -131,8 +124,9 @@
     record.info = info;
     record.deadline = info.deadline;
     record.fingerprint = request_fingerprint(info, info.idempotency_key);
-    if (find_route(record, at.now) && admit(record, at) && check_key(record, at) &&
-        find_service(record, at) && !handle_while_cut_off(record, at.now)) {
+    if (find_route(record, at.now) && admit(record, at) && !refuse_when_stopping(record, at.now) &&
+        check_key(record, at) && find_service(record, at) &&
+        !handle_while_cut_off(record, at.now)) {
         record.service->on_request(at.now);
         place_or_queue(record, at);
     }
@@ -187,7 +181,7 @@
         refuse(record, refusal_kind::deadline_passed, outcome_of(record), at.now);
         return;
     }
-    if (try_as_probe(record, at.now)) {
+    if (refuse_when_stopping(record, at.now) || try_as_probe(record, at.now)) {
         return;
     }
     // Requests that are already waiting take precedence.
@@ -315,6 +309,10 @@
     std::size_t failed_placements = 0;
     for (const auto id : service.queue.oldest(service.queue.size())) {
         auto& record = record_of(id);
+        if (!can_finish_before_stop(record, now)) {
+            refuse_queued(service, id, refusal_kind::stopping, now, return_elsewhere);
+            continue;
+        }
         if (now < record.not_before) {
             continue;
         }
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -17,6 +17,10 @@
 /// nodes that all know the same old counts choose the same target.
 inline constexpr std::size_t max_count_receivers = 48;
 
+/// \brief Retry-After of a refusal by a stopping node. The caller's next connection goes to another
+///        node.
+inline constexpr seconds return_elsewhere{1};
+
 /// \brief Connection to a target that is tried to learn whether this node reaches targets.
 struct connection_check {
     service_name service;
@@ -70,6 +74,9 @@
     ///        to learn whether the target has recovered.
     /// \param until time after which the probe is dropped when no such request came
     void request_probe(const service_name& service, const target_id& target, instant until);
+    /// \brief Begins a planned stop. Requests that targets probably can't answer before `finish_by`
+    ///        are refused instead of placed, and those that wait are refused in time.
+    void begin_stop(instant finish_by, instant now);
     /// \brief Refuses all waiting requests, and all new ones from now on.
     void stop(instant now);
     /// \brief Refuses waiting requests whose deadline has passed, sends others to free targets, and
@@ -157,6 +164,14 @@
     /// \returns the state of a request between begin_request() and finish_request()
     request_record& record_of(std::uint64_t id);
 
+    /// \returns true when a target can probably answer a request before the node has stopped, or
+    /// the
+    ///          request's own deadline ends it before
+    [[nodiscard]] bool can_finish_before_stop(const request_record& record, instant now);
+    /// \brief Refuses a request that can't finish before the node has stopped.
+    /// \returns false when the request may be placed
+    bool refuse_when_stopping(request_record& record, instant now);
+
     // Stages of begin_request(). Each returns false when it has decided the request's first step or
     // has made it wait for its key.
 
@@ -280,6 +295,7 @@
     std::uint64_t generation_{0};                       ///< number of views set so far
     std::shared_ptr<const routing::route_table> table_; ///< routes of view_
     bool stopping_{false};                              ///< stop() was called
+    std::optional<instant> finish_by_;                  ///< end of a planned stop that has begun
     routing::rate_limit_table rate_limits_;             ///< of all targets; used by services_
     std::unordered_map<service_name, std::unique_ptr<service_state>> services_;
     std::unordered_map<std::uint64_t, request_record> records_; ///< by request id
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -42,6 +42,13 @@
     core_.request_probe(service, target, clock_.now() + wait);
 }
 
+void request_dispatcher::begin_stop(milliseconds time_left) {
+    std::unique_lock lock(mutex_);
+    const auto now = clock_.now();
+    core_.begin_stop(now + time_left, now);
+    unlock_and_notify_sink(lock);
+}
+
 void request_dispatcher::stop() {
     std::unique_lock lock(mutex_);
     core_.stop(clock_.now());
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -243,17 +243,28 @@
     latencies_[route].add(latency);
 }
 
-nanoseconds service_state::late_threshold(const config::route& route) const {
+std::optional<nanoseconds>
+service_state::measured_late_threshold(const config::route& route) const {
     constexpr double late_ratio = 2.5;
     constexpr milliseconds least{100};
     const auto it = latencies_.find(route.name);
     if (it == latencies_.end() || !it->second.has_enough_samples()) {
-        return route.target_latency.count() > 0 ? route.target_latency : route.limits.first_byte;
+        return std::nullopt;
     }
     const auto late = std::chrono::duration<double, std::nano>(it->second.mean()) * late_ratio;
     return std::max<nanoseconds>(std::chrono::duration_cast<nanoseconds>(late), least);
 }
 
+nanoseconds service_state::late_threshold(const config::route& route) const {
+    const nanoseconds objective =
+        route.target_latency.count() > 0 ? route.target_latency : route.limits.first_byte;
+    return measured_late_threshold(route).value_or(objective);
+}
+
+nanoseconds service_state::longest_usual_latency(const config::route& route) const {
+    return measured_late_threshold(route).value_or(route.limits.total);
+}
+
 placement service_state::place(std::span<const target_id> avoid, config::repeat_policy repeat,
                                instant now, random_source& random) {
     const bool all_tried = std::ranges::all_of(eligible_, [&](const weighted_target& it) {
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -68,6 +68,10 @@
     ///          the route's target_latency or else its first_byte limit
     [[nodiscard]] nanoseconds late_threshold(const config::route& route) const;
 
+    /// \returns the time in which nearly all answers of a route end: 2.5 times the mean latency, at
+    ///          least 100 ms; before enough answers were measured, the route's total limit
+    [[nodiscard]] nanoseconds longest_usual_latency(const config::route& route) const;
+
     /// \returns true when at least one eligible target is not draining; it may be at its limit
     [[nodiscard]] bool any_eligible(instant now) const;
     /// \returns the earliest time after `now` at which the backoff of a target ends or its rate
@@ -96,6 +100,11 @@
     };
     /// \brief Returns the record of a target with its configured values brought up to date.
     [[nodiscard]] target_record_ptr find_or_add_target(const config::target& target);
+    /// \returns the time after which an unanswered request of a route counts as late; nothing
+    /// before
+    ///          enough answers were measured
+    [[nodiscard]] std::optional<nanoseconds>
+    measured_late_threshold(const config::route& route) const;
     [[nodiscard]] bool is_eligible(const target_record_ptr& record) const;
     /// \returns true when a target is not draining, and below its concurrency and rate limits
     [[nodiscard]] bool has_room(const target_record& record, instant now) const;
