Try targets with a low weight when the policy would exclude them

After a verdict a target has a low weight for its hold time of 10 s and 8 s more; least_cost counts that as cost, so the target gets nothing. Repeatable requests try a target 1.5 s after its last bad answer instead of 2 s. Figures: least_cost_tries_a_target_with_a_low_weight failed before (fewer than 10 trials in 10 s at weight 0.1, bounds 10 and 20) and passes.

--- a/test/dispatch/failure_burst_test.cpp
+++ b/test/dispatch/failure_burst_test.cpp
@@ -135,6 +135,28 @@
     CHECK(tried < 20);
 }
 
+// Guards against a target that gets nothing for 18 s after a verdict, because the policy treats a
+// low weight as a cost. Trials of it must stay rare.
+TEST(failure_burst, least_cost_tries_a_target_with_a_low_weight) {
+    auto options = node->options;
+    options.core.make_policy = [] { return std::make_unique<routing::least_cost>(); };
+    dispatch::request_dispatcher dispatcher(options, node->clock, node->random, node->sink);
+    auto view = std::make_shared<routing::view>(*test::make_view(snapshot));
+    view->services.front().eligible.at(1).weight = 0.1;
+    dispatcher.set_view(view);
+    int tried = 0;
+    for (int i = 0; i < 400; ++i) { // 10 s
+        const auto request = node->request("POST", "/runs/1");
+        tried += dispatcher.first_step(request).target.value == "t1" ? 1 : 0;
+        CHECK(dispatcher.may_send(request));
+        CHECK_FALSE(dispatcher.on_attempt_ended(request, node->attempt(answer_kind::ok)));
+        dispatcher.finish_request(request, true, nullptr);
+        node->clock.advance(milliseconds(25));
+    }
+    CHECK(tried >= 10);
+    CHECK(tried <= 20);
+}
+
 // Guards against a hanging target that keeps getting requests until their deadlines pass.
 TEST(failure_burst, overdue_answer_is_reported_as_late_once) {
     snapshot->routes.at(1).target_latency = seconds(1);
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -25,7 +25,7 @@
 // requests is above max_failure_share, and otherwise. A failed trial costs the caller of an
 // at-most-once request the answer, and other callers only the time for another target.
 constexpr milliseconds rest_while_many_fail{1'500};
-constexpr milliseconds rest_before_repeatable{2'000};
+constexpr milliseconds rest_before_repeatable{1'500};
 constexpr milliseconds rest_before_at_most_once{3'500};
 // Mean time between two trials of a suspected target by all nodes together, unless many requests
 // fail.
@@ -158,10 +158,11 @@
     return found;
 }
 
+    found.tries = policy_->excludes_worse_candidates();
 bool service_state::is_trial_due(const target_record& record,
                                  const placement_conditions& conditions) {
     return may_have_recovered(record, conditions.now, conditions.rest) &&
-           (conditions.many_fail || conditions.now >= record.next_trial_at);
+           (conditions.many_fail || (conditions.tries && conditions.now >= record.next_trial_at));
 }
 
 routing::placement_candidate
@@ -172,7 +173,7 @@
     const bool tried = is_trial_due(record, conditions);
     routing::placement_candidate candidate;
     candidate.failure_probability = tried ? 0.0 : record.failure_burst.probability(now);
-    candidate.weight = tried && conditions.many_fail ? 1.0 : it.weight;
+    candidate.weight = tried ? 1.0 : it.weight;
     candidate.capacity = static_cast<double>(record.slots) * candidate.weight *
                          traffic_share(candidate.failure_probability);
     candidate.failure_probability =
@@ -276,8 +277,8 @@
         return {};
     }
     const auto chosen = positions_[policy_->choose(candidates_, random)];
-    const auto& record = eligible_[chosen].record;
-    if (is_suspected(*record, now)) {
+    const auto& [record, weight] = eligible_[chosen];
+    if (is_suspected(*record, now) || weight < 1.0) {
         record->next_trial_at = now + trial_interval * static_cast<std::int64_t>(nodes_);
     }
     record->limiter.acquire();
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -119,6 +119,7 @@
         bool many_fail{false};
         milliseconds rest{}; ///< time after its last bad answer until a target is tried again
     };
+        bool tries{false};   ///< the policy needs trials of suspected targets
     [[nodiscard]] placement_conditions conditions(config::repeat_policy repeat, instant now,
                                                   random_source& random) const;
     /// \returns true when a target, if it is suspected of failing, may be tried by this node now
--- a/wigeonrill/src/routing/least_cost.h
+++ b/wigeonrill/src/routing/least_cost.h
@@ -22,6 +22,7 @@
 public:
     [[nodiscard]] std::size_t choose(std::span<const placement_candidate> candidates,
                                      random_source& random) override;
+    [[nodiscard]] bool excludes_worse_candidates() const override { return true; }
 };
 
 } // namespace wigeonrill::routing
--- a/wigeonrill/src/routing/placement_policy.h
+++ b/wigeonrill/src/routing/placement_policy.h
@@ -37,6 +37,9 @@
     /// \returns the index of the chosen candidate
     [[nodiscard]] virtual std::size_t choose(std::span<const placement_candidate> candidates,
                                              random_source& random) = 0;
+    /// \returns true when a candidate that looks worse than another one gets nothing, instead of a
+    ///          smaller share. Then targets that may have recovered must be presented as good ones.
+    [[nodiscard]] virtual bool excludes_worse_candidates() const { return false; }
 };
 
 } // namespace wigeonrill::routing
