Keep draining targets out of use for as long as they are configured

In the mechanism itself, the exclusion ended 30 s after the last such answer although the store, when it is away, may list the target for longer; and a later answer 421 put a time of 4 s in its place. Ruled out: the moment at which the state is taken; it is the end of the head, before the answer is passed on. Change: a target that announces draining gets no request, retry or probe of this node until a configuration without it, or with another address, is in force; such a view is never missed. 421 has a time of its own. Conclusion: fixed; a restart under the same id and address that the configuration never shows stays open (docs/unproved.md).

--- /dev/null
+++ b/test/dispatch/announcement_test.cpp
@@ -0,0 +1,110 @@
+#include "fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using health::answer_kind;
+using traffic::step_kind;
+
+// What a target announces in its answers binds this node, whatever the configuration says.
+TEST_GROUP(announcement) {
+    std::shared_ptr<config::snapshot> snapshot;
+    std::unique_ptr<test::dispatcher_fixture> node;
+
+    void setup() override {
+        snapshot = test::make_snapshot(2, 6);
+        snapshot->routes.at(1).key = config::key_policy::optional;
+        node = std::make_unique<test::dispatcher_fixture>(snapshot);
+    }
+    // Sends an order. Returns its target, or an empty text when it was refused.
+    std::string send(const std::function<void(traffic::attempt_result&)>& change = {}) {
+        const auto request = node->request("POST", "/runs/1");
+        auto step = node->dispatcher->first_step(request);
+        if (step.kind != step_kind::send) {
+            return {};
+        }
+        CHECK(node->dispatcher->may_send(request));
+        auto attempt = node->attempt(answer_kind::ok);
+        if (change) {
+            change(attempt);
+        }
+        CHECK_FALSE(node->dispatcher->on_attempt_ended(request, attempt));
+        node->dispatcher->finish_request(request, true, nullptr);
+        return step.target.value;
+    }
+    // Returns how many of 20 orders reached a target.
+    int sent_to(const std::string& target) {
+        int n = 0;
+        for (int i = 0; i < 20; ++i) {
+            n += send() == target ? 1 : 0;
+        }
+        return n;
+    }
+    std::string announce_draining() {
+        return send([](traffic::attempt_result& it) { it.draining = true; });
+    }
+};
+
+// Guards against work for a draining target that the configuration still contains after minutes,
+// because the store is away.
+TEST(announcement, draining_target_gets_no_work_while_it_is_configured) {
+    const auto target = announce_draining();
+    node->clock.advance(seconds(31));
+    LONGS_EQUAL(0, sent_to(target));
+    node->clock.advance(std::chrono::minutes(11));
+    node->dispatcher->set_view(test::make_view(snapshot));
+    LONGS_EQUAL(0, sent_to(target));
+}
+
+// Guards against a later answer that another target has the address, which ended the exclusion of a
+// draining target.
+TEST(announcement, misdirected_answer_does_not_end_draining) {
+    const auto target = send([](traffic::attempt_result& it) {
+        it.draining = true;
+        it.misdirected = true;
+    });
+    node->clock.advance(seconds(5));
+    LONGS_EQUAL(0, sent_to(target));
+}
+
+// Guards against a new process of a target that gets no work because an earlier one drained.
+TEST(announcement, target_that_returns_to_the_configuration_gets_work) {
+    const auto target = announce_draining();
+    node->dispatcher->set_view(test::make_view(test::make_snapshot(0, 6)));
+    LONGS_EQUAL(0, sent_to(target));
+    node->dispatcher->set_view(test::make_view(snapshot));
+    CHECK(sent_to(target) > 0);
+}
+
+// Guards against the same when a request was still running at the earlier process.
+TEST(announcement, returned_target_gets_work_beside_a_request_of_the_earlier_process) {
+    CHECK(sent_to("t0") > 0); // raises the limits on concurrent requests above the initial 1
+    const auto running = node->request("POST", "/runs/1");
+    const auto target = node->dispatcher->first_step(running).target.value;
+    CHECK(node->dispatcher->may_send(running));
+    CHECK(announce_draining() != announce_draining()); // both drain, that one too
+    node->dispatcher->set_view(test::make_view(test::make_snapshot(0, 6)));
+    LONGS_EQUAL(0, sent_to(target));
+    const std::string other = target == "t0" ? "t1" : "t0";
+    node->dispatcher->set_view(test::make_view(snapshot, {other}));
+    CHECK(sent_to(target) > 0);
+}
+
+// Guards against waiting requests when all targets drain: they can't be served.
+TEST(announcement, request_is_refused_at_once_when_all_targets_drain) {
+    static_cast<void>(announce_draining());
+    CHECK_FALSE(announce_draining().empty());
+    const auto step = node->dispatcher->first_step(node->request("POST", "/runs/1"));
+    CHECK(step.kind == step_kind::refuse);
+    CHECK(step.reason.result == traffic::outcome::not_run);
+}
+
+// Guards against a probe of a target that drains.
+TEST(announcement, draining_target_is_not_probed) {
+    const auto target = announce_draining();
+    node->dispatcher->set_view(test::make_view(snapshot, {target}));
+    node->dispatcher->request_probe(service_name("print"), target_id(target), seconds(10));
+    const auto step = node->dispatcher->first_step(node->request("GET", "/stock"));
+    CHECK(step.kind == step_kind::send);
+    CHECK(step.target.value != target);
+}
--- a/test/fleet/users_site_test.cpp
+++ b/test/fleet/users_site_test.cpp
@@ -74,6 +74,25 @@
     LONGS_EQUAL(requests_before_removal, site.requests_at(1));
 }
 
+// Guards against requests to a target that says in its answers that it leaves, while the store,
+// which is down, still lists it.
+TEST(users_site, target_that_announces_its_end_in_answers_receives_no_requests) {
+    site.register_target(1, "ready");
+    site.start_nodes();
+    site.set_store_down(true);
+    site.set_answer_header(0, "Server-Leaving", "1");
+    for (int i = 0; i < 100 && site.requests_at(0) == 0; ++i) {
+        LONGS_EQUAL(200, send_lookup().status);
+    }
+    std::this_thread::sleep_for(500ms);
+    const auto before = site.requests_at(0);
+    CHECK(before > 0);
+    for (int i = 0; i < 40; ++i) {
+        LONGS_EQUAL(200, send_lookup().status);
+    }
+    LONGS_EQUAL(before, site.requests_at(0));
+}
+
 // Guards against a node that stops serving or drops its configuration while the store is down, and
 // against one that keeps an old configuration after the store has compacted its history.
 TEST(users_site, continues_through_store_outage_and_compacted_history) {
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -46,9 +46,10 @@
     table_ = std::move(table);
     ++generation_;
     update_reachability_size();
-    // Services without waiting requests take over the view when they are next used.
+    // Other services take over the view when they are next used. Those with draining targets must
+    // not miss a view without these.
     for (auto& [name, service] : services_) {
-        if (service->queue.size() > 0) {
+        if (service->queue.size() > 0 || service->has_draining_targets()) {
             sync_service(name, *service);
             serve_queue(*service, now);
         }
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -14,11 +14,8 @@
 // Delay before the next attempt of a shed request when the retry budget is used up. It doubles with
 // each attempt.
 constexpr milliseconds base_shed_delay{20};
-// Time for which a target that reported that it is draining gets no requests. By then a view
-// without it should have arrived.
-constexpr seconds draining_exclusion{30};
-// The same for a target whose address now belongs to another target. A view without it should
-// arrive soon.
+// Time for which a target whose address now belongs to another target gets no requests. A view
+// without it should arrive soon.
 constexpr seconds misdirected_exclusion{4};
 
 // Number of targets that can't be connected to after which a request is passed to another node. A
@@ -145,11 +142,9 @@
                                    const traffic::attempt_result& attempt, wall_time wall) {
     auto& target = *record.assigned_target;
     target.hint.report(attempt.reported_load, target.slots, attempt.ended);
-    if (attempt.draining) {
-        target.draining_until = attempt.ended + draining_exclusion;
-    }
+    target.is_draining = target.is_draining || attempt.draining;
     if (attempt.misdirected) {
-        target.draining_until = attempt.ended + misdirected_exclusion;
+        target.misdirected_until = attempt.ended + misdirected_exclusion;
     }
     health::answer answer;
     answer.service = record.chosen_service;
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -82,7 +82,8 @@
     // Keep the records of targets that requests still use, and of configured targets that may
     // become eligible again.
     std::erase_if(known_, [&](const auto& one) {
-        return one.second.use_count() == 1 && !is_configured(one.first);
+        one.second->is_configured = is_configured(one.first);
+        return one.second.use_count() == 1 && !one.second->is_configured;
     });
 }
 
@@ -97,6 +98,11 @@
         record = std::make_shared<target_record>();
         record->id = target.id;
     }
+    // A target that returns to the configuration, or changes its address, is another process.
+    if (!record->is_configured || record->address != target.address) {
+        record->forget_announcements();
+        record->is_configured = true;
+    }
     record->address = target.address;
     record->slots = target.slots;
     record->domain = target.domain;
@@ -132,7 +138,7 @@
 }
 
 bool service_state::has_room(const target_record& record, instant now) const {
-    return now >= record.draining_until && record.limiter.can_acquire(now) &&
+    return record.is_usable(now) && record.limiter.can_acquire(now) &&
            limits_->can_send(record.id, now);
 }
 
@@ -152,13 +158,13 @@
     found.now = now;
     found.prefers_own_domain = !own_domain_.value.empty() && random.uniform() >= any_domain_share;
     found.many_fail = failures_.at(now, nodes_) > max_failure_share;
+    found.tries = policy_->excludes_worse_candidates();
     const auto rest = repeat == config::repeat_policy::at_most_once ? rest_before_at_most_once
                                                                     : rest_before_repeatable;
     found.rest = found.many_fail ? rest_while_many_fail : rest;
     return found;
 }
 
-    found.tries = policy_->excludes_worse_candidates();
 bool service_state::is_trial_due(const target_record& record,
                                  const placement_conditions& conditions) {
     return may_have_recovered(record, conditions.now, conditions.rest) &&
@@ -269,7 +275,7 @@
 placement service_state::place(std::span<const target_id> avoid, config::repeat_policy repeat,
                                instant now, random_source& random) {
     const bool all_tried = std::ranges::all_of(eligible_, [&](const weighted_target& it) {
-        return now < it.record->draining_until || contains(avoid, it.record->id);
+        return !it.record->is_usable(now) || contains(avoid, it.record->id);
     });
     const auto found = conditions(repeat, now, random);
     collect_candidates(all_tried ? std::span<const target_id>{} : avoid, found);
@@ -286,9 +292,13 @@
     return {record, static_cast<std::uint32_t>(candidates_.size())};
 }
 
+bool service_state::has_draining_targets() const {
+    return std::ranges::any_of(known_, [](const auto& one) { return one.second->is_draining; });
+}
+
 bool service_state::any_eligible(instant now) const {
     return std::ranges::any_of(
-        eligible_, [&](const weighted_target& it) { return now >= it.record->draining_until; });
+        eligible_, [&](const weighted_target& it) { return it.record->is_usable(now); });
 }
 
 instant service_state::next_chance(instant now, instant latest) const {
@@ -306,7 +316,7 @@
     auto first = instant::max();
     for (const auto& it : eligible_) {
         const auto& id = it.record->id;
-        if (now < it.record->draining_until) {
+        if (!it.record->is_usable(now)) {
             continue;
         }
         if (!limits_->is_limited(id)) {
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -72,6 +72,8 @@
     ///          least 100 ms; before enough answers were measured, the route's total limit
     [[nodiscard]] nanoseconds longest_usual_latency(const config::route& route) const;
 
+    /// \returns true when a known target announced that it is draining
+    [[nodiscard]] bool has_draining_targets() const;
     /// \returns true when at least one eligible target is not draining; it may be at its limit
     [[nodiscard]] bool any_eligible(instant now) const;
     /// \returns the earliest time after `now` at which the backoff of a target ends or its rate
@@ -117,9 +119,9 @@
         bool prefers_own_domain{true};
         /// Many requests of the service fail, so targets without a recent failure are used evenly.
         bool many_fail{false};
+        bool tries{false};   ///< the policy needs trials of suspected targets
         milliseconds rest{}; ///< time after its last bad answer until a target is tried again
     };
-        bool tries{false};   ///< the policy needs trials of suspected targets
     [[nodiscard]] placement_conditions conditions(config::repeat_policy repeat, instant now,
                                                   random_source& random) const;
     /// \returns true when a target, if it is suspected of failing, may be tried by this node now
--- a/wigeonrill/src/dispatch/target_record.h
+++ b/wigeonrill/src/dispatch/target_record.h
@@ -22,9 +22,24 @@
     /// Own requests in the target, as last published to other nodes.
     std::uint32_t published_outstanding{0};
     instant published_at{instant::min()};
-    /// No new requests before this time; set when the target reports that it is draining, or that
-    /// another target has its address.
-    instant draining_until{instant::min()};
+    /// The target announced that it is draining. It gets no new requests for as long as the
+    /// configuration contains it with this address.
+    bool is_draining{false};
+    /// No new requests before this time, because another target has the address.
+    instant misdirected_until{instant::min()};
+    /// False from when the configuration lacks the target until it contains it again.
+    bool is_configured{true};
+
+    /// \returns false when the target is draining or another one has its address
+    [[nodiscard]] bool is_usable(instant now) const {
+        return !is_draining && now >= misdirected_until;
+    }
+    /// \brief Forgets what an earlier process of the target announced.
+    void forget_announcements() {
+        is_draining = false;
+        misdirected_until = instant::min();
+    }
+
     /// While the target is suspected of failing, this node doesn't try it before this time.
     instant next_trial_at{instant::min()};
 };
