Keep to the pause that a target asks for

Cause: nothing read Retry-After of a target, except for the own format, where it means that the request was not run. Ruled out: reading it as a refusal; on the users' platform only X-Wigeonrill-Not-Executed promises that a request was not run. Change: a 503 with Retry-After in seconds keeps this node's requests, retries and probes away from the target until its end; the longest of several times counts, a later shorter one doesn't replace it, unreadable ones are ignored, and another address of the target forgets it. While all targets pause, a request that can't wait for the first end is refused at once with that time. Each pause is logged. Peers are not told, since a pause binds only the node that was told. A pause of a target that starts again under the same id and address holds until its end.

--- a/test/dispatch/announcement_test.cpp
+++ b/test/dispatch/announcement_test.cpp
@@ -90,6 +90,77 @@
     CHECK(sent_to(target) > 0);
 }
 
+// Guards against requests to a target before the end of its pause, also after a shorter one that it
+// names later, and against a pause that outlasts its end.
+TEST(announcement, paused_target_gets_no_work_until_the_end) {
+    const auto target = send([](traffic::attempt_result& it) {
+        it.kind = answer_kind::server_error;
+        it.pause = milliseconds(2'500);
+    });
+    LONGS_EQUAL(0, sent_to(target));
+    node->clock.advance(milliseconds(2'400));
+    LONGS_EQUAL(0, sent_to(target));
+    node->clock.advance(seconds(12)); // the failure is forgotten too
+    CHECK(sent_to(target) > 0);
+}
+
+TEST(announcement, shorter_pause_does_not_end_a_longer_one) {
+    CHECK(sent_to("t0") > 0); // raises the limits on concurrent requests above the initial 1
+    const auto first = node->request("POST", "/runs/1");
+    const auto target = node->dispatcher->first_step(first).target.value;
+    CHECK(node->dispatcher->may_send(first));
+    traffic::request_info second;
+    do {
+        second = node->request("POST", "/runs/1");
+    } while (node->dispatcher->first_step(second).target.value != target);
+    CHECK(node->dispatcher->may_send(second));
+    for (const auto& [request, pause] : {std::pair(first, 9), std::pair(second, 1)}) {
+        auto attempt = node->attempt(answer_kind::ok);
+        attempt.pause = seconds(pause);
+        CHECK_FALSE(node->dispatcher->on_attempt_ended(request, attempt));
+        node->dispatcher->finish_request(request, true, nullptr);
+    }
+    node->clock.advance(seconds(8));
+    const auto step = node->dispatcher->first_step(node->request("POST", "/runs/1"));
+    CHECK(step.target.value != target);
+}
+
+// Guards against probes of a target in its pause.
+TEST(announcement, paused_target_is_not_probed) {
+    const auto target = send([](traffic::attempt_result& it) { it.pause = seconds(9); });
+    node->dispatcher->set_view(test::make_view(snapshot, {target}));
+    node->dispatcher->request_probe(service_name("print"), target_id(target), seconds(10));
+    const auto step = node->dispatcher->first_step(node->request("GET", "/stock"));
+    CHECK(step.target.value != target);
+}
+
+// Guards against requests that wait although no target takes any in time, and against a refusal
+// without the time at which the first pause ends.
+TEST(announcement, request_is_refused_at_once_while_all_targets_pause) {
+    for (const int pause : {20, 8}) {
+        CHECK_FALSE(
+            send([pause](traffic::attempt_result& it) { it.pause = seconds(pause); }).empty());
+    }
+    const auto step = node->dispatcher->first_step(node->request("POST", "/runs/1"));
+    CHECK(step.kind == step_kind::refuse);
+    LONGS_EQUAL(503, step.reason.status);
+    CHECK(step.reason.result == traffic::outcome::not_run);
+    LONGS_EQUAL(8, step.reason.retry_after.value_or(seconds(0)).count());
+}
+
+// Guards against a new process of a target that gets no work because of an earlier one's pause.
+TEST(announcement, target_at_another_address_gets_work_in_the_pause) {
+    const auto target = send([](traffic::attempt_result& it) { it.pause = seconds(9); });
+    LONGS_EQUAL(0, sent_to(target));
+    auto moved = test::make_snapshot(2, 6);
+    moved->routes.at(1).key = config::key_policy::optional;
+    for (auto& it : moved->services.front().targets) {
+        it.address.port = 9090;
+    }
+    node->dispatcher->set_view(test::make_view(moved));
+    CHECK(sent_to(target) > 0);
+}
+
 // Guards against waiting requests when all targets drain: they can't be served.
 TEST(announcement, request_is_refused_at_once_when_all_targets_drain) {
     static_cast<void>(announce_draining());
--- a/test/fleet/users_site_test.cpp
+++ b/test/fleet/users_site_test.cpp
@@ -93,6 +93,27 @@
     LONGS_EQUAL(before, site.requests_at(0));
 }
 
+// Guards against requests to a target that asked for a pause.
+TEST(users_site, target_that_asks_for_a_pause_receives_no_requests) {
+    site.start_nodes();
+    site.set_status(0, 503);
+    site.set_answer_header(0, "Retry-After",
+                           "5.5"); // too long to wait for, until 2 s before its end
+    LONGS_EQUAL(503, send_lookup().status);
+    const auto before = site.requests_at(0);
+    const auto end = std::chrono::steady_clock::now() + 3s;
+    while (std::chrono::steady_clock::now() < end) {
+        const auto refused = send_lookup();
+        LONGS_EQUAL(503, refused.status);
+        CHECK(refused.headers.count("Retry-After") == 1);
+        std::this_thread::sleep_for(20ms);
+    }
+    LONGS_EQUAL(before, site.requests_at(0));
+    site.set_status(0, 200);
+    site.set_answer_header(0, "Retry-After", "");
+    CHECK(eventually([&] { return send_lookup().status == 200; }, 10));
+}
+
 // Guards against a node that stops serving or drops its configuration while the store is down, and
 // against one that keeps an old configuration after the store has compacted its history.
 TEST(users_site, continues_through_store_outage_and_compacted_history) {
--- a/test/traffic/named_headers_test.cpp
+++ b/test/traffic/named_headers_test.cpp
@@ -51,6 +51,46 @@
     LONGS_EQUAL(5, it.decisions.attempts.at(0).reported_load);
 }
 
+// Guards against a pause that is misread: only a 503 names one, in seconds with or without a
+// fraction; of several fields the longest counts. It must not read as a refusal.
+TEST(named_headers, read_the_pause_of_a_target) {
+    struct example {
+        int status;
+        std::string fields;
+        milliseconds expected;
+    };
+    const std::vector<example> examples{
+        {503, "Retry-After: 2\r\n", milliseconds(2'000)},
+        {503, "Retry-After: 0.25\r\n", milliseconds(250)},
+        {503, "Retry-After: 1\r\nRetry-After: 3\r\n", milliseconds(3'000)},
+        {503, "Retry-After: x\r\nRetry-After: 1.5\r\n", milliseconds(1'500)},
+        {503, "Retry-After: 1e300\r\n", milliseconds(0)},
+        {503, "Retry-After: 99999999999999999999999\r\n", std::chrono::hours(24)},
+        {503, "Retry-After: 0\r\n", milliseconds(0)},
+        {503, "Retry-After: -1\r\n", milliseconds(0)},
+        {503, "Retry-After: nan\r\n", milliseconds(0)},
+        {503, "Retry-After:\r\n", milliseconds(0)},
+        {503, "Retry-After: Sat, 05 Dec 2026 08:00:00 GMT\r\n", milliseconds(0)},
+        {503, "", milliseconds(0)},
+        {500, "Retry-After: 2\r\n", milliseconds(0)},
+        {421, "Retry-After: 2\r\n", milliseconds(0)},
+    };
+    auto options = custom_header_options();
+    options.names.retry_after_is_pause = true;
+    proxy_fixture it(
+        [&examples](const std::string& /*request*/, int number) {
+            const auto& one = examples.at(static_cast<std::size_t>(number) - 1);
+            return answer(one.status, "Request-Name: r1\r\nSigned: s\r\n" + one.fields, "no");
+        },
+        options);
+    for (const auto& one : examples) {
+        static_cast<void>(it.send_request(get_with_custom_headers));
+        const auto& seen = it.decisions.attempts.back();
+        CHECK_EQUAL(nanoseconds(one.expected).count(), seen.pause.count());
+        CHECK(one.status == 421 || seen.kind == answer_kind::server_error);
+    }
+}
+
 // Guards against a limit that is misread: a text, a negative or an endless number, or the limit of
 // another target that now has the address, must not count, and of two limits the lower one does.
 TEST(named_headers, read_the_rate_limit_of_a_target) {
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -164,6 +164,7 @@
         announce_leaving_target(answer);
     }
     log_unreadable_rate_limit(answer);
+    log_pause(answer);
     dependencies_.metrics.increment_counter(
         "wigeonrill_attempts_total", "Attempts at targets by result.",
         {{"service", answer.service.value},
@@ -184,6 +185,17 @@
                   .with("target", answer.target.value));
 }
 
+void control_loop::log_pause(const health::answer& answer) {
+    if (answer.pause > nanoseconds(0)) {
+        const auto ms = std::chrono::ceil<milliseconds>(answer.pause).count();
+        write_log(log_level::info, log_subsystem::health,
+                  log_line("Target takes no requests of this node for a while.")
+                      .with("service", answer.service.value)
+                      .with("target", answer.target.value)
+                      .with("pause_ms", static_cast<std::int64_t>(ms)));
+    }
+}
+
 void control_loop::handle(const health::rate_limit& notice) {
     log_rate_limit(notice, "answer");
     if (dependencies_.gossip != nullptr) {
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -88,6 +88,7 @@
     void log_crash_mark(const once::crash_mark& mark, std::string_view source);
     void log_rate_limit(const health::rate_limit& notice, std::string_view source);
     void log_unreadable_rate_limit(const health::answer& answer);
+    void log_pause(const health::answer& answer);
     void process_peer_messages();
     void update_members();
     /// \brief Announces whether this node reaches targets, and tells the dispatcher which nodes do.
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -229,7 +229,7 @@
 
 void decision_core::enqueue(request_record& record, instant now) {
     auto& service = *record.service;
-    const auto limited = service.rate_limit_wait(now);
+    const auto limited = service.announced_wait(now);
     // Half of the remaining time is reserved for the answer and for errors of the estimate.
     if (limited && *limited > (record.deadline - now) / 2) {
         refuse(record, refusal_kind::rate_limited, outcome_of(record), now,
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -146,6 +146,7 @@
     if (attempt.misdirected) {
         target.misdirected_until = attempt.ended + misdirected_exclusion;
     }
+    target.paused_until = std::max(target.paused_until, attempt.ended + attempt.pause);
     health::answer answer;
     answer.service = record.chosen_service;
     answer.target = target.id;
@@ -157,6 +158,7 @@
     answer.draining = attempt.draining;
     answer.reported_load = attempt.reported_load;
     answer.rate_limit = attempt.rate_limit;
+    answer.pause = attempt.pause;
     answer.fingerprint = record.fingerprint;
     if (auto notice = rate_limits_.on_answer(answer, wall)) {
         events_.emplace_back(std::move(*notice));
--- a/wigeonrill/src/dispatch/refusals.cpp
+++ b/wigeonrill/src/dispatch/refusals.cpp
@@ -34,8 +34,8 @@
                  "All targets are busy and the queue is full. Send the request again after the "
                  "time in Retry-After."},
     refusal_text{refusal_kind::rate_limited, 503, "rate-limited", "The targets take fewer requests",
-                 "All targets of the service limit the rate of their requests. Send the request "
-                 "again after the time in Retry-After."},
+                 "All targets of the service limit their requests or take none for a while. Send "
+                 "the request again after the time in Retry-After."},
     refusal_text{refusal_kind::overloaded, 503, "overloaded", "Too busy for the deadline",
                  "The expected wait is longer than the request's deadline. Send the request again "
                  "after the time in Retry-After."},
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -138,7 +138,7 @@
 }
 
 bool service_state::has_room(const target_record& record, instant now) const {
-    return record.is_usable(now) && record.limiter.can_acquire(now) &&
+    return record.is_usable(now) && now >= record.paused_until && record.limiter.can_acquire(now) &&
            limits_->can_send(record.id, now);
 }
 
@@ -304,33 +304,41 @@
 instant service_state::next_chance(instant now, instant latest) const {
     for (const auto& it : eligible_) {
         for (const auto chance :
-             {it.record->limiter.backoff_until(), limits_->next_send_at(it.record->id, now)}) {
+             {it.record->limiter.backoff_until(), limits_->next_send_at(it.record->id, now),
+              it.record->paused_until}) {
             latest = chance > now ? std::min(latest, chance) : latest;
         }
     }
     return latest;
 }
 
-std::optional<nanoseconds> service_state::rate_limit_wait(instant now) const {
+std::optional<nanoseconds> service_state::announced_wait(instant now) const {
     double rate = 0.0;
+    bool is_any_unlimited = false;
     auto first = instant::max();
     for (const auto& it : eligible_) {
-        const auto& id = it.record->id;
-        if (!it.record->is_usable(now)) {
+        const auto& record = *it.record;
+        const bool is_limited = limits_->is_limited(record.id);
+        if (!record.is_usable(now)) {
             continue;
         }
-        if (!limits_->is_limited(id)) {
+        if (!is_limited && now >= record.paused_until) {
             return std::nullopt;
         }
-        rate += limits_->share_of(id);
-        first = std::min(first, limits_->next_send_at(id, now));
+        is_any_unlimited = is_any_unlimited || !is_limited;
+        rate += is_limited ? limits_->share_of(record.id) : 0.0;
+        const auto allowed_at = is_limited ? limits_->next_send_at(record.id, now) : now;
+        first = std::min(first, std::max(allowed_at, record.paused_until));
     }
     if (first == instant::max()) {
         return nanoseconds::max();
     }
+    const auto wait = std::max(first - now, instant::duration(0));
+    if (is_any_unlimited) {
+        return wait;
+    }
     const std::chrono::duration<double> behind_queue(static_cast<double>(queue.size()) / rate);
-    return std::max(first - now, instant::duration(0)) +
-           std::chrono::duration_cast<nanoseconds>(behind_queue);
+    return wait + std::chrono::duration_cast<nanoseconds>(behind_queue);
 }
 
 } // namespace wigeonrill::dispatch
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -79,10 +79,11 @@
     /// \returns the earliest time after `now` at which the backoff of a target ends or its rate
     ///          limit allows a request, but at most `latest`
     [[nodiscard]] instant next_chance(instant now, instant latest) const;
-    /// \returns how long a request would wait for the rate limits behind the queue, when they bind
-    ///          all targets; nanoseconds::max() when this node has no share of any limit; nothing
-    ///          when a target has no limit
-    [[nodiscard]] std::optional<nanoseconds> rate_limit_wait(instant now) const;
+    /// \returns how long a request would wait for the rate limits behind the queue and for pauses
+    /// of
+    ///          targets, when these bind all targets; nanoseconds::max() when this node has no
+    ///          share of any limit; nothing when a target takes requests without a limit
+    [[nodiscard]] std::optional<nanoseconds> announced_wait(instant now) const;
 
     /// Requests that wait for a target. The bound is set by sync().
     admission::wait_queue queue{0};
--- a/wigeonrill/src/dispatch/target_record.h
+++ b/wigeonrill/src/dispatch/target_record.h
@@ -27,6 +27,8 @@
     bool is_draining{false};
     /// No new requests before this time, because another target has the address.
     instant misdirected_until{instant::min()};
+    /// No new requests before this time, because the target asked this node for a pause.
+    instant paused_until{instant::min()};
     /// False from when the configuration lacks the target until it contains it again.
     bool is_configured{true};
 
@@ -38,6 +40,7 @@
     void forget_announcements() {
         is_draining = false;
         misdirected_until = instant::min();
+        paused_until = instant::min();
     }
 
     /// While the target is suspected of failing, this node doesn't try it before this time.
--- a/wigeonrill/src/health/answer.h
+++ b/wigeonrill/src/health/answer.h
@@ -54,6 +54,8 @@
     std::int32_t reported_load{-1}; ///< requests in the target by its Target-Load header, -1:
                                     ///< no header
     rate_limit_statement rate_limit;
+    nanoseconds pause{0};         ///< time from `ended` in which the target takes no requests of
+                                  ///< this node
     std::uint64_t fingerprint{0}; ///< fingerprint of the request, 0: none
     std::uint64_t request{0};     ///< id passed to monitor::on_outstanding(), 0: none
 };
--- a/wigeonrill/src/traffic/answer_statements.cpp
+++ b/wigeonrill/src/traffic/answer_statements.cpp
@@ -28,12 +28,28 @@
 }
 
 /// Returns nothing unless the whole text is a decimal number of 0 or more, without an exponent.
-std::optional<double> parse_rate(std::string_view text) {
-    double rate = 0.0;
+std::optional<double> parse_decimal(std::string_view text) {
+    double number = 0.0;
     const auto* last = text.data() + text.size();
-    const auto [end, ec] = std::from_chars(text.data(), last, rate, std::chars_format::fixed);
-    const bool is_number = ec == std::errc{} && end == last && std::isfinite(rate) && rate >= 0.0;
-    return is_number ? std::optional(rate) : std::nullopt;
+    const auto [end, ec] = std::from_chars(text.data(), last, number, std::chars_format::fixed);
+    const bool is_valid = ec == std::errc{} && end == last && std::isfinite(number) && number >= 0;
+    return is_valid ? std::optional(number) : std::nullopt;
+}
+
+/// Longest pause of a target that is believed.
+constexpr std::chrono::duration<double> max_pause = std::chrono::hours(24);
+
+/// Returns the longest time if there are several fields; 0 without a readable one. A date is not
+/// readable, because the clocks of two VMs differ.
+nanoseconds read_pause(const message_head& head) {
+    std::chrono::duration<double> longest{0.0};
+    for (const auto& [field, value] : head.fields) {
+        if (equal_ignoring_case(field, "Retry-After")) {
+            const std::chrono::duration<double> stated(parse_decimal(value).value_or(0.0));
+            longest = std::max(longest, std::min(stated, max_pause));
+        }
+    }
+    return std::chrono::duration_cast<nanoseconds>(longest);
 }
 
 /// Returns the lowest limit if there are several fields, so that none of them is exceeded.
@@ -43,7 +59,7 @@
         if (name.empty() || !equal_ignoring_case(field, name)) {
             continue;
         }
-        const auto rate = parse_rate(value);
+        const auto rate = parse_decimal(value);
         stated.is_unreadable = stated.is_unreadable || !rate;
         if (rate) {
             stated.per_second = std::min(*rate, stated.per_second.value_or(*rate));
@@ -94,6 +110,10 @@
     if (kind == step_kind::send && !result.misdirected) {
         result.rate_limit = read_rate_limit(head, names.rate_limit);
     }
+    const bool may_pause = kind == step_kind::send && !result.misdirected && head.status == 503;
+    if (names.retry_after_is_pause && may_pause) {
+        result.pause = read_pause(head);
+    }
     // A refusal by another node says nothing about the slots of a target, so it is not a shed.
     if (kind == step_kind::send && reports_not_run(head, names, result.misdirected)) {
         result.kind = answer_kind::shed;
--- a/wigeonrill/src/traffic/answer_statements.h
+++ b/wigeonrill/src/traffic/answer_statements.h
@@ -25,7 +25,7 @@
                                  const request_info& request);
 
 /// \brief Records in a result the status, the kind of the answer, and the target's statements about
-///        its load, its rate limit, and that it is draining or not the expected one.
+///        its load, its rate limit, its pause, and that it is draining or not the expected one.
 void record_statements(const message_head& head, const header_names& names, step_kind kind,
                        attempt_result& result);
 
--- a/wigeonrill/src/traffic/dispatcher.h
+++ b/wigeonrill/src/traffic/dispatcher.h
@@ -69,8 +69,9 @@
     bool misdirected{false};        ///< status 421: another target has the address
     std::int32_t reported_load{-1}; ///< running and waiting requests of the target; -1: unknown
     health::rate_limit_statement rate_limit; ///< what the answer states; nothing without one
-    instant sent{};  ///< directly before the first byte of the request was written
-    instant ended{}; ///< when the answer's head had been read or the attempt failed
+    nanoseconds pause{0}; ///< time from `ended` in which the target takes no requests of this node
+    instant sent{};       ///< directly before the first byte of the request was written
+    instant ended{};      ///< when the answer's head had been read or the attempt failed
 
     /// \returns whether the target seems to have crashed while it ran the request
     [[nodiscard]] bool shows_crash() const {
--- a/wigeonrill/src/traffic/header_names.h
+++ b/wigeonrill/src/traffic/header_names.h
@@ -34,6 +34,9 @@
     std::string signature;
     /// True if a 503 answer with Retry-After means that the target did not run the request.
     bool retry_after_means_not_run{true};
+    /// True if a 503 answer with Retry-After states for how long, in seconds, the target takes no
+    /// requests of this node.
+    bool retry_after_is_pause{false};
 };
 
 } // namespace wigeonrill::traffic
