Reserve the callers of a test, as the linter asks

Cause: clang-tidy refuses a vector of threads that grows in a loop. Change: room for all callers is reserved.

--- a/test/fleet/planned_stop_test.cpp
+++ b/test/fleet/planned_stop_test.cpp
@@ -172,6 +172,7 @@
 // them at its end, and against a process that outlasts its grace period.
 TEST(planned_stop_with_grace, no_request_that_was_passed_on_is_cut) {
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int i = 0; i < callers; ++i) {
         threads.emplace_back([this, i] { run_caller(i); });
     }
