--- a/test/dispatch/announcement_test.cpp
+++ b/test/dispatch/announcement_test.cpp
@@ -148,6 +148,29 @@
     LONGS_EQUAL(8, step.reason.retry_after.value_or(seconds(0)).count());
 }
 
+// Guards against a retry that waits for a target's pause although the target that shed it has room.
+TEST(announcement, shed_request_returns_to_its_target_while_the_other_pauses) {
+    const auto paused = send([](traffic::attempt_result& it) { it.pause = seconds(9); });
+    const auto request = node->request("POST", "/runs/1");
+    CHECK(node->dispatcher->first_step(request).target.value != paused);
+    CHECK(node->dispatcher->may_send(request));
+    node->clock.advance(seconds(1));
+    std::optional<traffic::step> next;
+    std::thread worker([&] {
+        next = node->dispatcher->on_attempt_ended(request, node->attempt(answer_kind::shed));
+    });
+    for (int i = 0; i < 40; ++i) { // 2 s, for the backoff after a shed
+        std::this_thread::sleep_for(milliseconds(5));
+        node->clock.advance(milliseconds(50));
+        node->dispatcher->tick();
+    }
+    node->clock.advance(seconds(20)); // ends a request that still waits
+    node->dispatcher->tick();
+    worker.join();
+    CHECK(next.has_value() && next->kind == step_kind::send);
+    CHECK(next->target.value != paused);
+}
+
 // Guards against a new process of a target that gets no work because of an earlier one's pause.
 TEST(announcement, target_at_another_address_gets_work_in_the_pause) {
     const auto target = send([](traffic::attempt_result& it) { it.pause = seconds(9); });
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -164,9 +164,8 @@
     /// \returns the state of a request between begin_request() and finish_request()
     request_record& record_of(std::uint64_t id);
 
-    /// \returns true when a target can probably answer a request before the node has stopped, or
-    /// the
-    ///          request's own deadline ends it before
+    /// \returns true when a request probably ends before the node has stopped, because of its
+    ///          target's usual latency or its own deadline
     [[nodiscard]] bool can_finish_before_stop(const request_record& record, instant now);
     /// \brief Refuses a request that can't finish before the node has stopped.
     /// \returns false when the request may be placed
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -90,6 +90,9 @@
 void service_state::clear() {
     eligible_.clear();
     pending_probes_.clear();
+    for (const auto& [id, record] : known_) {
+        record->is_configured = false;
+    }
 }
 
 target_record_ptr service_state::find_or_add_target(const config::target& target) {
@@ -138,7 +141,7 @@
 }
 
 bool service_state::has_room(const target_record& record, instant now) const {
-    return record.is_usable(now) && now >= record.paused_until && record.limiter.can_acquire(now) &&
+    return record.takes_requests(now) && record.limiter.can_acquire(now) &&
            limits_->can_send(record.id, now);
 }
 
@@ -275,7 +278,7 @@
 placement service_state::place(std::span<const target_id> avoid, config::repeat_policy repeat,
                                instant now, random_source& random) {
     const bool all_tried = std::ranges::all_of(eligible_, [&](const weighted_target& it) {
-        return !it.record->is_usable(now) || contains(avoid, it.record->id);
+        return !it.record->takes_requests(now) || contains(avoid, it.record->id);
     });
     const auto found = conditions(repeat, now, random);
     collect_candidates(all_tried ? std::span<const target_id>{} : avoid, found);
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -79,10 +79,9 @@
     /// \returns the earliest time after `now` at which the backoff of a target ends or its rate
     ///          limit allows a request, but at most `latest`
     [[nodiscard]] instant next_chance(instant now, instant latest) const;
-    /// \returns how long a request would wait for the rate limits behind the queue and for pauses
-    /// of
-    ///          targets, when these bind all targets; nanoseconds::max() when this node has no
-    ///          share of any limit; nothing when a target takes requests without a limit
+    /// \returns how long a request would wait behind the queue for rate limits and for the ends of
+    ///          pauses, when these bind all targets; nanoseconds::max() when this node has no share
+    ///          of any limit; nothing when a target takes requests without a limit
     [[nodiscard]] std::optional<nanoseconds> announced_wait(instant now) const;
 
     /// Requests that wait for a target. The bound is set by sync().
@@ -103,9 +102,7 @@
     };
     /// \brief Returns the record of a target with its configured values brought up to date.
     [[nodiscard]] target_record_ptr find_or_add_target(const config::target& target);
-    /// \returns the time after which an unanswered request of a route counts as late; nothing
-    /// before
-    ///          enough answers were measured
+    /// \returns the same as late_threshold(), but nothing before enough answers were measured
     [[nodiscard]] std::optional<nanoseconds>
     measured_late_threshold(const config::route& route) const;
     [[nodiscard]] bool is_eligible(const target_record_ptr& record) const;
--- a/wigeonrill/src/dispatch/target_record.h
+++ b/wigeonrill/src/dispatch/target_record.h
@@ -36,6 +36,10 @@
     [[nodiscard]] bool is_usable(instant now) const {
         return !is_draining && now >= misdirected_until;
     }
+    /// \returns true when the target is usable and not in a pause
+    [[nodiscard]] bool takes_requests(instant now) const {
+        return is_usable(now) && now >= paused_until;
+    }
     /// \brief Forgets what an earlier process of the target announced.
     void forget_announcements() {
         is_draining = false;
