Serve uploads: read their bodies before a target is chosen, within a shared memory

One route of the kind upload made the whole configuration unreadable. Beyond that, a body above 64 KiB occupied a target while it arrived, could not be sent to another target after a shed, and an early answer waited until a pausing caller sent more. Ruled out: holding the already streamed part of a body (a shed comes about a round trip later than 64 KiB take on a fast link, and the target is occupied all the same); one limit for each request without a shared one (memory would grow with the number of uploads). Change: upload is read as at most once. Bodies of up to 512 KiB are read whole before placement while the memory that all requests share (limits.body_memory, 8 MiB) has room; others are streamed as before, and the wait for more of a streamed body ends when the target answers. A caller that sends Expect: 100-continue with a large body is still decided about first. Three tests named the old limit of 64 KiB (buffers_only_small_bodies, streams_bodies_on_new_connections, enforces_the_body_limit_of_the_route); they check the same at the new one.

--- a/test/traffic/connection_reuse_test.cpp
+++ b/test/traffic/connection_reuse_test.cpp
@@ -164,8 +164,8 @@
     proxy_fixture it(answer_ok);
     STRCMP_CONTAINS("\r\n\r\nok", it.send_request(plain_get).c_str());
     STRCMP_CONTAINS("\r\n\r\nok",
-                    it.send_request("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 70000\r\n\r\n" +
-                                    std::string(70'000, 'x'))
+                    it.send_request("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 600000\r\n\r\n" +
+                                    std::string(600'000, 'x'))
                         .c_str());
     LONGS_EQUAL(2, it.target.connections());
 }
--- a/test/traffic/node_forwarding_test.cpp
+++ b/test/traffic/node_forwarding_test.cpp
@@ -106,7 +106,7 @@
 // Guards against computing a digest of a body that is not in memory, or sending such a body again.
 TEST(node_forwarding, buffers_only_small_bodies) {
     proxy_fixture it(answer_ok);
-    for (const std::size_t size : {std::size_t{65'536}, std::size_t{65'537}}) {
+    for (const std::size_t size : {std::size_t{524'288}, std::size_t{524'289}}) {
         const std::string body(size, 'x');
         auto caller = it.connect();
         caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(size) +
@@ -116,7 +116,8 @@
     }
     it.decisions.wait_finished(2);
     CHECK(it.decisions.started_requests.at(0).body_replayable);
-    CHECK(it.decisions.started_requests.at(0).body_digest == stable_hash(std::string(65'536, 'x')));
+    CHECK(it.decisions.started_requests.at(0).body_digest ==
+          stable_hash(std::string(524'288, 'x')));
     CHECK_FALSE(it.decisions.started_requests.at(1).body_replayable);
     CHECK(it.decisions.started_requests.at(1).body_digest == 0);
 }
--- a/test/traffic/refusing_test.cpp
+++ b/test/traffic/refusing_test.cpp
@@ -67,10 +67,12 @@
     const auto answer =
         it.send_request("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello");
     STRCMP_EQUAL("413", status_of(answer).c_str());
-    it.decisions.default_step.route.max_body_bytes = 100'000;
     auto caller = it.connect();
-    caller.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" +
-                std::string(0x20000, 'x') + "\r\n0\r\n\r\n");
+    // Above the size that is held in memory, a target has received a part before the limit is
+    // reached.
+    it.decisions.default_step.route.max_body_bytes = 600'000;
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nA0000\r\n" +
+                std::string(0xA0000, 'x') + "\r\n0\r\n\r\n");
     const auto streamed = caller.receive_all();
     STRCMP_EQUAL("413", status_of(streamed).c_str());
     STRCMP_CONTAINS("Wigeonrill-Outcome: unknown\r\n", streamed.c_str());
--- a/test/users_platform/records_test.cpp
+++ b/test/users_platform/records_test.cpp
@@ -85,6 +85,17 @@
     LONGS_EQUAL(90'000, file.split.at(1).weight);
 }
 
+// Guards against a configuration that no node can read because one of its routes takes uploads, and
+// against an upload that runs twice.
+TEST(records, uploads_run_at_most_once) {
+    const auto decoded = users_platform::decode_page(page(
+        item("op/config", R"({"version":1,"services":{"s":{}},"routes":{"r":{"host":"h",)"
+                          R"("prefix":"/p/","kind":"upload","service":"s","timeout_s":6}}})")));
+    const auto& rules = std::get<platform::operator_rules>(only_record(decoded).content);
+    CHECK(rules.routes.at(0).repeat == config::repeat_policy::at_most_once);
+    CHECK(rules.routes.at(0).key == config::key_policy::optional);
+}
+
 // Guards against using a record that is not valid, and against losing the valid ones with it.
 TEST(records, returns_invalid_records_as_unreadable) {
     const std::vector<std::string> invalid{"not json",
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -39,6 +39,7 @@
     options.max_connections = node_settings.max_connections;
     options.max_head_bytes = node_settings.max_head_bytes;
     options.max_body_bytes = node_settings.max_body_bytes;
+    options.body_memory_bytes = node_settings.body_memory;
     options.head_time = node_settings.head_time;
     options.body_idle = node_settings.body_idle;
     options.idle = node_settings.idle;
--- a/wigeonrill/src/daemon/settings.cpp
+++ b/wigeonrill/src/daemon/settings.cpp
@@ -79,6 +79,7 @@
     it.max_head_bytes =
         static_cast<std::uint32_t>(limits.size("head", max_allowed_head_bytes, it.max_head_bytes));
     it.max_body_bytes = limits.size("body", max_allowed_body_bytes, it.max_body_bytes);
+    it.body_memory = limits.size("body_memory", max_allowed_body_bytes, it.body_memory);
     it.head_time = limits.duration("head_time", min_duration, max_duration, it.head_time);
     it.body_idle = limits.duration("body_idle", min_duration, max_duration, it.body_idle);
     it.idle = limits.duration("idle", min_duration, max_duration, it.idle);
--- a/wigeonrill/src/daemon/settings.h
+++ b/wigeonrill/src/daemon/settings.h
@@ -40,7 +40,9 @@
     std::uint32_t max_connections{1024};                   ///< open connections of callers
     std::uint32_t max_head_bytes{16'384};                  ///< size of a request head
     std::uint64_t max_body_bytes{std::uint64_t{1} << 30U}; ///< size of a request body
-    milliseconds head_time{10'000};                        ///< limit for receiving a request head
+    /// memory that all requests share for bodies of more than 64 KiB
+    std::uint64_t body_memory{std::uint64_t{8} << 20U};
+    milliseconds head_time{10'000};   ///< limit for receiving a request head
     milliseconds body_idle{15'000};   ///< longest silence within a request body
     milliseconds idle{60'000};        ///< longest silence between two requests
     milliseconds connect_time{1'000}; ///< limit for connecting to a target
--- a/wigeonrill/src/traffic/caller_request.cpp
+++ b/wigeonrill/src/traffic/caller_request.cpp
@@ -54,6 +54,7 @@
     if (head.count("Expect") > 0 && !equal_ignoring_case(head.value("Expect"), "100-continue")) {
         return refuse(417, "expectation", "The only known expectation is 100-continue.");
     }
+    request.large_body = body_reservation(context.large_bodies);
     request.length = parser.content_length();
     request.chunked = parser.chunked();
     request.body_complete = parser.done();
--- a/wigeonrill/src/traffic/caller_request.h
+++ b/wigeonrill/src/traffic/caller_request.h
@@ -9,9 +9,12 @@
 
 namespace wigeonrill::traffic::detail {
 
-/// \brief Largest request body that is buffered in memory. A buffered body has a digest and can be
-/// sent to another target; a larger body is streamed and can be sent only once.
-inline constexpr std::size_t max_buffered_body_bytes = 65'536;
+/// \brief Bytes of its body that each request may hold in memory.
+inline constexpr std::size_t own_body_bytes = 65'536;
+/// \brief Largest request body that is buffered in memory, as long as the memory that all requests
+/// share for large bodies has room. A buffered body has a digest, can be sent to another target,
+/// and occupies no target while it arrives. Any other body is streamed and can be sent only once.
+inline constexpr std::size_t max_buffered_body_bytes = 524'288;
 
 /// \brief Header that marks a request as forwarded by another node. It is ignored unless the sender
 /// is a node of the fleet.
@@ -26,6 +29,7 @@
     message_head head;
     request_info info;
     std::string buffered_body;           ///< the part of the body that is in memory
+    body_reservation large_body;         ///< memory of buffered_body beyond own_body_bytes
     std::optional<std::uint64_t> length; ///< value of Content-Length, if present
     bool chunked{false};                 ///< the body has the chunked transfer coding
     bool body_complete{false};           ///< the whole body has been read from the caller
--- a/wigeonrill/src/traffic/caller_stream.cpp
+++ b/wigeonrill/src/traffic/caller_stream.cpp
@@ -40,31 +40,53 @@
 }
 
 std::optional<framing_fault> caller_stream::buffer_body(caller_request& request) {
-    const bool streams = request.length.value_or(0) > max_buffered_body_bytes;
-    if (!request.body_complete && !streams) {
+    auto& body = request.buffered_body;
+    std::size_t room = room_for_body(request);
+    if (!request.body_complete && room > 0) {
         send_continue(request);
-        std::array<char, 4096> piece{};
-        while (!request.body_complete && request.buffered_body.size() < max_buffered_body_bytes) {
-            std::size_t n = 0;
-            const auto capacity =
-                std::min(piece.size(), max_buffered_body_bytes - request.buffered_body.size());
-            const auto deadline = body_read_deadline(request);
-            if (auto fault =
-                    to_framing_fault(reader_.read_body(piece.data(), capacity, n, deadline))) {
-                return fault;
-            }
-            request.buffered_body.append(piece.data(), n);
-            request.body_complete = reader_.parser().done();
+        body.reserve(std::min<std::uint64_t>(request.length.value_or(0), room));
+    }
+    std::array<char, 4096> piece{};
+    while (!request.body_complete && body.size() < room) {
+        std::size_t n = 0;
+        const auto capacity = std::min(piece.size(), room - body.size());
+        const auto deadline = body_read_deadline(request);
+        if (auto fault = to_framing_fault(reader_.read_body(piece.data(), capacity, n, deadline))) {
+            return fault;
+        }
+        body.append(piece.data(), n);
+        request.body_complete = reader_.parser().done();
+        if (body.size() == room) {
+            room += more_room_for_body(request);
         }
     }
     request.info.body_replayable = request.body_complete;
-    if (request.body_complete && !request.buffered_body.empty()) {
-        request.info.body_digest = stable_hash(request.buffered_body);
-        request.info.body_bytes = request.buffered_body.size();
+    if (request.body_complete && !body.empty()) {
+        request.info.body_digest = stable_hash(body);
+        request.info.body_bytes = body.size();
     }
     return std::nullopt;
 }
 
+std::size_t caller_stream::room_for_body(caller_request& request) {
+    const auto length = request.length.value_or(0);
+    if (length <= own_body_bytes) {
+        return own_body_bytes;
+    }
+    if (request.expects_continue) {
+        return 0; // The caller sends a large body only after the decision about its request.
+    }
+    const bool fits =
+        length <= max_buffered_body_bytes && request.large_body.grow(length - own_body_bytes);
+    return fits ? static_cast<std::size_t>(length) : 0;
+}
+
+std::size_t caller_stream::more_room_for_body(caller_request& request) {
+    const bool may_grow = !request.body_complete && !request.length &&
+                          request.buffered_body.size() < max_buffered_body_bytes;
+    return may_grow && request.large_body.grow(own_body_bytes) ? own_body_bytes : 0;
+}
+
 std::optional<framing_fault> caller_stream::read_body_piece(caller_request& request, char* out,
                                                             std::size_t capacity, std::size_t& n) {
     send_continue(request);
--- a/wigeonrill/src/traffic/caller_stream.h
+++ b/wigeonrill/src/traffic/caller_stream.h
@@ -19,7 +19,8 @@
     [[nodiscard]] message_reader& reader() { return reader_; }
 
     /// \brief Reads a body that is small enough into memory, and sets the size, the digest and
-    /// body_replayable in the info of the request. A body with a larger Content-Length is not read.
+    /// body_replayable in the info of the request. A body with a Content-Length for which there is
+    /// no memory is not read.
     /// \returns the reason to refuse the request, if there is one
     [[nodiscard]] std::optional<framing_fault> buffer_body(caller_request& request);
     /// \brief Reads the next part of a streamed body.
@@ -30,6 +31,9 @@
     [[nodiscard]] std::optional<framing_fault>
     read_body_piece(caller_request& request, char* out, std::size_t capacity, std::size_t& n);
 
+    /// \returns the time by which the next bytes of the body must arrive
+    [[nodiscard]] instant body_read_deadline(const caller_request& request) const;
+
     /// \brief Sends bytes of an answer.
     /// \param idle longest time without progress
     /// \returns false when the caller closed the connection or made no progress for that time
@@ -55,8 +59,10 @@
     /// \returns the reason to refuse the request after a read with this status; nothing for ok
     [[nodiscard]] std::optional<framing_fault>
     to_framing_fault(message_reader::status status) const;
-    /// \returns the time by which the next bytes of the body must arrive
-    [[nodiscard]] instant body_read_deadline(const caller_request& request) const;
+    /// \returns the number of bytes of a body that may be read into memory; 0: it is to be streamed
+    [[nodiscard]] std::size_t room_for_body(caller_request& request);
+    /// \returns how many more bytes of a body of unknown length may be read into memory
+    [[nodiscard]] std::size_t more_room_for_body(caller_request& request);
     /// \brief Sends a 100 answer once if the caller waits for it.
     void send_continue(caller_request& request);
 
--- a/wigeonrill/src/traffic/server.h
+++ b/wigeonrill/src/traffic/server.h
@@ -14,6 +14,9 @@
     std::uint32_t max_connections{1024}; ///< requests on further connections are refused with 503
     std::uint32_t max_head_bytes{16'384};
     std::uint64_t max_body_bytes{std::uint64_t{1} << 30U}; ///< limit for routes without a lower one
+    /// Memory that all requests share for bodies of more than 64 KiB. A body for which it has no
+    /// room is streamed, and can be sent to one target only.
+    std::uint64_t body_memory_bytes{std::uint64_t{8} << 20U};
     milliseconds head_time{10'000}; ///< limit for a head, from its first byte
     milliseconds body_idle{15'000}; ///< longest time without progress while a caller's body is read
     milliseconds idle{60'000};      ///< longest wait for the next request on a connection
--- a/wigeonrill/src/traffic/server_context.h
+++ b/wigeonrill/src/traffic/server_context.h
@@ -5,6 +5,7 @@
 #error "Include wigeonrill/traffic.h instead of this file."
 #endif
 
+#include "body_memory.h"
 #include "connection_registry.h"
 #include "target_pool.h"
 
@@ -13,7 +14,8 @@
 /// \brief State that the threads of one server share.
 struct server_context {
     server_context(server_options settings, dispatcher& server_dispatcher, const clock_source& time)
-        : options(std::move(settings)), decisions(&server_dispatcher), clock(&time), pool(time) {}
+        : options(std::move(settings)), decisions(&server_dispatcher), clock(&time), pool(time),
+          large_bodies(options.body_memory_bytes) {}
 
     /// \brief Passes a line to the log callback, if there is one.
     void log(const std::string& line) const {
@@ -26,6 +28,7 @@
     dispatcher* decisions;
     const clock_source* clock;
     target_pool pool;                      ///< idle connections to targets and nodes
+    body_memory large_bodies;              ///< for bodies that take more than each may
     connection_registry connections;       ///< open caller connections
     std::atomic<bool> draining{false};     ///< connections are closed after their next answer
     std::atomic<std::uint64_t> next_id{1}; ///< identifier of the next request
--- a/wigeonrill/src/traffic/socket_wait.cpp
+++ b/wigeonrill/src/traffic/socket_wait.cpp
@@ -91,6 +91,22 @@
     }
 }
 
+io_status wait_readable_unless(int fd, int other, instant deadline, const clock_source& clock) {
+    for (;;) {
+        std::array<pollfd, 2> fds{{{fd, POLLIN, 0}, {other, POLLIN, 0}}};
+        const int n = ::poll(fds.data(), fds.size(), poll_timeout(deadline, clock.now()));
+        if (n < 0 && errno != EINTR) {
+            return io_status::failed;
+        }
+        if (n > 0) {
+            return fds[1].revents != 0 ? io_status::interrupted : io_status::ok;
+        }
+        if (clock.now() >= deadline) {
+            return io_status::timed_out;
+        }
+    }
+}
+
 io_status receive_some(int fd, char* out, std::size_t capacity, std::size_t& n) {
     for (;;) {
         const auto got = ::recv(fd, out, capacity, MSG_DONTWAIT);
--- a/wigeonrill/src/traffic/socket_wait.h
+++ b/wigeonrill/src/traffic/socket_wait.h
@@ -13,7 +13,7 @@
     ended,         ///< the other side closed its sending direction
     failed,        ///< the connection failed
     timed_out,     ///< the time limit passed, or no input was available at once
-    interrupted,   ///< input arrived while the output was blocked
+    interrupted,   ///< input arrived on the other connection that was waited for
     watched_closed ///< the other side closed the watched connection
 };
 
@@ -25,6 +25,11 @@
 [[nodiscard]] io_status wait_readable(int fd, instant deadline, const clock_source& clock,
                                       int watched = no_socket);
 
+/// \brief Waits until a socket has input, unless another one has input or an end first.
+/// \returns interrupted when the other socket has input, was closed by its other side or failed
+[[nodiscard]] io_status wait_readable_unless(int fd, int other, instant deadline,
+                                             const clock_source& clock);
+
 /// \brief Receives the available bytes without waiting. The result is timed_out if there are none.
 /// \param n receives the number of bytes, at least 1 when the result is ok
 [[nodiscard]] io_status receive_some(int fd, char* out, std::size_t capacity, std::size_t& n);
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -145,7 +145,7 @@
 
 bool target_attempt::send_request() {
     if (request_->body_complete && !request_->body_streamed) {
-        request_fully_sent_ = send_bytes(request_head() + request_->buffered_body);
+        request_fully_sent_ = send_buffered_request();
         return true;
     }
     std::string text = request_head();
@@ -159,11 +159,33 @@
     return !send_bytes(text) || stream_body();
 }
 
+bool target_attempt::send_buffered_request() {
+    const auto& body = request_->buffered_body;
+    auto text = request_head();
+    if (body.size() > transfer_buffer_bytes) { // too large to be copied behind the head
+        return send_bytes(text) && send_bytes(body);
+    }
+    return send_bytes(text.append(body));
+}
+
+bool target_attempt::target_answers_before_more_body() const {
+    const int target = connection_->fd();
+    if (caller_->reader().has_unread_bytes()) {
+        return !is_open_without_input(target);
+    }
+    const auto deadline = caller_->body_read_deadline(*request_);
+    return wait_readable_unless(caller_->fd(), target, deadline, *context_->clock) ==
+           io_status::interrupted;
+}
+
 bool target_attempt::stream_body() {
     std::array<char, transfer_buffer_bytes> piece{};
     std::string framed; // declared outside the loop to reuse its memory
     std::uint64_t total = request_->buffered_body.size();
     while (!request_->body_complete) {
+        if (target_answers_before_more_body()) {
+            return true;
+        }
         std::size_t n = 0;
         caller_fault_ = caller_->read_body_piece(*request_, piece.data(), piece.size(), n);
         total += n;
@@ -178,10 +200,7 @@
         if (request_->chunked && n > 0) {
             append_chunk(framed, body);
         }
-        const bool sent = send_bytes(request_->chunked ? framed : body);
-        const bool answered_early =
-            !request_->body_complete && !is_open_without_input(connection_->fd());
-        if (!sent || answered_early) {
+        if (!send_bytes(request_->chunked ? framed : body)) {
             return true;
         }
     }
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -52,6 +52,12 @@
     [[nodiscard]] bool perform_exchange();
     /// \brief Sends the request with its body.
     [[nodiscard]] bool send_request();
+    /// \brief Sends a request whose whole body is in memory.
+    /// \returns as send_bytes()
+    [[nodiscard]] bool send_buffered_request();
+    /// \brief Waits for more of a streamed body.
+    /// \returns true when the target answered or closed its connection meanwhile
+    [[nodiscard]] bool target_answers_before_more_body() const;
     /// \brief Sends bytes to the target.
     /// \returns false when not all were sent; the answer should then be read
     [[nodiscard]] bool send_bytes(std::string_view bytes);
