Take no answer to an earlier request for a sign of recovery

Cause: a target has requests in work when a burst of failures begins. Their good answers arrive after the first failure, for as long as a request takes, and each one multiplied the odds of a burst by 0.2. Change: a success counts only if its request was sent after the target's last bad answer. Test: answer_to_an_earlier_request_is_no_sign_of_recovery fails without the change.

--- a/test/dispatch/failure_burst_test.cpp
+++ b/test/dispatch/failure_burst_test.cpp
@@ -64,6 +64,25 @@
     }
 }
 
+// Guards against trusting a failing target again because of a request that it had begun before it
+// failed. Such answers arrive for as long as a request takes, and each one let further requests
+// fail.
+TEST(failure_burst, answer_to_an_earlier_request_is_no_sign_of_recovery) {
+    const auto earlier = node->request("POST", "/runs/1");
+    const auto failing = send(earlier);
+    node->clock.advance(milliseconds(100));
+    node->dispatcher->on_peer_observation(
+        {service_name("print"), target_id(failing), observation_kind::failed, -1, {}});
+    node->clock.advance(milliseconds(100));
+    CHECK_FALSE(end(earlier, answer_kind::ok).has_value());
+    for (int i = 0; i < 20; ++i) {
+        const auto request = node->request("POST", "/runs/2");
+        CHECK(send(request) != failing);
+        CHECK_FALSE(end(request, answer_kind::ok).has_value());
+    }
+    LONGS_EQUAL(0, count_observations(observation_kind::good));
+}
+
 // Guards against refusing requests when every target is suspected. All targets must then stay in
 // use.
 TEST(failure_burst, requests_are_sent_when_all_targets_are_suspected) {
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -192,6 +192,13 @@
     // of healthy targets are the normal case and tell other nodes nothing.
     constexpr double suspected = 0.2;
     auto& target = *record.assigned_target;
+    // A request that the target began before its last failure says nothing about the time since.
+    const bool is_outdated = kind == health::observation_kind::good &&
+                             record.sent.value_or(now) <= target.failure_burst.last_bad_at();
+    if (is_outdated) {
+        record.unpublished_success = false;
+        return;
+    }
     const bool first_late = kind == health::observation_kind::late && !record.is_overdue;
     const bool is_counted = kind != health::observation_kind::late || first_late;
     const bool worth_publishing = kind == health::observation_kind::failed || first_late ||
