Include POCO's servers where they are stopped

Cause: the linter refuses forward declarations in POCO's namespace (names, virtual destructor). Ruled out: an exception for the header. Change: the header includes POCO's and isn't part of the umbrella header; a local name in a test isn't const any more, as the linter asks. Conclusion: no change of behaviour.

--- a/test/traffic/upload_test.cpp
+++ b/test/traffic/upload_test.cpp
@@ -50,7 +50,7 @@
 
 // Returns the body of a request without the framing of chunks.
 std::string decoded_body(const std::string& request) {
-    const auto text = body_in(request);
+    auto text = body_in(request);
     if (request.find("Transfer-Encoding: chunked") == std::string::npos) {
         return text;
     }
--- a/wigeonrill/src/daemon/admin_server.cpp
+++ b/wigeonrill/src/daemon/admin_server.cpp
@@ -1,5 +1,7 @@
 #include "wigeonrill/daemon.h"
 
+#include "wigeonrill/src/traffic/tcp_server_stop.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
--- a/wigeonrill/src/traffic/server.cpp
+++ b/wigeonrill/src/traffic/server.cpp
@@ -1,6 +1,7 @@
 #include "wigeonrill/traffic.h"
 
 #include "wigeonrill/src/traffic/caller_connection.h"
+#include "wigeonrill/src/traffic/tcp_server_stop.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
--- a/wigeonrill/src/traffic/tcp_server_stop.cpp
+++ b/wigeonrill/src/traffic/tcp_server_stop.cpp
@@ -1,7 +1,7 @@
 #include "wigeonrill/traffic.h"
 
-#include <Poco/Net/TCPServer.h>
-#include <Poco/Net/TCPServerParams.h>
+#include "wigeonrill/src/traffic/tcp_server_stop.h"
+
 #include <Poco/Timespan.h>
 #include <sys/socket.h>
 
--- a/wigeonrill/src/traffic/tcp_server_stop.h
+++ b/wigeonrill/src/traffic/tcp_server_stop.h
@@ -5,10 +5,8 @@
 #error "Include wigeonrill/traffic.h instead of this file."
 #endif
 
-namespace Poco::Net {
-class TCPServer;
-class TCPServerParams;
-} // namespace Poco::Net
+#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerParams.h>
 
 namespace wigeonrill::traffic {
 
--- a/wigeonrill/traffic.h
+++ b/wigeonrill/traffic.h
@@ -19,7 +19,6 @@
 #include "src/traffic/header_names.h"
 #include "src/traffic/http_get_client.h"
 #include "src/traffic/refusal.h"
-#include "src/traffic/tcp_server_stop.h"
 // Needs refusal.h.
 #include "src/traffic/dispatcher.h"
 // Needs dispatcher.h.
