Divide a large fleet into groups with slices of the targets, and let targets rest by need

Cause, by replay: above 96 nodes all nodes used all targets but told only a third of the fleet what they saw, and counts were off above 49 nodes; above 7 failures in 100, trials without a limit kept the share of failures up, a second stable state. Ruled out: that full knowledge is enough (all told: 0.075 of the orders failed at 142 nodes, thirds 0.100, slices 0.059). Change: routing::node_group divides the fleet into groups of at most 48 nodes of equal size, which mainly use a slice of each service's targets and tell each other what they see there; the readers of the store keep their own groups. routing::trial_age lets suspected targets rest while the recovered ones among them are probably at most 0.08 of the sound ones. health::failure_share is removed, since nothing uses it any more, with its test. In a planned stop the longest recent latency of a route counts beside its mean, and targets are told a deadline 100 ms before the node's end, so that a late request gets a final answer instead of a reset. Conclusion: what a node knows of its targets no longer depends on the size of the fleet.

--- a/test/dispatch/fleet_simulation.h
+++ b/test/dispatch/fleet_simulation.h
@@ -23,6 +23,9 @@
     /// Time from the start of a target's burst of failures to that of its next one. The bursts of
     /// the targets are independent, and replace those by turns. 0: no such bursts.
     seconds burst_period{0};
+    /// Mean time between two bursts of a target, of exponential distribution. The length of each
+    /// burst is uniform within 50% of burst_length. 0: no such bursts.
+    seconds mean_burst_gap{0};
     double failed_share_in_bursts{1.0}; ///< share of the requests that a failing target fails
     double failed_share_else{0.0};      ///< share of the requests that other targets fail
     /// Time after a failure in which a target doesn't count as healthy.
@@ -30,7 +33,9 @@
     milliseconds latency_objective{800}; ///< slower answers count as late
     milliseconds observation_delay{2};   ///< delay of an observation between nodes
     bool shares_observations{true};      ///< nodes send each other their observations
-    seconds duration{60};                ///< simulated time in which requests arrive
+    bool slices{true};          ///< groups of nodes use slices of the targets, as in the product
+    std::size_t told_groups{1}; ///< without slices: groups whose nodes tell each other
+    seconds duration{60};       ///< simulated time in which requests arrive
     std::size_t limited_targets{0}; ///< the first targets name a rate limit after rate_limit_start
     double rate_limit{1.0};         ///< requests per second from all nodes together
     seconds rate_limit_start{5};    ///< from the start of the simulation
@@ -75,7 +80,7 @@
                                        .own_domain = {},
                                        .make_policy = plan.policy},
                 *randoms_.back()));
-            cores_.back()->set_count_receivers(plan.nodes - 1);
+            join_group(i);
             cores_.back()->set_view(view, table, now_);
             cores_.back()->set_nodes(name_of(i), names_without(i), now_);
         }
@@ -91,6 +96,9 @@
         for (auto tick = now_; tick < end; tick += milliseconds(50)) {
             schedule(tick, [this] { tick_all_nodes(); });
         }
+        for (std::size_t i = 0; i < targets_.size() && plan_.mean_burst_gap.count() > 0; ++i) {
+            start_bursts(i, end);
+        }
         while (!events_.empty()) {
             const auto it = events_.top();
             events_.pop();
@@ -115,6 +123,7 @@
         }
     };
     struct simulated_target {
+        bool in_burst{false};
         std::uint32_t running{0};
         std::queue<task> waiting;
         bool was_used{false};
@@ -131,6 +140,17 @@
         }
         return names;
     }
+    void join_group(std::size_t node) {
+        std::vector<node_id> names = names_without(node);
+        if (plan_.slices) {
+            const auto group = routing::choose_node_group(name_of(node), std::move(names));
+            cores_[node]->set_group(group.position);
+            groups_.push_back(group.position.index);
+        } else {
+            cores_[node]->set_group({0, 1, plan_.nodes});
+            groups_.push_back(node % plan_.told_groups);
+        }
+    }
     dispatch::clock_reading now() const { return {now_, wall_time{} + now_.time_since_epoch()}; }
     void schedule(instant when, task action) {
         events_.push({when, ++last_event_number_, std::move(action)});
@@ -151,10 +171,36 @@
         const double share = std::chrono::duration<double>(plan_.burst_length) / plan_.burst_period;
         return position - std::floor(position) < share;
     }
+    /// Schedules the bursts of a target, which may begin in the middle of one.
+    void start_bursts(std::size_t target, instant end) {
+        const std::chrono::duration<double> length = plan_.burst_length;
+        const std::chrono::duration<double> gap = plan_.mean_burst_gap;
+        targets_[target].in_burst = bursts_.uniform() < length / (length + gap);
+        const double part = targets_[target].in_burst ? bursts_.uniform() : 1.0;
+        schedule_burst_change(target, part, end);
+    }
+    void schedule_burst_change(std::size_t target, double part, instant end) {
+        auto& state = targets_[target];
+        const std::chrono::duration<double> gap(-std::log1p(-bursts_.uniform()) *
+                                                static_cast<double>(plan_.mean_burst_gap.count()));
+        const std::chrono::duration<double> length((0.5 + bursts_.uniform()) *
+                                                   static_cast<double>(plan_.burst_length.count()));
+        const auto next =
+            now_ + std::chrono::duration_cast<nanoseconds>((state.in_burst ? length : gap) * part);
+        if (next < end) {
+            schedule(next, [this, target, end] {
+                targets_[target].in_burst = !targets_[target].in_burst;
+                schedule_burst_change(target, 1.0, end);
+            });
+        }
+    }
     bool is_failing(std::size_t target) const {
         if (plan_.burst_period.count() > 0) {
             return is_in_own_burst(target);
         }
+        if (plan_.mean_burst_gap.count() > 0) {
+            return targets_[target].in_burst;
+        }
         const auto turn = static_cast<std::size_t>(now_.time_since_epoch() / plan_.burst_length);
         const auto first_failing = turn * plan_.failing_at_once;
         return (target + targets_.size() * 1'000 - first_failing) % targets_.size() <
@@ -308,7 +354,7 @@
             shared.reporter = node_id(std::to_string(node));
             schedule(now_ + plan_.observation_delay, [this, shared, node] {
                 for (std::size_t i = 0; i < cores_.size(); ++i) {
-                    if (i != node) {
+                    if (i != node && groups_[i] == groups_[node]) {
                         cores_[i]->on_peer_observation(shared, now_);
                     }
                 }
@@ -332,8 +378,10 @@
     simulation_plan plan_;
     std::shared_ptr<config::snapshot> snapshot_;
     seeded_random_source random_{1};
+    seeded_random_source bursts_{2};
     std::vector<std::unique_ptr<seeded_random_source>> randoms_;
     std::vector<std::unique_ptr<dispatch::decision_core>> cores_;
+    std::vector<std::size_t> groups_; ///< by node; the nodes of a group tell each other
     std::vector<simulated_target> targets_;
     std::map<std::pair<std::size_t, std::size_t>, instant> told_at_; ///< by node and target
     static constexpr instant simulation_start{seconds(1'000)};
--- a/test/dispatch/near_full_load_test.cpp
+++ b/test/dispatch/near_full_load_test.cpp
@@ -152,3 +152,56 @@
     CHECK(orders.min_used_share >= 0.7);
     CHECK(lookups.min_used_share >= 0.7);
 }
+
+namespace {
+
+// Orders of the large site, with the same load and the same failure bursts for each target at every
+// size of the fleet.
+simulation_plan orders_of_fleet(std::size_t nodes) {
+    auto plan = large_fleet_plan();
+    plan.nodes = nodes;
+    plan.targets = static_cast<int>(nodes * 192 / 142);
+    plan.mean_service_s = 0.69;
+    plan.requests_per_second = 2.74 * plan.targets;
+    plan.burst_length = seconds(9);
+    plan.mean_burst_gap = seconds(21);
+    plan.failed_share_in_bursts = 0.9;
+    plan.failed_share_else = 0.012;
+    plan.latency_objective = milliseconds(3'000);
+    // Few targets need longer to show a mean of their random bursts.
+    plan.duration = seconds(nodes < 50 ? 150 : 50);
+    return plan;
+}
+
+double failed_share(const test::simulation_result& result) {
+    return static_cast<double>(result.failed) / result.requests;
+}
+
+} // namespace
+
+// Guards against a size of the fleet from which on more requests fail because nodes know less about
+// the targets that they use.
+TEST(near_full_load, requests_fail_no_more_often_in_larger_fleets) {
+    const auto small = simulate("36 nodes", orders_of_fleet(36));
+    for (const std::size_t nodes : {48, 49, 94, 110, 142, 300}) {
+        const auto name = std::to_string(nodes) + " nodes";
+        const auto result = simulate(name.c_str(), orders_of_fleet(nodes));
+        CHECK(failed_share(result) <= 1.2 * failed_share(small));
+        CHECK(result.late * 20 <= result.requests);
+        CHECK(result.min_used_share >= 0.7);
+    }
+}
+
+// Guards against thirds of a fleet that each have to see the same failure, because nodes use all
+// targets but tell only a part of the fleet what they see.
+TEST(near_full_load, slices_spare_requests_in_a_large_fleet) {
+    auto thirds = orders_of_fleet(142);
+    thirds.slices = false;
+    thirds.told_groups = 3;
+    const auto before = simulate("142 nodes, thirds", thirds);
+    auto all = orders_of_fleet(142);
+    all.slices = false;
+    simulate("142 nodes, all told", all);
+    const auto after = simulate("142 nodes, slices", orders_of_fleet(142));
+    CHECK(after.failed * 3 <= before.failed * 2);
+}
--- a/test/dispatch/placement_test.cpp
+++ b/test/dispatch/placement_test.cpp
@@ -129,9 +129,10 @@
     LONGS_EQUAL(10, requests.size());
 }
 
-// Guards against a message to every node for each request in a large fleet, where the counts use
-// most of the processor time and arrive too late.
-TEST(placement, counts_are_not_published_to_too_many_nodes) {
+// Guards against a message to every node for each request in a large fleet, where the counts would
+// use most of the processor time and arrive too late. They go to the nodes of the group only, whose
+// number doesn't grow with the fleet.
+TEST(placement, counts_are_published_to_a_bounded_number_of_nodes) {
     test::dispatcher_fixture it(test::make_snapshot(2, 6));
     it.options.core.publish_outstanding = true;
     dispatch::request_dispatcher d(it.options, it.clock, it.random, it.sink);
@@ -141,10 +142,15 @@
         CHECK(d.first_step(request).kind == step_kind::send);
         d.finish_request(request, true, nullptr);
     };
-    d.set_count_receivers(dispatch::max_count_receivers);
-    send_one();
-    LONGS_EQUAL(2, it.sink.observations.size());
-    d.set_count_receivers(dispatch::max_count_receivers + 1);
+    send_one(); // without a group, nobody needs the counts
+    LONGS_EQUAL(0, it.sink.observations.size());
+    std::vector<node_id> fleet(3'700);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        fleet[i] = node_id("node-" + std::to_string(i));
+    }
+    const auto group = routing::choose_node_group(fleet.front(), fleet);
+    CHECK(group.others.size() < 48);
+    d.set_group(group.position);
     send_one();
     LONGS_EQUAL(2, it.sink.observations.size());
 }
--- a/test/dispatch/planned_stop_test.cpp
+++ b/test/dispatch/planned_stop_test.cpp
@@ -46,6 +46,39 @@
     CHECK(step.reason.retry_after.has_value());
 }
 
+// Guards against passing on requests of a route whose latencies differ much: the mean alone says
+// that a long one ends in time.
+TEST(planned_stop, longest_recent_latency_counts) {
+    for (int i = 0; i < 20; ++i) {
+        const auto request = node->request("POST", "/runs/1");
+        CHECK(node->dispatcher->first_step(request).kind == step_kind::send);
+        CHECK(node->dispatcher->may_send(request));
+        const auto sent = node->clock.now();
+        node->clock.advance(milliseconds(i == 5 ? 4'000 : 200));
+        auto attempt = node->attempt(answer_kind::ok);
+        attempt.sent = sent;
+        CHECK_FALSE(node->dispatcher->on_attempt_ended(request, attempt));
+        node->dispatcher->finish_request(request, true, nullptr);
+    }
+    node->dispatcher->begin_stop(seconds(3));
+    CHECK(node->dispatcher->first_step(node->request("POST", "/runs/1")).kind == step_kind::refuse);
+}
+
+// Guards against cutting a request that takes longer than requests of its route did before: its
+// target is told when the node ends, and its caller gets a final answer before.
+TEST(planned_stop, deadline_of_a_late_request_is_before_the_end) {
+    learn_latency();
+    const auto before = node->dispatcher->first_step(node->request("POST", "/runs/1"));
+    CHECK(before.deadline > node->clock.now() + seconds(8)); // that of the caller
+    node->dispatcher->begin_stop(seconds(5));
+    const auto end = node->clock.now() + seconds(5);
+    node->clock.advance(seconds(2));
+    const auto late = node->dispatcher->first_step(node->request("POST", "/runs/1"));
+    CHECK(late.kind == step_kind::send);
+    CHECK(late.deadline < end);
+    CHECK(late.deadline > end - milliseconds(500));
+}
+
 // Guards against a refusal of requests that end in time because of their own deadline.
 TEST(planned_stop, request_with_an_earlier_deadline_is_sent) {
     learn_latency();
--- a/wigeonrill/health.h
+++ b/wigeonrill/health.h
@@ -24,7 +24,6 @@
 #include "src/health/evidence_pool.h"
 #include "src/health/failure_baseline.h"
 #include "src/health/failure_burst_estimate.h"
-#include "src/health/failure_share.h"
 #include "src/health/fleet_nodes.h"
 #include "src/health/latency_baseline.h"
 #include "src/health/shared_cause_detector.h"
--- a/wigeonrill/routing.h
+++ b/wigeonrill/routing.h
@@ -14,11 +14,13 @@
 #include "src/routing/concurrency_limiter.h"
 #include "src/routing/latency_mean.h"
 #include "src/routing/load_hint.h"
+#include "src/routing/node_group.h"
 #include "src/routing/peer_load.h"
 #include "src/routing/placement_policy.h"
 #include "src/routing/rate_limit_table.h"
 #include "src/routing/route_path.h"
 #include "src/routing/route_table.h"
+#include "src/routing/trial_age.h"
 #include "src/routing/view.h"
 // Needs placement_policy.h.
 #include "src/routing/least_cost.h"
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -305,7 +305,9 @@
         live.push_back({it.id, it.domain});
     }
     monitor_.set_nodes(std::move(live));
-    set_group(platform::choose_read_sharing_group(dependencies_.gossip->id(), ids));
+    const auto& self = dependencies_.gossip->id();
+    set_read_sharing_group(platform::choose_read_sharing_group(self, ids));
+    set_node_group(routing::choose_node_group(self, std::move(ids)));
     auto ips = std::make_shared<std::set<std::string>>();
     std::vector<node_id> possible_senders;
     peers_by_state_.clear();
@@ -320,6 +322,25 @@
     dependencies_.dispatcher.set_nodes(dependencies_.gossip->id(), possible_senders);
 }
 
+void control_loop::set_node_group(routing::node_group next) {
+    if (next.position != group_.position) {
+        write_log(log_level::info, log_subsystem::peers,
+                  log_line("The group that uses the same targets changed.")
+                      .with("index", static_cast<std::int64_t>(next.position.index))
+                      .with("groups", static_cast<std::int64_t>(next.position.count))
+                      .with("nodes", static_cast<std::int64_t>(next.position.nodes)));
+        dependencies_.dispatcher.set_group(next.position);
+    }
+    group_ = std::move(next);
+}
+
+void control_loop::announce_observations() {
+    if (dependencies_.gossip != nullptr) {
+        dependencies_.gossip->announce(pending_observations_, group_.others);
+    }
+    pending_observations_.clear();
+}
+
 void control_loop::update_reachability() {
     const bool was_cut_off = std::exchange(cut_off_, dependencies_.dispatcher.is_cut_off());
     if (cut_off_ != was_cut_off) {
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -93,7 +93,10 @@
     void update_members();
     /// \brief Announces whether this node reaches targets, and tells the dispatcher which nodes do.
     void update_reachability();
-    void set_group(platform::read_sharing_group next);
+    /// \brief Takes over the group of nodes that share readings of the store.
+    void set_read_sharing_group(platform::read_sharing_group next);
+    /// \brief Takes over the group of nodes that use the same targets.
+    void set_node_group(routing::node_group next);
     void apply_monitor_actions(const health::monitor_actions& actions);
     void activate_configuration();
     void publish_state();
@@ -107,7 +110,8 @@
     std::function<void()> configuration_listener_;
     std::function<void(instant)> peer_reading_listener_;
     std::function<void(std::size_t)> group_rank_listener_;
-    platform::read_sharing_group group_;
+    platform::read_sharing_group readers_;
+    routing::node_group group_;
     std::optional<peers::peer_store_reading>
         latest_peer_reading_;                               ///< newest reading announced by a peer
     std::vector<health::observation> pending_observations_; ///< of this node, not announced yet
--- a/wigeonrill/src/daemon/control_loop_readings.cpp
+++ b/wigeonrill/src/daemon/control_loop_readings.cpp
@@ -17,7 +17,7 @@
     }
     confirm(store_.version());
     if (dependencies_.gossip != nullptr) {
-        dependencies_.gossip->announce_store_reading(group_.others, latest.when);
+        dependencies_.gossip->announce_store_reading(readers_.others, latest.when);
     }
 }
 
@@ -66,24 +66,16 @@
     }
 }
 
-void control_loop::announce_observations() {
-    if (dependencies_.gossip != nullptr) {
-        dependencies_.gossip->announce(pending_observations_, group_.others);
-    }
-    pending_observations_.clear();
-}
-
-void control_loop::set_group(platform::read_sharing_group next) {
-    if (next.others.size() != group_.others.size() || next.rank != group_.rank) {
+void control_loop::set_read_sharing_group(platform::read_sharing_group next) {
+    if (next.others.size() != readers_.others.size() || next.rank != readers_.rank) {
         write_log(log_level::info, log_subsystem::peers,
                   log_line("The group that shares readings changed.")
                       .with("others", static_cast<std::int64_t>(next.others.size()))
                       .with("rank", static_cast<std::int64_t>(next.rank)));
     }
-    group_ = std::move(next);
-    dependencies_.dispatcher.set_count_receivers(group_.others.size());
+    readers_ = std::move(next);
     if (group_rank_listener_) {
-        group_rank_listener_(group_.rank);
+        group_rank_listener_(readers_.rank);
     }
 }
 
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -56,6 +56,13 @@
     }
 }
 
+void decision_core::set_group(const routing::group_position& group) {
+    if (group_ != group) {
+        group_ = group;
+        ++generation_; // Services take over the slices of the group when they are next used.
+    }
+}
+
 void decision_core::sync_service(const service_name& name, service_state& service) {
     if (service_of(name) == nullptr) {
         service.clear();
@@ -107,7 +114,7 @@
                                                   options_.own_domain);
         service->retries = options_.retries;
     }
-    service->set_nodes(count_receivers_ + 1);
+    service->set_group(group_);
     service->sync(generation_, *it);
     return service.get();
 }
@@ -295,7 +302,7 @@
         decision.service = record.chosen_service;
         step.route = *record.route;
     }
-    step.deadline = record.deadline;
+    step.deadline = std::min(record.deadline, last_answer_at());
     record.decided_at.reset();
     record.sent.reset();
     record.ready_step = std::move(step);
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -11,12 +11,6 @@
 using event = std::variant<health::answer, decision_record, once::crash_mark, health::observation,
                            health::rate_limit>;
 
-/// \brief Largest number of other nodes to which counts of outstanding requests are published.
-///
-/// Each count is a message to every one of them. In a larger fleet the counts arrive too late, and
-/// nodes that all know the same old counts choose the same target.
-inline constexpr std::size_t max_count_receivers = 48;
-
 /// \brief Retry-After of a refusal by a stopping node. The caller's next connection goes to another
 ///        node.
 inline constexpr seconds return_elsewhere{1};
@@ -36,8 +30,7 @@
     /// A shed request waits in the queue, instead of being refused, when the retry budget is used
     /// up.
     bool shed_may_wait{true};
-    /// Publish to other nodes how many requests this node has in each target, as long as there are
-    /// at most max_count_receivers of them.
+    /// Publish to the nodes of the group how many requests this node has in each target.
     bool publish_outstanding{false};
     domain_name own_domain; ///< failure domain of this node; empty: unknown
     /// Policy of each service; by default two random choices.
@@ -125,8 +118,8 @@
     void on_connection_check(const connection_check& check, bool connected, instant now) {
         reachability_.on_connection(check.service, check.target, connected, now);
     }
-    /// \brief Sets the number of other nodes that receive the counts of outstanding requests.
-    void set_count_receivers(std::size_t n) { count_receivers_ = n; }
+    /// \brief Sets the group of nodes that tell each other their observations and counts.
+    void set_group(const routing::group_position& group);
     /// \brief Takes an observation of a target that another node made.
     void on_peer_observation(const health::observation& seen, instant now);
     /// \brief Sets the nodes among which the rate limits of targets are divided.
@@ -167,6 +160,9 @@
     /// \returns true when a request probably ends before the node has stopped, because of its
     ///          target's usual latency or its own deadline
     [[nodiscard]] bool can_finish_before_stop(const request_record& record, instant now);
+    /// \returns the time before the end of a planned stop by which answers must have arrived, and
+    ///          which targets are told as the deadline; instant::max() without a planned stop
+    [[nodiscard]] instant last_answer_at() const;
     /// \brief Refuses a request that can't finish before the node has stopped.
     /// \returns false when the request may be placed
     bool refuse_when_stopping(request_record& record, instant now);
@@ -284,11 +280,11 @@
 
     /// \returns whether counts of outstanding requests are published
     [[nodiscard]] bool publishes_counts() const {
-        return options_.publish_outstanding && count_receivers_ <= max_count_receivers;
+        return options_.publish_outstanding && group_.nodes > 1;
     }
 
     core_options options_;
-    std::size_t count_receivers_{0};
+    routing::group_position group_;
     random_source& random_;
     routing::view_ptr view_;
     std::uint64_t generation_{0};                       ///< number of views set so far
--- a/wigeonrill/src/dispatch/decision_core_stop.cpp
+++ b/wigeonrill/src/dispatch/decision_core_stop.cpp
@@ -16,12 +16,19 @@
     }
 }
 
+instant decision_core::last_answer_at() const {
+    // An answer needs some time to reach its caller before the node ends.
+    constexpr milliseconds final_answer_time{100};
+    return finish_by_ ? *finish_by_ - final_answer_time : instant::max();
+}
+
 bool decision_core::can_finish_before_stop(const request_record& record, instant now) {
     if (!finish_by_ || record.deadline <= *finish_by_) {
         return true;
     }
     const auto* service = service_of(record.chosen_service);
-    return service == nullptr || now + service->longest_usual_latency(*record.route) <= *finish_by_;
+    return service == nullptr ||
+           now + service->longest_usual_latency(*record.route) <= last_answer_at();
 }
 
 bool decision_core::refuse_when_stopping(request_record& record, instant now) {
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -97,9 +97,9 @@
     core_.on_connection_check(check, connected, clock_.now());
 }
 
-void request_dispatcher::set_count_receivers(std::size_t n) {
+void request_dispatcher::set_group(const routing::group_position& group) {
     const std::lock_guard guard(mutex_);
-    core_.set_count_receivers(n);
+    core_.set_group(group);
 }
 
 void request_dispatcher::on_peer_observation(const health::observation& seen) {
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -58,8 +58,8 @@
     [[nodiscard]] std::vector<connection_check> connection_checks();
     /// \brief Takes the result of a check.
     void on_connection_check(const connection_check& check, bool connected);
-    /// \brief Sets the number of other nodes that receive the counts of outstanding requests.
-    void set_count_receivers(std::size_t n);
+    /// \brief Sets the group of nodes that tell each other their observations and counts.
+    void set_group(const routing::group_position& group);
     /// \brief Takes an observation of a target that another node made.
     void on_peer_observation(const health::observation& seen);
     /// \brief Sets the nodes among which the rate limits of targets are divided.
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -18,23 +18,19 @@
 // probability is at most this value.
 constexpr double max_failure_probability = 0.5;
 
-// Above this share of failed requests, healthy capacity must not be kept out of use by old
-// failures.
-constexpr double max_failure_share = 0.07;
-// Time since its last bad answer after which a suspected target is tried: while the share of failed
-// requests is above max_failure_share, and otherwise. A failed trial costs the caller of an
-// at-most-once request the answer, and other callers only the time for another target.
-constexpr milliseconds rest_while_many_fail{1'500};
-constexpr milliseconds rest_before_repeatable{1'500};
-constexpr milliseconds rest_before_at_most_once{3'500};
-// Mean time between two trials of a suspected target by all nodes together, unless many requests
-// fail.
+// Repeatable requests try a suspected target after this share of the time after which others do. A
+// failed trial costs their callers only the time for another target.
+constexpr double repeatable_age_share = 0.5;
+// Mean time between two trials of a suspected target by all nodes of the group together.
 constexpr milliseconds trial_interval{700};
 
 // Share of the requests that may go to any failure domain. Without it, the targets of a domain
 // whose nodes have stopped would get nothing while the other domains are lightly loaded.
 constexpr double any_domain_share = 0.5;
 
+// Share of a foreign target's capacity that policies count which spread requests by capacity.
+constexpr double foreign_share = 0.02;
+
 // Returns the share of new requests for a target by its failure probability: about 7 in 10 of a
 // full share when nothing is known about the target, 1 in 60 at a probability of one half. Thus a
 // target that may have recovered is tried by one node instead of by all at once. When all targets
@@ -45,12 +41,10 @@
     return std::max(std::pow(1.0 - probability, steepness), least);
 }
 
-bool may_have_recovered(const target_record& record, instant now, milliseconds rest) {
-    return record.failure_burst.last_bad_at() < now - rest;
-}
-
-bool is_suspected(const target_record& record, instant now) {
-    return record.failure_burst.probability(now) > failure_probability_floor;
+// Returns the time since a target's last bad answer, at most routing::max_rest.
+nanoseconds rest_of(const target_record& record, instant now) {
+    const auto last_bad = record.failure_burst.last_bad_at();
+    return last_bad < now - routing::max_rest ? routing::max_rest : now - last_bad;
 }
 
 bool contains(std::span<const target_id> all, const target_id& one) {
@@ -70,8 +64,10 @@
     generation_ = generation;
     queue.set_limit(view.service->queue_limit);
     eligible_.clear();
+    const auto slice = routing::choose_target_slice(view.service->targets, group_);
     for (const auto& it : view.eligible) {
-        eligible_.push_back({find_or_add_target(*it.target), std::max(it.weight, min_weight)});
+        eligible_.push_back(
+            {find_or_add_target(*it.target), std::max(it.weight, min_weight), slice.at(it.index)});
     }
     const auto is_configured = [&](const target_id& id) {
         return std::ranges::any_of(view.service->targets,
@@ -152,7 +148,6 @@
 
 void service_state::on_request(instant now) {
     retries.on_request(now);
-    failures_.on_request(now);
 }
 
 service_state::placement_conditions
@@ -160,18 +155,36 @@
     placement_conditions found;
     found.now = now;
     found.prefers_own_domain = !own_domain_.value.empty() && random.uniform() >= any_domain_share;
-    found.many_fail = failures_.at(now, nodes_) > max_failure_share;
     found.tries = policy_->excludes_worse_candidates();
-    const auto rest = repeat == config::repeat_policy::at_most_once ? rest_before_at_most_once
-                                                                    : rest_before_repeatable;
-    found.rest = found.many_fail ? rest_while_many_fail : rest;
+    if (found.tries) {
+        const bool repeatable = repeat == config::repeat_policy::idempotent;
+        found.trial_age = std::chrono::duration_cast<nanoseconds>(
+            trial_age(now) * (repeatable ? repeatable_age_share : 1.0));
+    }
     return found;
 }
 
+nanoseconds service_state::trial_age(instant now) const {
+    std::vector<nanoseconds> rests;
+    std::size_t in_use = 0;
+    for (const auto& it : eligible_) {
+        if (it.is_own && is_suspected(it, now)) {
+            rests.push_back(rest_of(*it.record, now));
+        } else if (it.is_own) {
+            ++in_use;
+        }
+    }
+    return routing::choose_trial_age(std::move(rests), in_use);
+}
+
+bool service_state::is_suspected(const weighted_target& it, instant now) {
+    return it.weight < 1.0 || it.record->failure_burst.probability(now) > failure_probability_floor;
+}
+
 bool service_state::is_trial_due(const target_record& record,
                                  const placement_conditions& conditions) {
-    return may_have_recovered(record, conditions.now, conditions.rest) &&
-           (conditions.many_fail || (conditions.tries && conditions.now >= record.next_trial_at));
+    return conditions.tries && rest_of(record, conditions.now) >= conditions.trial_age &&
+           conditions.now >= record.next_trial_at;
 }
 
 routing::placement_candidate
@@ -179,12 +192,14 @@
                               const placement_conditions& conditions) const {
     const auto now = conditions.now;
     const auto& record = *it.record;
-    const bool tried = is_trial_due(record, conditions);
+    const bool tried = it.is_own && is_trial_due(record, conditions);
     routing::placement_candidate candidate;
     candidate.failure_probability = tried ? 0.0 : record.failure_burst.probability(now);
     candidate.weight = tried ? 1.0 : it.weight;
+    candidate.is_foreign = !it.is_own;
     candidate.capacity = static_cast<double>(record.slots) * candidate.weight *
-                         traffic_share(candidate.failure_probability);
+                         traffic_share(candidate.failure_probability) *
+                         (it.is_own ? 1.0 : foreign_share);
     candidate.failure_probability =
         std::max(candidate.failure_probability, failure_probability_floor);
     candidate.outstanding = record.limiter.outstanding();
@@ -209,16 +224,7 @@
 }
 
 void service_state::observe(const target_id& target, health::observation_kind kind, instant now) {
-    const auto it = known_.find(target);
-    const bool is_known = it != known_.end();
-    // A failure of a suspected target that was only tried doesn't count. Otherwise the trials would
-    // keep the share of failures above the limit from which on targets are tried.
-    const bool tried = is_known && may_have_recovered(*it->second, now, rest_while_many_fail) &&
-                       is_suspected(*it->second, now);
-    if (kind == health::observation_kind::failed && !tried) {
-        failures_.on_failure(now);
-    }
-    if (is_known) {
+    if (const auto it = known_.find(target); it != known_.end()) {
         it->second->failure_burst.add(kind, now);
     }
 }
@@ -272,7 +278,14 @@
 }
 
 nanoseconds service_state::longest_usual_latency(const config::route& route) const {
-    return measured_late_threshold(route).value_or(route.limits.total);
+    // Requests of one route may differ by more than the factor of the late threshold.
+    constexpr double margin = 1.1;
+    const auto late = measured_late_threshold(route);
+    if (!late) {
+        return route.limits.total;
+    }
+    const std::chrono::duration<double, std::nano> longest(latencies_.at(route.name).longest());
+    return std::max(*late, std::chrono::duration_cast<nanoseconds>(longest * margin));
 }
 
 placement service_state::place(std::span<const target_id> avoid, config::repeat_policy repeat,
@@ -286,9 +299,9 @@
         return {};
     }
     const auto chosen = positions_[policy_->choose(candidates_, random)];
-    const auto& [record, weight] = eligible_[chosen];
-    if (is_suspected(*record, now) || weight < 1.0) {
-        record->next_trial_at = now + trial_interval * static_cast<std::int64_t>(nodes_);
+    const auto& record = eligible_[chosen].record;
+    if (is_suspected(eligible_[chosen], now)) {
+        record->next_trial_at = now + trial_interval * static_cast<std::int64_t>(group_.nodes);
     }
     record->limiter.acquire();
     limits_->on_send(record->id, now);
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -46,8 +46,9 @@
 
     /// \brief Counts a request of a caller that this node received for the service.
     void on_request(instant now);
-    /// \brief Sets the number of nodes that share their observations, including this one.
-    void set_nodes(std::size_t n) { nodes_ = n; }
+    /// \brief Sets the group of nodes that share their observations, with this one. The slice of
+    ///        targets follows with the next view.
+    void set_group(const routing::group_position& group) { group_ = group; }
     /// \brief Updates the failure estimate of a target with an observation of this or another node.
     ///        Unknown targets are ignored.
     void observe(const target_id& target, health::observation_kind kind, instant now);
@@ -69,7 +70,8 @@
     [[nodiscard]] nanoseconds late_threshold(const config::route& route) const;
 
     /// \returns the time in which nearly all answers of a route end: 2.5 times the mean latency, at
-    ///          least 100 ms; before enough answers were measured, the route's total limit
+    ///          least 100 ms, or the longest recent one if that is more; before enough answers were
+    ///          measured, the route's total limit
     [[nodiscard]] nanoseconds longest_usual_latency(const config::route& route) const;
 
     /// \returns true when a known target announced that it is draining
@@ -95,6 +97,7 @@
     struct weighted_target {
         target_record_ptr record;
         double weight{1.0}; ///< of the view, above 0
+        bool is_own{true};  ///< in the slice of targets that this node's group mainly uses
     };
     struct pending_probe {
         target_record_ptr record;
@@ -115,13 +118,15 @@
     struct placement_conditions {
         instant now;
         bool prefers_own_domain{true};
-        /// Many requests of the service fail, so targets without a recent failure are used evenly.
-        bool many_fail{false};
-        bool tries{false};   ///< the policy needs trials of suspected targets
-        milliseconds rest{}; ///< time after its last bad answer until a target is tried again
+        bool tries{false};       ///< the policy needs trials of suspected targets
+        nanoseconds trial_age{}; ///< time since its last bad answer after which a target is tried
     };
     [[nodiscard]] placement_conditions conditions(config::repeat_policy repeat, instant now,
                                                   random_source& random) const;
+    /// \returns the time since its last bad answer after which a suspected target is tried
+    [[nodiscard]] nanoseconds trial_age(instant now) const;
+    /// \returns true when a target is probably failing or has a low weight
+    [[nodiscard]] static bool is_suspected(const weighted_target& it, instant now);
     /// \returns true when a target, if it is suspected of failing, may be tried by this node now
     [[nodiscard]] static bool is_trial_due(const target_record& record,
                                            const placement_conditions& conditions);
@@ -134,8 +139,7 @@
     std::unique_ptr<routing::placement_policy> policy_;
     routing::rate_limit_table* limits_;
     domain_name own_domain_;
-    std::size_t nodes_{1};
-    health::failure_share failures_;
+    routing::group_position group_;
     std::uint64_t generation_{0}; ///< number of the view that sync() last took over
     std::vector<weighted_target> eligible_;
     std::vector<pending_probe> pending_probes_;              ///< at most one per ejected target
--- a/wigeonrill/src/routing/least_cost.cpp
+++ b/wigeonrill/src/routing/least_cost.cpp
@@ -13,6 +13,9 @@
 // Traffic between failure domains is charged for, so a target in this node's domain is preferred
 // unless its utilization is more than remote_cost / utilization_cost higher.
 constexpr double remote_cost = 0.15;
+// Targets of other groups get requests when those of the own slice are full or suspected of
+// failing.
+constexpr double foreign_cost = 0.6;
 // A cold target needs about twice the service time.
 constexpr double cold_cost = 1.0;
 
@@ -24,7 +27,8 @@
         std::max(static_cast<double>(it.outstanding) + it.peer_outstanding, it.reported_load);
     const double waiting = std::max(0.0, load + 1.0 - slots) / slots;
     return waiting + utilization_cost * load / slots + failure_cost * it.failure_probability +
-           cold_cost * (1.0 - it.weight) + (it.is_remote ? remote_cost : 0.0);
+           cold_cost * (1.0 - it.weight) + (it.is_remote ? remote_cost : 0.0) +
+           (it.is_foreign ? foreign_cost : 0.0);
 }
 
 std::size_t least_cost::choose(std::span<const placement_candidate> candidates,
--- a/wigeonrill/src/routing/placement_policy.h
+++ b/wigeonrill/src/routing/placement_policy.h
@@ -17,6 +17,8 @@
     double weight{1.0};                ///< 1: full share; see eligible_target::weight
     double failure_probability{0.0};   ///< probability that the target is failing now
     bool is_remote{false};             ///< the target is in another failure domain than this node
+    /// The target is in the slice of another group, so most of its load isn't known to this node.
+    bool is_foreign{false};
 };
 
 /// \returns (outstanding + reported load) / capacity, by which candidates are compared
