--- a/bench/hop/load.cpp
+++ b/bench/hop/load.cpp
@@ -19,9 +19,7 @@
 const std::string request = "GET /stock/rolls?size=a1 HTTP/1.1\r\nHost: shop.example\r\n"
                             "User-Agent: hop\r\nAccept: */*\r\nWorkspace: ws-1\r\n\r\n";
 
-// Sends the request and receives the whole answer.
-void send_request(Poco::Net::StreamSocket& socket) {
-    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+void receive_answer(Poco::Net::StreamSocket& socket) {
     constexpr std::size_t body_bytes = 200;
     std::array<char, 4096> buf{};
     std::string answer;
@@ -38,6 +36,20 @@
     }
 }
 
+void send_all(Poco::Net::StreamSocket& socket, const std::string& text) {
+    std::size_t sent = 0;
+    while (sent < text.size()) {
+        const int n = socket.sendBytes(text.data() + sent, static_cast<int>(text.size() - sent));
+        sent += static_cast<std::size_t>(n);
+    }
+}
+
+// Sends the request and receives the whole answer.
+void send_request(Poco::Net::StreamSocket& socket) {
+    send_all(socket, request);
+    receive_answer(socket);
+}
+
 Poco::Net::StreamSocket open(const endpoint& address) {
     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(address.ip, address.port));
     socket.setNoDelay(true);
@@ -116,6 +128,31 @@
     return all;
 }
 
+double measure_uploads(const endpoint& address, int connections, int uploads,
+                       std::size_t body_bytes) {
+    const auto upload = "POST /plans HTTP/1.1\r\nHost: shop.example\r\nContent-Length: " +
+                        std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x');
+    std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(connections));
+    const auto start = steady_clock::now();
+    for (int i = 0; i < connections; ++i) {
+        threads.emplace_back([&] {
+            auto socket = open(address);
+            for (int k = 0; k < uploads; ++k) {
+                send_all(socket, upload);
+                receive_answer(socket);
+            }
+        });
+    }
+    for (auto& it : threads) {
+        it.join();
+    }
+    const std::chrono::duration<double> time = steady_clock::now() - start;
+    constexpr double bytes_per_megabyte = 1e6;
+    const auto bytes = static_cast<double>(body_bytes) * connections * uploads;
+    return bytes / bytes_per_megabyte / time.count();
+}
+
 double percentile(samples values, double share) {
     WIGEONRILL_ASSERT(!values.empty(), "a percentile needs at least one sample");
     std::sort(values.begin(), values.end());
--- a/bench/hop/load.h
+++ b/bench/hop/load.h
@@ -36,6 +36,13 @@
     std::vector<std::unique_ptr<connection>> connections_;
 };
 
+/// \brief Sends uploads one after the other over each of several connections at the same time.
+/// \param uploads number of uploads of each connection
+/// \param body_bytes size of the body of an upload
+/// \returns megabytes of bodies per second over all connections
+[[nodiscard]] double measure_uploads(const endpoint& address, int connections, int uploads,
+                                     std::size_t body_bytes);
+
 /// \brief Opens connections at the same time and sends one request on each.
 /// \returns the time of each from the start of its connect to the last byte of the answer
 [[nodiscard]] samples measure_burst(const endpoint& address, int connections);
--- a/bench/hop/main.cpp
+++ b/bench/hop/main.cpp
@@ -45,6 +45,26 @@
                 name, percentile(times, 0.5), percentile(times, 1.0));
 }
 
+/// Prints throughput and the proxy's peak memory with 1, 8 and 64 uploads at once. Bodies of the
+/// first size are held in memory, as far as there is room; those of the second one are streamed.
+void measure_all_uploads() {
+    constexpr int total_uploads = 512;
+    for (const std::size_t body_bytes : {std::size_t{360'000}, std::size_t{1'000'000}}) {
+        for (const int connections : {1, 8, 64}) {
+            const server_process target(run_target);
+            const server_process proxy(
+                [&](const auto& report) { run_proxy(target.address(), report); });
+            const int uploads = total_uploads / connections;
+            const auto direct = measure_uploads(target.address(), connections, uploads, body_bytes);
+            const auto proxied = measure_uploads(proxy.address(), connections, uploads, body_bytes);
+            std::printf("%d uploads of %zu bytes at once: direct %.0f MB/s, proxied %.0f MB/s, "
+                        "ratio %.2f, proxy %ld KB at its peak\n",
+                        connections, body_bytes, direct, proxied, proxied / direct,
+                        proxy.memory_kb("VmHWM"));
+        }
+    }
+}
+
 void measure(const program_options& options) {
     constexpr int few_connections = 8;
     constexpr double usual_rate = 124;
@@ -74,7 +94,13 @@
     app.add_option("--seconds", options.seconds, "length of each measurement in seconds");
     app.add_option("--rounds", options.rounds,
                    "number of measurements, each with and without the proxy");
+    bool uploads = false;
+    app.add_flag("--uploads", uploads, "measure uploads instead of small requests");
     CLI11_PARSE(app, argc, argv);
-    measure(options);
+    if (uploads) {
+        measure_all_uploads();
+    } else {
+        measure(options);
+    }
     return 0;
 }
--- a/bench/hop/processes.cpp
+++ b/bench/hop/processes.cpp
@@ -45,13 +45,26 @@
     endpoint target_;
 };
 
+/// \returns whether the text ends with a whole request. Requests of the benchmark are not
+/// pipelined.
+bool is_whole_request(const std::string& text) {
+    const auto head_end = text.find("\r\n\r\n");
+    if (head_end == std::string::npos) {
+        return false;
+    }
+    constexpr std::string_view field = "\r\nContent-Length: ";
+    const auto length = text.find(field);
+    const auto body = length < head_end ? std::stoul(text.substr(length + field.size())) : 0;
+    return text.size() >= head_end + 4 + body;
+}
+
 /// Answers the requests of one connection until the other side closes it.
 void serve_connection(Poco::Net::StreamSocket socket) {
     constexpr std::size_t body_bytes = 200;
     const auto answer = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTarget-Load: 1\r\n"
                         "Content-Length: " +
                         std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x');
-    std::array<char, 4096> buf{};
+    std::array<char, 16'384> buf{};
     std::string request;
     try {
         for (;;) {
@@ -60,8 +73,7 @@
                 return;
             }
             request.append(buf.data(), static_cast<std::size_t>(n));
-            // Requests of the benchmark have no bodies and are not pipelined.
-            if (request.ends_with("\r\n\r\n")) {
+            if (is_whole_request(request)) {
                 request.clear();
                 socket.sendBytes(answer.data(), static_cast<int>(answer.size()));
             }
