--- a/review/standins/leaving_notice.cc
+++ b/review/standins/leaving_notice.cc
@@ -1,7 +1,6 @@
-// Case: a machine freezes while its requests are at an endpoint that is about to restart under its
-// id. The endpoint leaves, ends and starts again. When the machine wakes, it reads the old
-// process's answer, which says that the endpoint leaves, and all machines stop using the new
-// process.
+// Case: an endpoint restarts under its id, and then the machines are stopped and started in turn.
+// Each machine that starts hears from the others that the endpoint leaves, which its old process
+// said, and doesn't use the new process.
 #include "standins.hh"
 
 using namespace review;
@@ -9,19 +8,17 @@
 namespace {
 
 constexpr int node_count = 3;
-constexpr int frozen = 2; ///< index of the node that freezes
-constexpr int clients_per_node = 14;
-constexpr milliseconds request_interval{500};
-constexpr milliseconds deadline{4'000};
+constexpr int clients_per_node = 24;
+constexpr milliseconds request_interval{2'400};
+constexpr milliseconds deadline{3'000};
 
 // Planned work: one of two endpoints restarts. The store accepts its report at once; it serves for
 // drain_s and a little longer, ends, and is back 0.4 s later.
 constexpr double restart_at_s = 6.0;
 constexpr double served_after_report_s = 2.3;
 constexpr double down_s = 0.4;
-// The disruption: node_freeze, one machine, for_s = 4. It begins just before the planned work.
-constexpr double freeze_before_s = 0.02;
-constexpr double freeze_s = 4.0;
+// The disruption: roll_term, all machines, one at a time, from 2 s after that.
+constexpr double pause_before_roll_s = 2.0;
 
 // FLOOR: windows of 2 s; endpoints are sound after twice stability_window_s without a disruption.
 constexpr double floor_share = 0.7;
@@ -49,7 +46,8 @@
 int play(const std::string& folder, const std::string& repository, const std::string& record_path) {
     const bool trouble = environment("TROUBLE", "1") != "0";
     auto& record = *new recorder(record_path);
-    record.say(std::string("disruption: ") + (trouble ? "one machine freezes for 4 s" : "none"));
+    record.say(std::string("disruption: ") +
+               (trouble ? "the machines are stopped and started in turn" : "none"));
 
     auto& platform = *new store;
     const int store_port = platform.open(std::make_shared<std::atomic<bool>>(false));
@@ -118,11 +116,6 @@
         });
     }
     const double start_s = record.seconds() + restart_at_s;
-    if (trouble) {
-        sleep_until(record, start_s - freeze_before_s);
-        record.say(nodes[frozen]->name() + " freezes");
-        nodes[frozen]->signal(SIGSTOP);
-    }
     sleep_until(record, start_s);
     record.say("i-first reports that it is draining; its answers say that it leaves");
     first->leave();
@@ -138,12 +131,24 @@
     platform.put("servers/i-first", again->registration("ready", 1));
     const double ready_s = record.seconds();
     record.say("i-first is ready again, as a new process at the same address");
-    if (trouble) {
-        sleep_until(record, start_s - freeze_before_s + freeze_s);
-        nodes[frozen]->signal(SIGCONT);
-        record.say(nodes[frozen]->name() + " wakes");
+    sleep_until(record, ready_s + pause_before_roll_s);
+    for (auto& it : nodes) {
+        if (trouble) {
+            it->signal(SIGTERM);
+            while (it->runs()) {
+                std::this_thread::sleep_for(milliseconds(20));
+            }
+            it->start();
+            if (!it->wait_ready(milliseconds(8'000))) {
+                record.say(it->name() + " didn't become ready again");
+                return 2;
+            }
+            record.say(it->name() + " has been stopped and started");
+        } else {
+            std::this_thread::sleep_for(milliseconds(3'700));
+        }
     }
-    const double from_s = ready_s + sound_after_s;
+    const double from_s = record.seconds() + sound_after_s;
     const double to_s = from_s + watched_s;
     sleep_until(record, to_s + 1);
     stop = true;
