--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,7 +4,7 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-program=$root/target/review/leaving_notice
+program=$root/target/review/late_write
 [ -x "$program" ] && [ -x "$root/target/bin/wigeonrilld" ] || { echo "not built"; exit 2; }
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
--- a/review/standins/standins.hh
+++ b/review/standins/standins.hh
@@ -262,6 +262,15 @@
         std::thread([this, fd = fd_] { accept_all(fd); }).detach();
     }
     int port() const { return port_; }
+    /// Resets all connections. The listening socket stays open.
+    void reset_connections() {
+        const std::lock_guard lock(mutex_);
+        for (const int fd : open_) {
+            const linger reset{1, 0};
+            ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+            ::shutdown(fd, SHUT_RDWR);
+        }
+    }
     /// Closes the listening socket and resets all connections, as a process that ends.
     void end() {
         const std::lock_guard lock(mutex_);
@@ -447,6 +456,13 @@
         int capacity{6};
         int queue{2};
         milliseconds work{100};
+        /// Work of the requests whose path contains "large".
+        milliseconds large_work{100};
+        /// A request whose path contains "poison" crashes the endpoint: it is silent for so long,
+        /// then its connections are reset and it is a new process. 0: such requests are harmless.
+        milliseconds crash_time{0};
+        /// Time on the way between a node and the endpoint, in each direction.
+        std::chrono::microseconds one_way{0};
         /// Share of the answers that are sent a second time, late.
         std::function<double()> copies{[] { return 0.0; }};
     };
@@ -485,7 +501,17 @@
             if (!in.complete) {
                 return;
             }
+            std::this_thread::sleep_for(how_.one_way);
             const auto id = in.field("x-wigeonrill-request-id");
+            const int process = process_;
+            if (crashed_) {
+                wait_for_restart();
+                return;
+            }
+            if (how_.crash_time.count() > 0 && in.target().find("poison") != std::string::npos) {
+                crash(id);
+                return;
+            }
             if (!late_copy.empty()) {
                 record_->write(id_ +
                                " sends a late copy of its answer to an earlier request, now " + id +
@@ -496,6 +522,11 @@
                 late_copy.clear();
             }
             auto out = answer(in, id);
+            if (crashed_ || process_ != process) {
+                wait_for_restart();
+                return;
+            }
+            std::this_thread::sleep_for(how_.one_way);
             if (leaving_) {
                 out.insert(out.find("\r\n") + 2, "Server-Leaving: 1\r\n");
             }
@@ -507,6 +538,25 @@
             }
         }
     }
+    void crash(const std::string& id) {
+        {
+            const std::lock_guard lock(mutex_);
+            ++runs_[id];
+        }
+        record_->write(id_ + " runs " + id + " and crashes");
+        on_run(id);
+        crashed_ = true;
+        std::this_thread::sleep_for(how_.crash_time);
+        ++process_;
+        record_->write(id_ + " is back");
+        server_.reset_connections();
+        crashed_ = false;
+    }
+    void wait_for_restart() const {
+        while (crashed_) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+    }
     double draw() {
         const std::lock_guard lock(mutex_);
         return std::uniform_real_distribution<double>(0, 1)(random_);
@@ -537,12 +587,18 @@
         record_->write(id_ + " runs " + id + " " + in.method() + " " + in.target() +
                        (run > 1 ? " AGAIN" : ""));
         on_run(id);
-        std::this_thread::sleep_for(how_.work);
+        // An endpoint stops work at the deadline that it receives.
+        const milliseconds deadline(std::atoi(in.field("x-wigeonrill-deadline-ms").c_str()));
+        const auto work =
+            in.target().find("large") != std::string::npos ? how_.large_work : how_.work;
+        std::this_thread::sleep_for(std::min(work, deadline));
+        const int status = work > deadline ? 504 : 200;
+        record_->write(id_ + " ends the run of " + id + ": " + std::to_string(status));
         std::string out;
         {
             const std::lock_guard lock(mutex_);
             --running_;
-            out = make_answer(200,
+            out = make_answer(status,
                               {{"X-Wigeonrill-Request-Id", id},
                                {"X-Wigeonrill-Response-Signature", id + "." + std::to_string(run)},
                                {"X-Wigeonrill-Server-Load", load()}},
@@ -561,6 +617,8 @@
     std::uint64_t born_ms_;
     behaviour how_;
     std::atomic<bool> leaving_{false};
+    std::atomic<bool> crashed_{false};
+    std::atomic<int> process_{0};
     recorder* record_;
     std::mutex mutex_;
     std::condition_variable freed_;
