Make the endpoint of case 2 as silent as a machine without power, and give case 1 more rejections

Cause: on loopback a silent endpoint still took connections, which a machine without power doesn't; two requests that crashed the same endpoint at once ended the stand-in.

Change: the listening socket's queue is filled while an endpoint of case 2 is silent; one crash at a time. The endpoint of case 1 works for 20 ms, and the traffic lasts 90 s.

--- a/review/standins/late_rejection.cc
+++ b/review/standins/late_rejection.cc
@@ -9,7 +9,7 @@
 
 constexpr int node_count = 12;
 constexpr int clients_per_node = 4;
-constexpr auto traffic_time = std::chrono::seconds(80);
+constexpr auto traffic_time = std::chrono::seconds(90);
 constexpr milliseconds deadline{12'000};
 
 // The disruption: garble, how = "extra late", at one endpoint, 0.03 of its answers, for 5 s,
@@ -55,7 +55,7 @@
     endpoint::behaviour sound;
     sound.capacity = 2;
     sound.queue = 2;
-    sound.work = milliseconds(40);
+    sound.work = milliseconds(20);
     auto faulty = sound;
     faulty.copies = [trouble, &record] {
         const double phase = std::fmod(record.seconds(), trouble_s + pause_s);
--- a/review/standins/standins.hh
+++ b/review/standins/standins.hh
@@ -262,6 +262,25 @@
         std::thread([this, fd = fd_] { accept_all(fd); }).detach();
     }
     int port() const { return port_; }
+    /// While silent, new connections hang, as to a machine without power: the queue of the
+    /// listening socket is full, so that opening packets are dropped.
+    void set_silent(bool silent) {
+        silent_ = silent;
+        ::listen(fd_, silent ? 0 : backlog);
+        for (int i = 0; silent && i < fillers; ++i) {
+            const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+            sockaddr_in address{};
+            address.sin_family = AF_INET;
+            address.sin_port = htons(static_cast<std::uint16_t>(port_));
+            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            (void)::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+            filler_fds_.push_back(fd);
+        }
+        while (!silent && !filler_fds_.empty()) {
+            ::close(filler_fds_.back());
+            filler_fds_.pop_back();
+        }
+    }
     /// Resets all connections. The listening socket stays open.
     void reset_connections() {
         const std::lock_guard lock(mutex_);
@@ -287,6 +306,11 @@
 private:
     void accept_all(int listener) {
         for (;;) {
+            pollfd it{listener, POLLIN, 0};
+            if (silent_ || ::poll(&it, 1, 100) == 0 || silent_) {
+                std::this_thread::sleep_for(milliseconds(silent_ ? 5 : 0));
+                continue;
+            }
             const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0) {
                 const std::lock_guard lock(mutex_);
@@ -309,7 +333,11 @@
             }).detach();
         }
     }
+    static constexpr int backlog = 512;
+    static constexpr int fillers = 4;
     session serve_;
+    std::atomic<bool> silent_{false};
+    std::vector<int> filler_fds_;
     int fd_{-1};
     int port_{0};
     std::mutex mutex_;
@@ -509,7 +537,11 @@
                 return;
             }
             if (how_.crash_time.count() > 0 && in.target().find("poison") != std::string::npos) {
-                crash(id);
+                if (crashed_.exchange(true)) {
+                    wait_for_restart();
+                } else {
+                    crash(id);
+                }
                 return;
             }
             if (!late_copy.empty()) {
@@ -545,11 +577,12 @@
         }
         record_->write(id_ + " runs " + id + " and crashes");
         on_run(id);
-        crashed_ = true;
+        server_.set_silent(true);
         std::this_thread::sleep_for(how_.crash_time);
         ++process_;
         record_->write(id_ + " is back");
         server_.reset_connections();
+        server_.set_silent(false);
         crashed_ = false;
     }
     void wait_for_restart() const {
