--- a/review/standins/standins.hh
+++ b/review/standins/standins.hh
@@ -581,8 +581,9 @@
         std::this_thread::sleep_for(how_.crash_time);
         ++process_;
         record_->write(id_ + " is back");
-        server_.reset_connections();
         server_.set_silent(false);
+        std::this_thread::sleep_for(milliseconds(20));
+        server_.reset_connections();
         crashed_ = false;
     }
     void wait_for_restart() const {
