--- a/test/daemon/store_readings_test.cpp
+++ b/test/daemon/store_readings_test.cpp
@@ -64,6 +64,24 @@
     LONGS_EQUAL(10, version());
 }
 
+// Guards against a target whose restart under its id no other node learns of (review/5, FLOOR): the
+// content is the same then, but for the process.
+TEST(store_readings, restart_under_the_same_id_makes_a_version_that_peers_take_over) {
+    loop.handle_store_reading(reading(5, 3));
+    CHECK(config::apply_outcome::accepted == peer.apply_changes(loop.changes_since(0), "peer"));
+    auto restarted = *content(3);
+    restarted.services.at(0).targets.at(1).registered = {2'000, 6};
+    platform::store_reading next;
+    next.version = 7;
+    next.configuration = std::make_shared<const config::snapshot>(restarted);
+    loop.handle_store_reading(next);
+    LONGS_EQUAL(7, version());
+    CHECK(config::apply_outcome::accepted == peer.apply_changes(loop.changes_since(5), "peer"));
+    const auto& target = peer.state()->configuration->services.at(0).targets.at(1);
+    CHECK(config::registration(2'000, 6) == target.registered);
+    CHECK(*loop.state()->configuration == *peer.state()->configuration);
+}
+
 // Guards against an older reading that replaces the newer version of a peer.
 TEST(store_readings, older_reading_does_not_replace_a_newer_version) {
     loop.handle_store_reading(reading(10, 2));
--- a/test/dispatch/announcement_test.cpp
+++ b/test/dispatch/announcement_test.cpp
@@ -56,6 +56,29 @@
     LONGS_EQUAL(0, sent_to(target));
 }
 
+// Guards against a new process under the same id and address that gets no work because the earlier
+// one drained, and against an answer of the earlier one that ends its use (review/5, FLOOR).
+TEST(announcement, process_that_starts_under_the_same_id_gets_work) {
+    for (auto& it : snapshot->services.at(0).targets) {
+        it.registered = {1'000, 5};
+    }
+    node->dispatcher->set_view(test::make_view(snapshot));
+    const auto late = node->request("POST", "/runs/1");
+    const auto target = node->dispatcher->first_step(late).target.value;
+    CHECK(node->dispatcher->may_send(late));
+    auto next = std::make_shared<config::snapshot>(*snapshot);
+    for (auto& it : next->services.at(0).targets) {
+        it.registered = {2'000, 9};
+    }
+    node->dispatcher->set_view(test::make_view(next));
+    CHECK(sent_to(target) > 0);
+    auto attempt = node->attempt(answer_kind::ok);
+    attempt.draining = true;
+    CHECK_FALSE(node->dispatcher->on_attempt_ended(late, attempt));
+    node->dispatcher->finish_request(late, true, nullptr);
+    CHECK(sent_to(target) > 0);
+}
+
 // Guards against a later answer that another target has the address, which ended the exclusion of a
 // draining target.
 TEST(announcement, misdirected_answer_does_not_end_draining) {
--- a/test/peers/change_service_test.cpp
+++ b/test/peers/change_service_test.cpp
@@ -18,7 +18,7 @@
     out.published = wall_time(milliseconds(1'700'000'000'123));
     out.rules_version = 19;
     out.digest = "abc";
-    out.changed.push_back({"service/stock", 8, "def", std::string("{\0}", 3)});
+    out.changed.push_back({"service/stock", 8, "def", std::string("{\0}", 3), {}});
     out.removed = {"service/old"};
     return out;
 }
@@ -57,6 +57,19 @@
     UNSIGNED_LONGS_EQUAL(3, sent.load());
 }
 
+// Guards against losing the registrations of targets on the way to another node.
+TEST(change_service, answers_with_the_registrations_of_targets) {
+    auto expected = sample(5);
+    expected.changed.at(0).registrations = {{target_id("stock-1"), {1'700'000'000'123, 412}}};
+    auto callbacks = source();
+    callbacks.changes = [&](std::uint64_t) { return result<config::change_set>(expected); };
+    const auto server = change_server::start({"127.0.0.1", 0}, std::move(callbacks));
+    CHECK(server.has_value());
+    const auto changes = fetch_changes((*server)->local(), 5);
+    CHECK(changes.has_value());
+    CHECK(*changes == expected);
+}
+
 // Guards against an error answer that is mistaken for an empty change set.
 TEST(change_service, returns_a_refusal_with_its_remedy) {
     const auto server = start();
--- a/test/peers/codec_test.cpp
+++ b/test/peers/codec_test.cpp
@@ -117,6 +117,17 @@
     }
 }
 
+// Guards against losing the process and the registration that a verdict is about.
+TEST(codec, sends_what_a_verdict_is_about) {
+    message content = full_message();
+    content.verdicts.at(0).about = {1'700'000'000'123, health::any_registration};
+    content.verdicts.push_back(make_verdict(alice, "stock-9", 41, clock.now() + seconds(25)));
+    content.verdicts.back().about = {1'700'000'000'123, 412};
+    const auto decoded = plain.decode(*plain.encode(content, alice, bob), alice, bob);
+    CHECK(decoded.has_value());
+    CHECK(content == *decoded);
+}
+
 // Guards against an expiry on the sender's clock. A receiver whose clock differs must keep a
 // verdict for the remaining time, independent of the difference between the clocks.
 TEST(codec, sends_expiry_as_remaining_time) {
--- a/test/users_platform/records_test.cpp
+++ b/test/users_platform/records_test.cpp
@@ -62,6 +62,15 @@
     LONGS_EQUAL(4, it.heartbeat);
 }
 
+// Guards against losing the revision in which a target's record was created.
+TEST(records, decodes_the_creation_of_a_target) {
+    auto created = item("servers/i-1", target);
+    created.insert(created.rfind('}'), R"(,"created_at":6)");
+    const auto decoded = users_platform::decode_page(page(created));
+    const auto& it = std::get<platform::target_registration>(only_record(decoded).content);
+    LONGS_EQUAL(6, it.created);
+}
+
 // Guards against decoding an at-most-once route as idempotent, so that its requests may run twice,
 // and against losing traffic splits and times.
 TEST(records, decodes_the_rules) {
--- a/wigeonrill/gen-cpp/messages_types.cpp
+++ b/wigeonrill/gen-cpp/messages_types.cpp
@@ -281,6 +281,16 @@
 void Verdict::__set_remaining_ms(const int32_t val) {
   this->remaining_ms = val;
 }
+
+void Verdict::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+__isset.started_ms = true;
+}
+
+void Verdict::__set_created(const int64_t val) {
+  this->created = val;
+__isset.created = true;
+}
 std::ostream& operator<<(std::ostream& out, const Verdict& obj)
 {
   obj.printTo(out);
@@ -365,6 +375,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          this->__isset.started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->created);
+          this->__isset.created = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -410,6 +436,16 @@
   xfer += oprot->writeI32(this->remaining_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.started_ms) {
+    xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->started_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.created) {
+    xfer += oprot->writeFieldBegin("created", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->created);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -424,6 +460,8 @@
   swap(a.judge, b.judge);
   swap(a.sequence, b.sequence);
   swap(a.remaining_ms, b.remaining_ms);
+  swap(a.started_ms, b.started_ms);
+  swap(a.created, b.created);
   swap(a.__isset, b.__isset);
 }
 
@@ -435,6 +473,8 @@
   judge = other2.judge;
   sequence = other2.sequence;
   remaining_ms = other2.remaining_ms;
+  started_ms = other2.started_ms;
+  created = other2.created;
   __isset = other2.__isset;
 }
 Verdict& Verdict::operator=(const Verdict& other3) {
@@ -445,6 +485,8 @@
   judge = other3.judge;
   sequence = other3.sequence;
   remaining_ms = other3.remaining_ms;
+  started_ms = other3.started_ms;
+  created = other3.created;
   __isset = other3.__isset;
   return *this;
 }
@@ -458,6 +500,8 @@
   out << ", " << "judge=" << to_string(judge);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "remaining_ms=" << to_string(remaining_ms);
+  out << ", " << "started_ms="; (__isset.started_ms ? (out << to_string(started_ms)) : (out << "<null>"));
+  out << ", " << "created="; (__isset.created ? (out << to_string(created)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1754,6 +1798,138 @@
 }
 
 
+Registration::~Registration() noexcept {
+}
+
+
+void Registration::__set_target_name(const std::string& val) {
+  this->target_name = val;
+}
+
+void Registration::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+}
+
+void Registration::__set_created(const int64_t val) {
+  this->created = val;
+}
+std::ostream& operator<<(std::ostream& out, const Registration& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Registration::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target_name);
+          this->__isset.target_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          this->__isset.started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->created);
+          this->__isset.created = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Registration::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Registration");
+
+  xfer += oprot->writeFieldBegin("target_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("created", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->created);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Registration &a, Registration &b) {
+  using ::std::swap;
+  swap(a.target_name, b.target_name);
+  swap(a.started_ms, b.started_ms);
+  swap(a.created, b.created);
+  swap(a.__isset, b.__isset);
+}
+
+Registration::Registration(const Registration& other50) {
+  target_name = other50.target_name;
+  started_ms = other50.started_ms;
+  created = other50.created;
+  __isset = other50.__isset;
+}
+Registration& Registration::operator=(const Registration& other51) {
+  target_name = other51.target_name;
+  started_ms = other51.started_ms;
+  created = other51.created;
+  __isset = other51.__isset;
+  return *this;
+}
+void Registration::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Registration(";
+  out << "target_name=" << to_string(target_name);
+  out << ", " << "started_ms=" << to_string(started_ms);
+  out << ", " << "created=" << to_string(created);
+  out << ")";
+}
+
+
 Shard::~Shard() noexcept {
 }
 
@@ -1773,6 +1949,11 @@
 void Shard::__set_content(const std::string& val) {
   this->content = val;
 }
+
+void Shard::__set_registrations(const std::vector<Registration> & val) {
+  this->registrations = val;
+__isset.registrations = true;
+}
 std::ostream& operator<<(std::ostream& out, const Shard& obj)
 {
   obj.printTo(out);
@@ -1833,6 +2014,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->registrations.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->registrations.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += this->registrations[_i56].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.registrations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1866,6 +2067,19 @@
   xfer += oprot->writeBinary(this->content);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.registrations) {
+    xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
+      std::vector<Registration> ::const_iterator _iter57;
+      for (_iter57 = this->registrations.begin(); _iter57 != this->registrations.end(); ++_iter57)
+      {
+        xfer += (*_iter57).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1877,22 +2091,25 @@
   swap(a.version, b.version);
   swap(a.digest, b.digest);
   swap(a.content, b.content);
+  swap(a.registrations, b.registrations);
   swap(a.__isset, b.__isset);
 }
 
-Shard::Shard(const Shard& other50) {
-  name = other50.name;
-  version = other50.version;
-  digest = other50.digest;
-  content = other50.content;
-  __isset = other50.__isset;
-}
-Shard& Shard::operator=(const Shard& other51) {
-  name = other51.name;
-  version = other51.version;
-  digest = other51.digest;
-  content = other51.content;
-  __isset = other51.__isset;
+Shard::Shard(const Shard& other58) {
+  name = other58.name;
+  version = other58.version;
+  digest = other58.digest;
+  content = other58.content;
+  registrations = other58.registrations;
+  __isset = other58.__isset;
+}
+Shard& Shard::operator=(const Shard& other59) {
+  name = other59.name;
+  version = other59.version;
+  digest = other59.digest;
+  content = other59.content;
+  registrations = other59.registrations;
+  __isset = other59.__isset;
   return *this;
 }
 void Shard::printTo(std::ostream& out) const {
@@ -1902,6 +2119,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "content=" << to_string(content);
+  out << ", " << "registrations="; (__isset.registrations ? (out << to_string(registrations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2026,14 +2244,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->changed.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->changed.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->changed[_i56].read(iprot);
+              xfer += this->changed[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2046,14 +2264,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->removed.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->removed.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += iprot->readString(this->removed[_i61]);
+              xfer += iprot->readString(this->removed[_i69]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2114,10 +2332,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<Shard> ::const_iterator _iter62;
-    for (_iter62 = this->changed.begin(); _iter62 != this->changed.end(); ++_iter62)
+    std::vector<Shard> ::const_iterator _iter70;
+    for (_iter70 = this->changed.begin(); _iter70 != this->changed.end(); ++_iter70)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2126,10 +2344,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter63;
-    for (_iter63 = this->removed.begin(); _iter63 != this->removed.end(); ++_iter63)
+    std::vector<std::string> ::const_iterator _iter71;
+    for (_iter71 = this->removed.begin(); _iter71 != this->removed.end(); ++_iter71)
     {
-      xfer += oprot->writeString((*_iter63));
+      xfer += oprot->writeString((*_iter71));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2159,29 +2377,29 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeSet::ChangeSet(const ChangeSet& other64) {
-  protocol = other64.protocol;
-  format = other64.format;
-  base_version = other64.base_version;
-  version = other64.version;
-  published_ms = other64.published_ms;
-  digest = other64.digest;
-  changed = other64.changed;
-  removed = other64.removed;
-  rules_version = other64.rules_version;
-  __isset = other64.__isset;
-}
-ChangeSet& ChangeSet::operator=(const ChangeSet& other65) {
-  protocol = other65.protocol;
-  format = other65.format;
-  base_version = other65.base_version;
-  version = other65.version;
-  published_ms = other65.published_ms;
-  digest = other65.digest;
-  changed = other65.changed;
-  removed = other65.removed;
-  rules_version = other65.rules_version;
-  __isset = other65.__isset;
+ChangeSet::ChangeSet(const ChangeSet& other72) {
+  protocol = other72.protocol;
+  format = other72.format;
+  base_version = other72.base_version;
+  version = other72.version;
+  published_ms = other72.published_ms;
+  digest = other72.digest;
+  changed = other72.changed;
+  removed = other72.removed;
+  rules_version = other72.rules_version;
+  __isset = other72.__isset;
+}
+ChangeSet& ChangeSet::operator=(const ChangeSet& other73) {
+  protocol = other73.protocol;
+  format = other73.format;
+  base_version = other73.base_version;
+  version = other73.version;
+  published_ms = other73.published_ms;
+  digest = other73.digest;
+  changed = other73.changed;
+  removed = other73.removed;
+  rules_version = other73.rules_version;
+  __isset = other73.__isset;
   return *this;
 }
 void ChangeSet::printTo(std::ostream& out) const {
@@ -2292,15 +2510,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Status::Status(const Status& other66) {
-  protocol = other66.protocol;
-  json = other66.json;
-  __isset = other66.__isset;
+Status::Status(const Status& other74) {
+  protocol = other74.protocol;
+  json = other74.json;
+  __isset = other74.__isset;
 }
-Status& Status::operator=(const Status& other67) {
-  protocol = other67.protocol;
-  json = other67.json;
-  __isset = other67.__isset;
+Status& Status::operator=(const Status& other75) {
+  protocol = other75.protocol;
+  json = other75.json;
+  __isset = other75.__isset;
   return *this;
 }
 void Status::printTo(std::ostream& out) const {
@@ -2404,15 +2622,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Refusal::Refusal(const Refusal& other68) : TException() {
-  message = other68.message;
-  remedy = other68.remedy;
-  __isset = other68.__isset;
+Refusal::Refusal(const Refusal& other76) : TException() {
+  message = other76.message;
+  remedy = other76.remedy;
+  __isset = other76.__isset;
 }
-Refusal& Refusal::operator=(const Refusal& other69) {
-  message = other69.message;
-  remedy = other69.remedy;
-  __isset = other69.__isset;
+Refusal& Refusal::operator=(const Refusal& other77) {
+  message = other77.message;
+  remedy = other77.remedy;
+  __isset = other77.__isset;
   return *this;
 }
 void Refusal::printTo(std::ostream& out) const {
--- a/wigeonrill/gen-cpp/messages_types.h
+++ b/wigeonrill/gen-cpp/messages_types.h
@@ -35,6 +35,8 @@
 
 class Message;
 
+class Registration;
+
 class Shard;
 
 class ChangeSet;
@@ -140,7 +142,7 @@
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
 typedef struct _Verdict__isset {
-  _Verdict__isset() : service_name(false), target_name(false), state(false), severity_milli(false), judge(false), sequence(false), remaining_ms(false) {}
+  _Verdict__isset() : service_name(false), target_name(false), state(false), severity_milli(false), judge(false), sequence(false), remaining_ms(false), started_ms(false), created(false) {}
   bool service_name :1;
   bool target_name :1;
   bool state :1;
@@ -148,6 +150,8 @@
   bool judge :1;
   bool sequence :1;
   bool remaining_ms :1;
+  bool started_ms :1;
+  bool created :1;
 } _Verdict__isset;
 
 class Verdict : public virtual ::apache::thrift::TBase {
@@ -162,7 +166,9 @@
             severity_milli(0),
             judge(),
             sequence(0),
-            remaining_ms(0) {
+            remaining_ms(0),
+            started_ms(0),
+            created(0) {
   }
 
   virtual ~Verdict() noexcept;
@@ -173,6 +179,8 @@
   std::string judge;
   int64_t sequence;
   int32_t remaining_ms;
+  int64_t started_ms;
+  int64_t created;
 
   _Verdict__isset __isset;
 
@@ -190,6 +198,10 @@
 
   void __set_remaining_ms(const int32_t val);
 
+  void __set_started_ms(const int64_t val);
+
+  void __set_created(const int64_t val);
+
   bool operator == (const Verdict & rhs) const
   {
     if (!(service_name == rhs.service_name))
@@ -206,6 +218,14 @@
       return false;
     if (!(remaining_ms == rhs.remaining_ms))
       return false;
+    if (__isset.started_ms != rhs.__isset.started_ms)
+      return false;
+    else if (__isset.started_ms && !(started_ms == rhs.started_ms))
+      return false;
+    if (__isset.created != rhs.__isset.created)
+      return false;
+    else if (__isset.created && !(created == rhs.created))
+      return false;
     return true;
   }
   bool operator != (const Verdict &rhs) const {
@@ -703,12 +723,70 @@
 
 std::ostream& operator<<(std::ostream& out, const Message& obj);
 
+typedef struct _Registration__isset {
+  _Registration__isset() : target_name(false), started_ms(false), created(false) {}
+  bool target_name :1;
+  bool started_ms :1;
+  bool created :1;
+} _Registration__isset;
+
+class Registration : public virtual ::apache::thrift::TBase {
+ public:
+
+  Registration(const Registration&);
+  Registration& operator=(const Registration&);
+  Registration() noexcept
+               : target_name(),
+                 started_ms(0),
+                 created(0) {
+  }
+
+  virtual ~Registration() noexcept;
+  std::string target_name;
+  int64_t started_ms;
+  int64_t created;
+
+  _Registration__isset __isset;
+
+  void __set_target_name(const std::string& val);
+
+  void __set_started_ms(const int64_t val);
+
+  void __set_created(const int64_t val);
+
+  bool operator == (const Registration & rhs) const
+  {
+    if (!(target_name == rhs.target_name))
+      return false;
+    if (!(started_ms == rhs.started_ms))
+      return false;
+    if (!(created == rhs.created))
+      return false;
+    return true;
+  }
+  bool operator != (const Registration &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Registration & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Registration &a, Registration &b);
+
+std::ostream& operator<<(std::ostream& out, const Registration& obj);
+
 typedef struct _Shard__isset {
-  _Shard__isset() : name(false), version(false), digest(false), content(false) {}
+  _Shard__isset() : name(false), version(false), digest(false), content(false), registrations(false) {}
   bool name :1;
   bool version :1;
   bool digest :1;
   bool content :1;
+  bool registrations :1;
 } _Shard__isset;
 
 class Shard : public virtual ::apache::thrift::TBase {
@@ -728,6 +806,7 @@
   int64_t version;
   std::string digest;
   std::string content;
+  std::vector<Registration>  registrations;
 
   _Shard__isset __isset;
 
@@ -739,6 +818,8 @@
 
   void __set_content(const std::string& val);
 
+  void __set_registrations(const std::vector<Registration> & val);
+
   bool operator == (const Shard & rhs) const
   {
     if (!(name == rhs.name))
@@ -749,6 +830,10 @@
       return false;
     if (!(content == rhs.content))
       return false;
+    if (__isset.registrations != rhs.__isset.registrations)
+      return false;
+    else if (__isset.registrations && !(registrations == rhs.registrations))
+      return false;
     return true;
   }
   bool operator != (const Shard &rhs) const {
--- a/wigeonrill/health.h
+++ b/wigeonrill/health.h
@@ -26,6 +26,7 @@
 #include "src/health/failure_burst_estimate.h"
 #include "src/health/fleet_nodes.h"
 #include "src/health/latency_baseline.h"
+#include "src/health/leaving_targets.h"
 #include "src/health/shared_cause_detector.h"
 #include "src/health/target_reachability.h"
 // Needs all of the above.
--- a/wigeonrill/src/config/assembly.cpp
+++ b/wigeonrill/src/config/assembly.cpp
@@ -24,6 +24,16 @@
     parse_vms(root, into.vms);
 }
 
+void add_registrations(const shard& from, service& into) {
+    for (auto& it : into.targets) {
+        const auto found =
+            std::ranges::lower_bound(from.registrations, it.id, {}, &registered_target::target);
+        if (found != from.registrations.end() && found->target == it.id) {
+            it.registered = found->registered;
+        }
+    }
+}
+
 void mark_section(shard_records& records, section read) {
     records.sections |= static_cast<unsigned>(read);
 }
@@ -46,6 +56,7 @@
     } else if (section_name == "service" && slash != std::string::npos) {
         mark_section(into, section::services);
         into.services.push_back(parse_service(from.name.substr(slash + 1), root));
+        add_registrations(from, into.services.back());
         root.reject_unread_keys();
     } else if (section_name == "routes") {
         mark_section(into, section::routes);
--- a/wigeonrill/src/config/change_set.h
+++ b/wigeonrill/src/config/change_set.h
@@ -10,12 +10,23 @@
 /// \brief Version of the configuration format that this build reads and writes.
 inline constexpr std::uint64_t format_version = 1;
 
+/// \brief Registration of one target of a shard.
+struct registered_target {
+    target_id target;
+    registration registered;
+
+    friend bool operator==(const registered_target&, const registered_target&) = default;
+};
+
 /// \brief One part of the configuration, stored under one key in the platform's store.
 struct shard {
     std::string name;         ///< such as "rules", "service/stock", "routes/3-of-16"
     std::uint64_t version{0}; ///< configuration version in which the content last changed
     std::string digest;       ///< SHA-1 of the content, lower-case hexadecimal
     std::string content;      ///< JSON text, at most 1 MB
+    /// Registrations of its targets as far as they are known, sorted by target. The content and the
+    /// digest don't include them, because earlier builds reject keys that they don't know.
+    std::vector<registered_target> registrations;
 
     friend bool operator==(const shard&, const shard&) = default;
 };
--- a/wigeonrill/src/config/configuration_store.cpp
+++ b/wigeonrill/src/config/configuration_store.cpp
@@ -99,13 +99,21 @@
     return apply_outcome::rejected;
 }
 
-// Returns the shards whose content differs from the stored one. Only these have to be parsed.
+// Returns whether the shard leads to other records than the stored one. A build that knows no
+// registrations sends none; those of the same content stay.
+bool has_other_records(const shard& changed, const shard& stored) {
+    const bool has_news =
+        !changed.registrations.empty() && changed.registrations != stored.registrations;
+    return changed.digest != stored.digest || has_news;
+}
+
+// Returns the shards whose records differ from the stored ones. Only these have to be parsed.
 std::vector<shard>
 configuration_store::state::shards_with_new_content(const change_set& changes) const {
     std::vector<shard> changed;
     for (const auto& it : changes.changed) {
         const auto found = shards.find(it.name);
-        if (found == shards.end() || found->second.digest != it.digest) {
+        if (found == shards.end() || has_other_records(it, found->second)) {
             changed.push_back(it);
         }
     }
@@ -150,7 +158,7 @@
     std::vector<shard> next_shards;
     next_shards.reserve(next.size());
     for (const auto& [name, it] : next) {
-        next_shards.push_back({it->name, it->version, it->digest, {}});
+        next_shards.push_back({it->name, it->version, it->digest, {}, {}});
     }
     if (!next.contains("rules")) {
         return error{error_kind::invalid_input, "the shard \"rules\" is missing",
--- a/wigeonrill/src/config/sharding.cpp
+++ b/wigeonrill/src/config/sharding.cpp
@@ -72,7 +72,7 @@
     }
 
     void add_shard(const std::string& name, std::string content, std::uint64_t version) {
-        shard it{name, version, digest_of(content), std::move(content)};
+        shard it{name, version, digest_of(content), std::move(content), {}};
         const auto found = previous_shards_.find(name);
         if (found != previous_shards_.end() && found->second->digest == it.digest) {
             it.version = found->second->version;
@@ -169,6 +169,27 @@
     return builder.take_shards();
 }
 
+std::vector<registered_target> registrations_of(const service& from) {
+    std::vector<registered_target> known;
+    for (const auto& it : from.targets) {
+        if (it.registered != registration{}) {
+            known.push_back({it.id, it.registered});
+        }
+    }
+    std::ranges::sort(known, {}, &registered_target::target);
+    return known;
+}
+
+// Returns whether the previous version has the shard with this content and other registrations.
+bool differs_in_registrations(const shard& current, const change_set* previous) {
+    if (previous == nullptr) {
+        return false;
+    }
+    const auto it = std::ranges::find(previous->changed, current.name, &shard::name);
+    return it != previous->changed.end() && it->digest == current.digest &&
+           it->registrations != current.registrations;
+}
+
 } // namespace
 
 std::string digest_of(std::string_view text) {
@@ -209,4 +230,26 @@
     return all;
 }
 
+result<change_set> split_snapshot(const snapshot& configuration, const std::string& source,
+                                  const change_set* previous) {
+    auto all = split_document(write_document(configuration), source, previous);
+    if (!all) {
+        return all;
+    }
+    for (const auto& from : configuration.services) {
+        const auto name = "service/" + from.name.value;
+        const auto it = std::ranges::find(all->changed, name, &shard::name);
+        if (it == all->changed.end()) {
+            continue;
+        }
+        it->registrations = registrations_of(from);
+        if (differs_in_registrations(*it, previous)) {
+            it->version = all->version;
+        }
+    }
+    all->digest = digest_of(all->changed);
+    all->rules_version = configuration.rules_version;
+    return all;
+}
+
 } // namespace wigeonrill::config
--- a/wigeonrill/src/config/sharding.h
+++ b/wigeonrill/src/config/sharding.h
@@ -31,6 +31,12 @@
 [[nodiscard]] result<change_set> split_document(std::string_view text, const std::string& source,
                                                 const change_set* previous = nullptr);
 
+/// \brief Splits a configuration into shards, with the registrations of its targets.
+/// \copydetails split_document
+[[nodiscard]] result<change_set> split_snapshot(const snapshot& configuration,
+                                                const std::string& source,
+                                                const change_set* previous = nullptr);
+
 } // namespace wigeonrill::config
 
 #endif
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -20,7 +20,7 @@
 // so that requests for probes don't accumulate.
 constexpr seconds probe_request_lifetime{4};
 // A notice of a leaving target is gossiped for this long. This can be short, because a peer that
-// has received it sends the target no new requests for 10 minutes.
+// has received it sends the target no new requests for leaving_targets::lifetime.
 constexpr seconds leaving_notice_lifetime{60};
 
 double to_seconds(nanoseconds duration) {
@@ -161,7 +161,9 @@
     }
     monitor_.on_answer(answer);
     if (answer.draining) {
-        announce_leaving_target(answer);
+        announce_leaving_target(answer.service, answer.target,
+                                {answer.target_process.started_ms, health::any_registration},
+                                "answer");
     }
     log_unreadable_rate_limit(answer);
     log_pause(answer);
@@ -214,23 +216,39 @@
     write_log(log_level::info, log_subsystem::health, line);
 }
 
-void control_loop::announce_leaving_target(const health::answer& answer) {
+void control_loop::announce_leaving_target(const service_name& service, const target_id& target,
+                                           const config::registration& about,
+                                           std::string_view source) {
     const auto now = dependencies_.clock.now();
-    auto& notice_expiry = leaving_notice_expiry_[answer.target];
-    if (dependencies_.gossip == nullptr || now < notice_expiry) {
+    if (monitor_.on_leaving(target, about, now)) {
+        log_leaving_target(service, target, about, source);
+    }
+    if (dependencies_.gossip == nullptr) {
         return;
     }
-    notice_expiry = now + leaving_notice_lifetime;
     health::verdict notice;
-    notice.service = answer.service;
-    notice.target = answer.target;
+    notice.service = service;
+    notice.target = target;
     notice.state = health::target_state::leaving;
     notice.judge = dependencies_.gossip->id();
     notice.sequence = nanoseconds_since_epoch(dependencies_.clock);
-    notice.expires = notice_expiry;
+    notice.expires = now + leaving_notice_lifetime;
+    notice.about = about;
     dependencies_.gossip->announce(notice, {});
 }
 
+void control_loop::log_leaving_target(const service_name& service, const target_id& target,
+                                      const config::registration& about, std::string_view source) {
+    log_line line("Target leaves; it gets no new requests.");
+    line.with("service", service.value)
+        .with("target", target.value)
+        .with("started_ms", static_cast<std::int64_t>(about.started_ms));
+    if (about.created != health::any_registration) {
+        line.with("created", static_cast<std::int64_t>(about.created));
+    }
+    write_log(log_level::info, log_subsystem::health, line.with("source", source));
+}
+
 void control_loop::handle(const dispatch::decision_record& decision) {
     const bool refused = decision.kind == traffic::step_kind::refuse;
     dependencies_.metrics.increment_counter(
@@ -274,7 +292,9 @@
     }
     for (const auto& it : items.verdicts) {
         if (it.state == health::target_state::leaving) {
-            monitor_.on_leaving(it.target, now);
+            if (monitor_.on_leaving(it.target, it.about, now)) {
+                log_leaving_target(it.service, it.target, it.about, "peer");
+            }
         } else {
             monitor_.on_verdict(it, now);
         }
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -84,7 +84,13 @@
     /// \brief Makes the content that was read the configuration in force, if it differs.
     /// \returns true when the configuration in force now has that content
     [[nodiscard]] bool apply_store_content(const platform::store_reading& latest);
-    void announce_leaving_target(const health::answer& answer);
+    /// \brief Records that a target leaves, and tells the other nodes.
+    /// \param about the last registration with which it leaves
+    /// \param source origin of the news, for the log
+    void announce_leaving_target(const service_name& service, const target_id& target,
+                                 const config::registration& about, std::string_view source);
+    void log_leaving_target(const service_name& service, const target_id& target,
+                            const config::registration& about, std::string_view source);
     void log_crash_mark(const once::crash_mark& mark, std::string_view source);
     void log_rate_limit(const health::rate_limit& notice, std::string_view source);
     void log_unreadable_rate_limit(const health::answer& answer);
@@ -115,7 +121,6 @@
     std::optional<peers::peer_store_reading>
         latest_peer_reading_;                               ///< newest reading announced by a peer
     std::vector<health::observation> pending_observations_; ///< of this node, not announced yet
-    std::map<target_id, instant> leaving_notice_expiry_;    ///< expiry of the last notice to peers
     std::set<target_id> unreadable_limits_; ///< targets whose unreadable limit was logged
     /// Ejected targets for which a probe was requested. Their next answer is its result.
     std::set<target_id> probed_targets_;
--- a/wigeonrill/src/daemon/control_loop_readings.cpp
+++ b/wigeonrill/src/daemon/control_loop_readings.cpp
@@ -40,15 +40,13 @@
     }
     next.published = std::chrono::floor<milliseconds>(dependencies_.clock.wall_now());
     const auto previous = store_.changes_since(0);
-    auto changes = config::split_document(config::write_document(next), "store",
-                                          current ? &previous : nullptr);
+    const auto changes = config::split_snapshot(next, "store", current ? &previous : nullptr);
     if (!changes) {
         write_log(log_level::error, log_subsystem::config,
                   log_line("The content of the store is not a valid configuration.")
                       .with("reason", to_string(changes.error())));
         return false;
     }
-    changes->rules_version = next.rules_version;
     return apply_changes(*changes, "store") == config::apply_outcome::accepted;
 }
 
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -386,7 +386,8 @@
 std::vector<outstanding_request> decision_core::outstanding() const {
     std::vector<outstanding_request> found;
     for (const auto& [id, record] : records_) {
-        if (record.assigned_target && record.sent && !record.answer_started) {
+        if (record.assigned_target && !record.assigned_target->is_replaced && record.sent &&
+            !record.answer_started) {
             found.push_back({record.chosen_service, record.assigned_target->id, record.route->name,
                              *record.sent, record.fingerprint, id});
         }
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -160,6 +160,7 @@
     answer.rate_limit = attempt.rate_limit;
     answer.pause = attempt.pause;
     answer.fingerprint = record.fingerprint;
+    answer.target_process = target.registered;
     if (auto notice = rate_limits_.on_answer(answer, wall)) {
         events_.emplace_back(std::move(*notice));
     }
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -93,15 +93,23 @@
 
 target_record_ptr service_state::find_or_add_target(const config::target& target) {
     auto& record = known_[target.id];
+    if (record && !config::may_be_same_process(record->registered, target.registered)) {
+        record->is_replaced = true;
+        record.reset();
+    }
     if (!record) {
         record = std::make_shared<target_record>();
         record->id = target.id;
     }
-    // A target that returns to the configuration, or changes its address, is another process.
-    if (!record->is_configured || record->address != target.address) {
+    // A target that returns to the configuration is another process unless it is known to be the
+    // same, and so is one that changes its address.
+    const bool is_process_known =
+        record->registered.started_ms != 0 && target.registered.started_ms != 0;
+    if (record->address != target.address || (!record->is_configured && !is_process_known)) {
         record->forget_announcements();
-        record->is_configured = true;
     }
+    record->is_configured = true;
+    record->registered = target.registered;
     record->address = target.address;
     record->slots = target.slots;
     record->domain = target.domain;
--- a/wigeonrill/src/dispatch/target_record.h
+++ b/wigeonrill/src/dispatch/target_record.h
@@ -7,10 +7,11 @@
 
 namespace wigeonrill::dispatch {
 
-/// \brief State that this process keeps for one target of a service, independent of views.
+/// \brief State that this node keeps for one process of a target, independent of views.
 struct target_record {
     target_id id;
     endpoint address;
+    config::registration registered; ///< of the process
     std::uint32_t slots{1};
     /// Limit on the requests of this process, at most `slots`.
     routing::concurrency_limiter limiter{1};
@@ -31,6 +32,7 @@
     instant paused_until{instant::min()};
     /// False from when the configuration lacks the target until it contains it again.
     bool is_configured{true};
+    bool is_replaced{false}; ///< a later process of the target has a record of its own
 
     /// \returns false when the target is draining or another one has its address
     [[nodiscard]] bool is_usable(instant now) const {
--- a/wigeonrill/src/health/answer.h
+++ b/wigeonrill/src/health/answer.h
@@ -58,6 +58,8 @@
                                   ///< this node
     std::uint64_t fingerprint{0}; ///< fingerprint of the request, 0: none
     std::uint64_t request{0};     ///< id passed to monitor::on_outstanding(), 0: none
+    /// Process of the target to which the request was sent.
+    config::registration target_process;
 };
 
 } // namespace wigeonrill::health
--- a/wigeonrill/src/health/monitor.cpp
+++ b/wigeonrill/src/health/monitor.cpp
@@ -61,13 +61,14 @@
 void monitor::on_verdict(const verdict& received, instant now) {
     target_position position;
     if (received.judge != state_->options.self && received.expires > now &&
-        state_->find(received.service, received.target, position)) {
+        state_->find(received.service, received.target, position) &&
+        config::may_be_same_process(received.about, state_->at(position).registered)) {
         state_->apply_verdict(received, position, now);
     }
 }
 
-void monitor::on_leaving(const target_id& target, instant now) {
-    state_->mark_leaving(target, now);
+bool monitor::on_leaving(const target_id& target, const config::registration& about, instant now) {
+    return state_->mark_leaving(target, about, now);
 }
 
 void monitor::on_crash_mark(std::uint64_t fingerprint, const target_id& target, instant now) {
--- a/wigeonrill/src/health/monitor.h
+++ b/wigeonrill/src/health/monitor.h
@@ -88,8 +88,12 @@
     /// \brief Adds a verdict from another node.
     /// \param received the verdict, with its expiry converted to this node's clock
     void on_verdict(const verdict& received, instant now);
-    /// \brief Records that a target is about to stop and must receive no new requests.
-    void on_leaving(const target_id& target, instant now);
+    /// \brief Records that a target is about to stop or has stopped, and must receive no new
+    ///        requests.
+    /// \param about the last registration with which it leaves; if its process is not known, the
+    ///        one that is configured
+    /// \returns whether it was news
+    bool on_leaving(const target_id& target, const config::registration& about, instant now);
     /// \brief Records that a target crashed while it ran the request with this fingerprint.
     void on_crash_mark(std::uint64_t fingerprint, const target_id& target, instant now);
 
--- a/wigeonrill/src/health/monitor_answers.cpp
+++ b/wigeonrill/src/health/monitor_answers.cpp
@@ -77,10 +77,12 @@
         return;
     }
     if (ended.draining) {
-        mark_leaving(ended.target, now);
+        mark_leaving(ended.target, {ended.target_process.started_ms, any_registration}, now);
     }
     const double counted = remove_counted_evidence(ended.request, ended.target);
-    if (ended.kind == answer_kind::cancelled) {
+    const bool is_of_other_process =
+        !config::may_be_same_process(ended.target_process, at(position).registered);
+    if (ended.kind == answer_kind::cancelled || is_of_other_process) {
         return;
     }
     if (ended.kind == answer_kind::shed) {
--- a/wigeonrill/src/health/monitor_config.cpp
+++ b/wigeonrill/src/health/monitor_config.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-// Longer than any drain, so that a target that stopped without a further sign receives no requests;
-// shorter than a day, so that a replacement at the same address is used again.
-constexpr seconds leaving_lifetime{600};
-
 // Collects the addresses of leaving targets, which are few at a time. Searching the whole VM list
 // for each target would take 42,000 times 46,000 steps in the largest planned installation.
 std::set<endpoint> leaving_addresses(const config::snapshot& configuration) {
@@ -22,31 +18,46 @@
     return addresses;
 }
 
-target_record make_target(const config::target& from, service_record* old, bool first,
-                          instant now) {
-    if (old != nullptr) {
-        const auto it = old->positions.find(from.id);
-        if (it != old->positions.end() && old->targets[it->second].address == from.address) {
-            return std::move(old->targets[it->second]);
-        }
+// Returns the record of the configured process of a target, or null if there is none.
+target_record* find_record(service_record* in, const config::target& of) {
+    if (in == nullptr) {
+        return nullptr;
     }
-    target_record made;
-    made.id = from.id;
-    made.address = from.address;
-    // Targets of the first configuration were started before this node and need no cold start.
-    made.cold_start_until = first ? now : now + from.cold_start;
-    return made;
+    const auto it = in->positions.find(of.id);
+    auto* found = it == in->positions.end() ? nullptr : &in->targets[it->second];
+    const bool is_same = found != nullptr && found->address == of.address &&
+                         config::may_be_same_process(found->registered, of.registered);
+    return is_same ? found : nullptr;
 }
 
 } // namespace
 
+target_record monitor_state::make_target(const config::target& from, service_record* old,
+                                         instant now) {
+    target_record made;
+    if (auto* known = find_record(old, from)) {
+        made = std::move(*known);
+    } else {
+        made.id = from.id;
+        made.address = from.address;
+        // Targets of the first configuration were started before this node and need no cold start.
+        made.cold_start_until = has_configured ? now + from.cold_start : now;
+        // Where no process is known, one that is configured anew is taken for another one.
+        if (has_configured && from.registered.started_ms == 0) {
+            leaving.forget(from.id);
+        }
+    }
+    made.registered = from.registered;
+    return made;
+}
+
 void monitor_state::configure(instant now) {
     auto old_services = std::move(services);
     const auto old_positions = std::move(service_positions);
     services.clear();
     service_positions.clear();
-    const bool first = old_services.empty();
-    const auto leaving = leaving_addresses(*configuration);
+    has_configured = !old_services.empty();
+    const auto leaving_vms = leaving_addresses(*configuration);
     for (const auto& from : configuration->services) {
         const auto known = old_positions.find(from.name);
         auto* old = known == old_positions.end() ? nullptr : &old_services[known->second];
@@ -60,8 +71,8 @@
         }
         for (const auto& it : from.targets) {
             made.positions.emplace(it.id, static_cast<std::uint32_t>(made.targets.size()));
-            made.targets.push_back(make_target(it, old, first, now));
-            made.targets.back().configured_leaving = leaving.contains(it.address);
+            made.targets.push_back(make_target(it, old, now));
+            made.targets.back().configured_leaving = leaving_vms.contains(it.address);
             made.targets.back().pending.in_report_queue = false;
         }
         service_positions.emplace(from.name, static_cast<std::uint32_t>(services.size()));
@@ -101,14 +112,21 @@
     plans_changed = true;
 }
 
-void monitor_state::mark_leaving(const target_id& target, instant now) {
+bool monitor_state::mark_leaving(const target_id& target, config::registration about, instant now) {
+    const bool is_process_known = about.started_ms != 0;
+    bool is_configured = false;
     for (std::uint32_t i = 0; i < services.size(); ++i) {
         const auto it = services[i].positions.find(target);
-        if (it != services[i].positions.end()) {
-            services[i].targets[it->second].leaving_until = now + leaving_lifetime;
-            watched.insert({i, it->second});
+        if (it == services[i].positions.end()) {
+            continue;
+        }
+        if (!is_process_known) {
+            about.started_ms = services[i].targets[it->second].registered.started_ms;
         }
+        is_configured = true;
+        watched.insert({i, it->second});
     }
+    return (is_process_known || is_configured) && leaving.add(target, about, now);
 }
 
 bool monitor_state::find(const service_name& service, const target_id& target,
--- a/wigeonrill/src/health/monitor_judge.cpp
+++ b/wigeonrill/src/health/monitor_judge.cpp
@@ -182,6 +182,7 @@
     made.judge = options.self;
     made.sequence = next_sequence++;
     made.expires = now + verdict_lifetime;
+    made.about.started_ms = at(position).registered.started_ms;
     aggregation.last_verdict_sent = now;
     store_verdict(made, position);
     auto receivers = aggregation.pool.reporters();
--- a/wigeonrill/src/health/monitor_state.h
+++ b/wigeonrill/src/health/monitor_state.h
@@ -47,6 +47,7 @@
 struct target_record {
     target_id id;
     endpoint address;
+    config::registration registered; ///< as configured
     // Evidence that this node collected itself.
     pending_evidence pending;
     double local_cusum{0.0}; ///< CUSUM statistic over the answers that this node received, in nats
@@ -61,7 +62,6 @@
     std::vector<verdict> verdicts;  ///< the newest verdict of each judge
     bool sick{false};               ///< whether a verdict or the local test says so
     bool configured_leaving{false}; ///< whether the configuration lists its VM as leaving
-    instant leaving_until{};        ///< end of a leaving state announced by the target or a node
     instant cold_start_until{};     ///< before this time its latencies are not evaluated
     instant returned_at{};          ///< when it returned from an ejection
     bool ramping{false};            ///< whether its weight still grows after that return
@@ -120,8 +120,11 @@
     void configure(instant now);
     /// \brief Rebuilds the sets of target positions after the configuration changed.
     void rebuild_target_sets(instant now);
-    /// \brief Treats a target as leaving for a fixed time.
-    void mark_leaving(const target_id& target, instant now);
+    /// \copydoc monitor::on_leaving
+    bool mark_leaving(const target_id& target, config::registration about, instant now);
+    /// \returns the old record if it is of the same process, else a new one
+    [[nodiscard]] target_record make_target(const config::target& from, service_record* old,
+                                            instant now);
     /// \returns whether the target is configured; position is then set
     [[nodiscard]] bool find(const service_name& service, const target_id& target,
                             target_position& position) const;
@@ -245,6 +248,8 @@
     std::uint64_t next_sequence{1};       ///< sequence number of the next report or verdict
     double report_tokens{0.0};            ///< token bucket that limits reports; may be negative
 
+    leaving_targets leaving;
+
     std::vector<monitor_actions> queued_actions; ///< actions decided since the last tick
     std::vector<answer> answers;
     std::vector<answer> probes;
@@ -263,6 +268,7 @@
 
     bool plans_changed{false}; ///< set by configure() and cleared by the next tick
     bool has_ticked{false};
+    bool has_configured{false}; ///< a configuration was applied before the latest one
     instant last_tick{};
     std::deque<std::pair<instant, instant>> pauses; ///< start and end of the latest ones, oldest
                                                     ///< first
--- a/wigeonrill/src/health/monitor_view.cpp
+++ b/wigeonrill/src/health/monitor_view.cpp
@@ -69,7 +69,7 @@
         record.cold_start_until =
             std::max(record.cold_start_until, now + configured(position).cold_start);
     }
-    if (record.configured_leaving || now < record.leaving_until) {
+    if (record.configured_leaving || leaving.contains(record.id, record.registered, now)) {
         next.state = target_state::leaving;
         next.reason = "it is about to stop";
     } else if (record.sick) {
--- a/wigeonrill/src/health/verdict.h
+++ b/wigeonrill/src/health/verdict.h
@@ -23,6 +23,9 @@
     {target_state::leaving, "leaving"},
 }};
 
+/// \brief Value of registration::created above that of every registration of a process.
+inline constexpr std::uint64_t any_registration = std::numeric_limits<std::int64_t>::max();
+
 /// \brief Decision of a node on the state of one target.
 ///
 /// Aggregators decide from evidence. Any node may announce a target as leaving.
@@ -34,10 +37,18 @@
     node_id judge;             ///< node that made the decision
     std::uint64_t sequence{0}; ///< grows with each verdict of this judge
     instant expires{};         ///< on the clock of the node that holds it
+    /// Process of the target that it is about, unknown if its start is 0. A target that leaves does
+    /// so with this registration and all earlier ones.
+    config::registration about{0, any_registration};
 
     friend bool operator==(const verdict&, const verdict&) = default;
 };
 
+/// \brief Returns the order of two verdicts on the same target by the same judge, or by any judges
+///        if both say that the target leaves.
+/// \returns true when one is later than the other
+[[nodiscard]] bool is_later(const verdict& one, const verdict& other);
+
 } // namespace wigeonrill::health
 
 #endif
--- a/wigeonrill/src/peers/change_client.cpp
+++ b/wigeonrill/src/peers/change_client.cpp
@@ -2,6 +2,7 @@
 
 #include "PeerService.h"
 
+#include <algorithm>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
@@ -69,6 +70,20 @@
     }
 }
 
+// Leaves out those that name no target or no process.
+std::vector<config::registered_target> from_wire(std::vector<wire::Registration>&& in) {
+    std::vector<config::registered_target> out;
+    for (auto& it : in) {
+        if (!it.target_name.empty() && it.started_ms > 0 && it.created >= 0) {
+            out.push_back({target_id(std::move(it.target_name)),
+                           {static_cast<std::uint64_t>(it.started_ms),
+                            static_cast<std::uint64_t>(it.created)}});
+        }
+    }
+    std::ranges::sort(out, {}, &config::registered_target::target);
+    return out;
+}
+
 config::change_set from_wire(wire::ChangeSet&& in) {
     config::change_set out;
     out.format = static_cast<std::uint64_t>(in.format);
@@ -80,7 +95,8 @@
     out.changed.reserve(in.changed.size());
     for (auto& it : in.changed) {
         out.changed.push_back({std::move(it.name), static_cast<std::uint64_t>(it.version),
-                               std::move(it.digest), std::move(it.content)});
+                               std::move(it.digest), std::move(it.content),
+                               from_wire(std::move(it.registrations))});
     }
     out.removed = std::move(in.removed);
     return out;
--- a/wigeonrill/src/peers/change_server.cpp
+++ b/wigeonrill/src/peers/change_server.cpp
@@ -69,6 +69,27 @@
     }
 }
 
+// Converts a shard and returns its number of content bytes.
+std::size_t to_wire(const config::shard& in, wire::Shard& out) {
+    // Bytes of an encoded registration beside the name of its target.
+    constexpr std::size_t registration_bytes = 16;
+    out.name = in.name;
+    out.version = static_cast<std::int64_t>(in.version);
+    out.digest = in.digest;
+    out.content = in.content;
+    auto bytes = in.content.size();
+    for (const auto& it : in.registrations) {
+        wire::Registration registered;
+        registered.target_name = it.target.value;
+        registered.started_ms = static_cast<std::int64_t>(it.registered.started_ms);
+        registered.created = static_cast<std::int64_t>(it.registered.created);
+        out.registrations.push_back(std::move(registered));
+        bytes += registration_bytes + it.target.value.size();
+    }
+    out.__isset.registrations = !out.registrations.empty();
+    return bytes;
+}
+
 // Converts a change set and returns its number of content bytes.
 std::size_t to_wire(const config::change_set& in, wire::ChangeSet& out) {
     out.protocol = protocol_number;
@@ -85,11 +106,7 @@
     out.changed.resize(in.changed.size());
     std::size_t bytes = 0;
     for (std::size_t i = 0; i < in.changed.size(); ++i) {
-        out.changed[i].name = in.changed[i].name;
-        out.changed[i].version = static_cast<std::int64_t>(in.changed[i].version);
-        out.changed[i].digest = in.changed[i].digest;
-        out.changed[i].content = in.changed[i].content;
-        bytes += in.changed[i].content.size();
+        bytes += to_wire(in.changed[i], out.changed[i]);
     }
     return bytes;
 }
--- a/wigeonrill/src/peers/digest_builder.cpp
+++ b/wigeonrill/src/peers/digest_builder.cpp
@@ -64,11 +64,17 @@
 
 } // namespace
 
+// That a target leaves is the same news from every node.
+digest_builder::verdict_key digest_builder::key_of(const health::verdict& item) {
+    const bool is_leaving = item.state == health::target_state::leaving;
+    return {item.target, item.service, is_leaving ? node_id() : item.judge};
+}
+
 bool digest_builder::add_if_new(const health::verdict& item, instant now) {
-    const verdict_key key{item.target, item.service, item.judge};
+    const auto key = key_of(item);
     const auto it = verdicts_.find(key);
     const bool known = it != verdicts_.end();
-    if ((known && item.sequence <= it->second.sequence) || item.expires <= now ||
+    if ((known && !health::is_later(item, it->second)) || item.expires <= now ||
         (!known && verdicts_.size() >= max_verdicts)) {
         return false;
     }
--- a/wigeonrill/src/peers/digest_builder.h
+++ b/wigeonrill/src/peers/digest_builder.h
@@ -25,9 +25,9 @@
 /// limits and member records) and chooses those that go into the next message.
 class digest_builder {
 public:
-    /// \brief Adds a verdict. Of each judge only the verdict with the highest sequence is kept per
-    ///        target.
-    /// \returns whether it was added; false if it is expired, not newer than the one held, or there
+    /// \brief Adds a verdict. Of each judge only the latest verdict is kept per target, and of all
+    ///        judges only the latest one that says that the target leaves.
+    /// \returns whether it was added; false if it is expired, not later than the one held, or there
     ///          is no space
     bool add_if_new(const health::verdict& item, instant now);
     /// \brief Adds a crash mark. If there is no space, it replaces the oldest one of a request that
@@ -64,6 +64,7 @@
     using verdict_key = std::tuple<target_id, service_name, node_id>;
     using crash_mark_key = std::pair<std::uint64_t, target_id>;
 
+    [[nodiscard]] static verdict_key key_of(const health::verdict& item);
     /// \returns false if there is no older mark to replace
     bool replace_lone_mark(wall_time observed);
     /// \brief Updates lone_marks_ for a mark that is about to be added.
--- a/wigeonrill/src/peers/messages.thrift
+++ b/wigeonrill/src/peers/messages.thrift
@@ -30,6 +30,10 @@
   5: string judge
   6: i64 sequence
   7: i32 remaining_ms
+  // Process of the target that the verdict is about; absent if not known.
+  8: optional i64 started_ms
+  // The latest registration of that process that the verdict is about; absent if it is about all.
+  9: optional i64 created
 }
 
 // Statement that a target died while it ran a request with this fingerprint.
@@ -101,12 +105,21 @@
   21: optional bool cut_off
 }
 
+// Which process a target is, and which of its registrations with the platform.
+struct Registration {
+  1: string target_name
+  2: i64 started_ms
+  3: i64 created
+}
+
 // One part of the configuration.
 struct Shard {
   1: string name
   2: i64 version
   3: string digest
   4: binary content
+  // Registrations of the targets in the content; left out where none is known.
+  5: optional list<Registration> registrations
 }
 
 // Difference between two versions of the configuration.
--- a/wigeonrill/src/peers/wire_conversion.cpp
+++ b/wigeonrill/src/peers/wire_conversion.cpp
@@ -78,6 +78,12 @@
     out.judge = item.judge.value;
     out.sequence = static_cast<std::int64_t>(item.sequence);
     out.remaining_ms = to_milliseconds(item.expires - now);
+    if (item.about.started_ms != 0) {
+        out.__set_started_ms(static_cast<std::int64_t>(item.about.started_ms));
+    }
+    if (item.about.created != health::any_registration) {
+        out.__set_created(static_cast<std::int64_t>(item.about.created));
+    }
     return out;
 }
 
@@ -182,7 +188,8 @@
     const bool known_state =
         item.state >= 0 && item.state <= static_cast<int>(health::target_state::leaving);
     if (!valid_name(item.target_name) || !valid_name(item.service_name) ||
-        !valid_name(item.judge) || !known_state || item.remaining_ms <= 0 || item.sequence < 0) {
+        !valid_name(item.judge) || !known_state || item.remaining_ms <= 0 || item.sequence < 0 ||
+        item.started_ms < 0 || item.created < 0) {
         return std::nullopt;
     }
     health::verdict out;
@@ -193,6 +200,10 @@
     out.judge = node_id(item.judge);
     out.sequence = static_cast<std::uint64_t>(item.sequence);
     out.expires = now + milliseconds(item.remaining_ms);
+    out.about.started_ms = static_cast<std::uint64_t>(item.started_ms);
+    if (item.__isset.created) {
+        out.about.created = static_cast<std::uint64_t>(item.created);
+    }
     return out;
 }
 
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -27,7 +27,8 @@
 // Whether two registrations lead to the same configuration. Their heartbeats always differ and are
 // not part of it.
 bool same_configuration(const target_registration& a, const target_registration& b) {
-    return a.target == b.target && a.service == b.service && a.leaving == b.leaving;
+    return a.target == b.target && a.service == b.service && a.leaving == b.leaving &&
+           a.started_ms == b.started_ms && a.created == b.created;
 }
 
 // Number of slots that must stay in use: a share of all slots of the service, rounded down.
@@ -265,6 +266,7 @@
         if (found != services.end()) {
             found->second.targets.push_back(it->content.target);
             found->second.targets.back().cold_start = options_.cold_start;
+            found->second.targets.back().registered = {it->content.started_ms, it->content.created};
         }
     }
     for (auto& [name, it] : services) {
--- a/wigeonrill/src/platform/manifest_reader.cpp
+++ b/wigeonrill/src/platform/manifest_reader.cpp
@@ -196,7 +196,7 @@
         return;
     }
     backoff_.reset();
-    collected_shards_[entry.name] = {entry.name, entry.version, entry.digest, value.content};
+    collected_shards_[entry.name] = {entry.name, entry.version, entry.digest, value.content, {}};
     missing_shards_.pop_front();
     if (missing_shards_.empty()) {
         emit_change_set();
--- a/wigeonrill/src/platform/record_feed.h
+++ b/wigeonrill/src/platform/record_feed.h
@@ -14,6 +14,7 @@
     bool leaving{false};         ///< the process stops soon and must receive no new requests
     std::uint64_t started_ms{0}; ///< start of the process, milliseconds of its wall clock
     std::uint64_t heartbeat{0};  ///< increases with each registration that the process writes
+    std::uint64_t created{0};    ///< revision of the store at which the record was created
 
     friend bool operator==(const target_registration&, const target_registration&) = default;
 };
