Tell other nodes which registrations are withdrawn

Cause: the higher version of the configuration wins as a whole, and a node that has just started or was cut off reads later but knows less. Nodes that know better took its content over.

Ruled out: joining contents a record at a time with removed records in the configuration: bytes in each version, and earlier builds can't read it.

Change: a node that reads that a target leaves or is gone tells all nodes, with process and registration, by the notice that exists for answers. A withdrawn registration is not used, whatever configuration comes into force.

The new test in store_readings fails with the announcement switched off. health, daemon and platform tests pass.

--- a/test/daemon/store_readings_test.cpp
+++ b/test/daemon/store_readings_test.cpp
@@ -82,6 +82,42 @@
     CHECK(*loop.state()->configuration == *peer.state()->configuration);
 }
 
+// Guards against a peer that knows less and brings a target back that this node has read to be
+// leaving or gone (review/4 and review/3, DRAIN): the peer's version is higher, as it read later.
+TEST(store_readings, peer_that_knows_less_does_not_bring_withdrawn_targets_back) {
+    const auto with = [](std::uint64_t version, const config::registration& first,
+                         const config::registration& second) {
+        auto built = *content(3);
+        built.services.at(0).targets.at(0).registered = first;
+        built.services.at(0).targets.at(1).registered = second;
+        platform::store_reading made;
+        made.version = version;
+        made.configuration = std::make_shared<const config::snapshot>(built);
+        return made;
+    };
+    const auto eligible = [this] {
+        clock.advance(control_loop::tick_period);
+        loop.run_once();
+        std::string found;
+        for (const auto& it : loop.targets()) {
+            found += it.eligible ? it.target.id.value + " " : "";
+        }
+        return found;
+    };
+    loop.handle_store_reading(with(5, {1'000, 2}, {1'000, 3}));
+    STRCMP_EQUAL("t0 t1 t2 ", eligible().c_str());
+    auto next = reading(7, 1);
+    next.withdrawn = {{service_name("stock"), target_id("t0"), {1'000, 2}, true},
+                      {service_name("stock"), target_id("t1"), {1'000, 3}, false}};
+    loop.handle_store_reading(next);
+    peer.handle_store_reading(with(9, {1'000, 2}, {1'000, 3}));
+    CHECK(config::apply_outcome::accepted == loop.apply_changes(peer.changes_since(0), "peer"));
+    STRCMP_EQUAL("t2 ", eligible().c_str());
+    peer.handle_store_reading(with(11, {2'000, 2}, {1'000, 10}));
+    CHECK(config::apply_outcome::accepted == loop.apply_changes(peer.changes_since(0), "peer"));
+    STRCMP_EQUAL("t0 t1 t2 ", eligible().c_str());
+}
+
 // Guards against an older reading that replaces the newer version of a peer.
 TEST(store_readings, older_reading_does_not_replace_a_newer_version) {
     loop.handle_store_reading(reading(10, 2));
--- a/test/health/leaving_targets_test.cpp
+++ b/test/health/leaving_targets_test.cpp
@@ -69,6 +69,36 @@
     CHECK(target_state::leaving != state());
 }
 
+// Guards against a result that depends on the order, repetition or delay in which configurations
+// and notices reach a node. 200 seeded orders.
+TEST(leaving_targets, order_of_news_does_not_matter) {
+    const std::vector<config::registration> notices{
+        {1'000, any_registration}, {2'000, 9}, {1'000, 5}};
+    const std::vector<std::pair<config::registration, bool>> last_configured{
+        {{1'000, 5}, true}, {{2'000, 9}, true}, {{2'000, 11}, false}, {{3'000, 12}, false}};
+    seeded_random_source random(7);
+    for (int i = 0; i < 200; ++i) {
+        const auto& [registered, leaves] = last_configured.at(random.next_below(4));
+        monitor one{{node_id("n0"), domain_name("d0")}};
+        std::set<std::size_t> heard;
+        std::uint64_t version = 0;
+        while (heard.size() < notices.size()) {
+            const auto k = random.next_below(notices.size() + 1);
+            if (k < notices.size()) {
+                one.on_leaving(restarted, notices.at(k), now);
+                heard.insert(k);
+            } else {
+                const auto& other = last_configured.at(random.next_below(4)).first;
+                one.configure(snapshot_with(other, ++version), now);
+            }
+        }
+        one.configure(snapshot_with(registered, ++version), now);
+        static_cast<void>(one.tick(now + tick_period));
+        const auto found = one.status(service_name("stock"), restarted).state;
+        CHECK_EQUAL(leaves, found == target_state::leaving);
+    }
+}
+
 // Guards against a verdict that ejects the process which started after it was made.
 TEST(leaving_targets, verdict_on_an_earlier_process_does_not_eject_the_present_one) {
     CHECK(target_state::healthy == state_with({2'000, 9}, 1));
--- a/test/platform/inventory_test.cpp
+++ b/test/platform/inventory_test.cpp
@@ -65,6 +65,32 @@
     }
 };
 
+// Guards against a target that other nodes use again because only this node has read that it left
+// (review/4, DRAIN), and against news of a process or registration that can't be told from others.
+TEST(inventory, tells_which_targets_leave_or_are_gone) {
+    const auto registered = [](feed_record record, std::uint64_t created) {
+        std::get<target_registration>(record.content).created = created;
+        return record;
+    };
+    start();
+    it.apply({10,
+              {registered(target("c", 10, "10.0.0.3:1", "print", false, 7, 1), 10),
+               registered(target("d", 10, "10.0.0.4:1", "print", false, 8, 1), 10)}},
+             now);
+    CHECK(it.take_withdrawn_targets().empty());
+    it.apply({12,
+              {registered(target("c", 11, "10.0.0.3:1", "print", true, 7, 2), 10), deleted("d", 12),
+               deleted("b", 12)}},
+             now);
+    const auto found = it.take_withdrawn_targets();
+    LONGS_EQUAL(2, found.size());
+    CHECK(found.at(0).target == target_id("c") && found.at(0).is_leaving);
+    CHECK(found.at(1).target == target_id("d") && !found.at(1).is_leaving);
+    CHECK(found.at(1).registered == config::registration(8, 10));
+    it.apply({13, {deleted("c", 13)}}, now);
+    CHECK(it.take_withdrawn_targets().empty());
+}
+
 // Guards against a configuration built before the operator's rules are read: it would have no
 // routes.
 TEST(inventory, has_no_configuration_before_the_rules) {
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -97,6 +97,11 @@
 void control_loop::activate_configuration() {
     const auto configuration = store_.current();
     routes_ = std::make_shared<routing::route_table>(configuration);
+    // Revisions of two eras can't be compared.
+    const auto era = platform::era_of(configuration->version);
+    if (std::exchange(era_, era) < era) {
+        monitor_.forget_removed_registrations();
+    }
     monitor_.configure(configuration, dependencies_.clock.now());
     if (dependencies_.gossip != nullptr) {
         dependencies_.gossip->set_vms(configuration->vms);
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -124,6 +124,7 @@
     std::set<target_id> unreadable_limits_; ///< targets whose unreadable limit was logged
     /// Ejected targets for which a probe was requested. Their next answer is its result.
     std::set<target_id> probed_targets_;
+    std::uint64_t era_{0}; ///< of the store, as of the configuration in force
     bool plans_changed_{true};
     bool cut_off_{false}; ///< this node reaches no target
     std::uint64_t ticks_{0};
--- a/wigeonrill/src/daemon/control_loop_readings.cpp
+++ b/wigeonrill/src/daemon/control_loop_readings.cpp
@@ -9,6 +9,11 @@
 using observe::log_subsystem;
 
 void control_loop::handle_store_reading(const platform::store_reading& latest) {
+    for (const auto& it : latest.withdrawn) {
+        const auto created = it.is_leaving ? health::any_registration : it.registered.created;
+        announce_leaving_target(it.service, it.target, {it.registered.started_ms, created},
+                                "store");
+    }
     if (!latest.configuration) {
         return;
     }
--- a/wigeonrill/src/health/leaving_targets.cpp
+++ b/wigeonrill/src/health/leaving_targets.cpp
@@ -35,6 +35,11 @@
     return !is_known || registered <= about;
 }
 
+void leaving_targets::forget_removed_registrations() {
+    std::erase_if(targets_,
+                  [](const auto& one) { return one.second.about.created != any_registration; });
+}
+
 void leaving_targets::make_room(instant now) {
     if (targets_.size() < max_targets) {
         return;
--- a/wigeonrill/src/health/leaving_targets.h
+++ b/wigeonrill/src/health/leaving_targets.h
@@ -27,6 +27,8 @@
                                 instant now) const;
     /// \brief Forgets a target, because the process that left is known to have been replaced.
     void forget(const target_id& target) { targets_.erase(target); }
+    /// \brief Forgets the targets of which only a registration is gone.
+    void forget_removed_registrations();
 
 private:
     struct entry {
--- a/wigeonrill/src/health/monitor.cpp
+++ b/wigeonrill/src/health/monitor.cpp
@@ -71,6 +71,10 @@
     return state_->mark_leaving(target, about, now);
 }
 
+void monitor::forget_removed_registrations() {
+    state_->leaving.forget_removed_registrations();
+}
+
 void monitor::on_crash_mark(std::uint64_t fingerprint, const target_id& target, instant now) {
     state_->add_crash(fingerprint, target, now);
 }
--- a/wigeonrill/src/health/monitor.h
+++ b/wigeonrill/src/health/monitor.h
@@ -94,6 +94,10 @@
     ///        one that is configured
     /// \returns whether it was news
     bool on_leaving(const target_id& target, const config::registration& about, instant now);
+    /// \brief Forgets which registrations are gone; processes that leave are remembered. To be
+    /// called
+    ///        when the platform's store counts its revisions anew.
+    void forget_removed_registrations();
     /// \brief Records that a target crashed while it ran the request with this fingerprint.
     void on_crash_mark(std::uint64_t fingerprint, const target_id& target, instant now);
 
--- a/wigeonrill/src/platform/feed_reader_thread.cpp
+++ b/wigeonrill/src/platform/feed_reader_thread.cpp
@@ -91,6 +91,7 @@
     if (!outcome.failure) {
         outcome.configuration = inventory_.configuration();
         outcome.version = inventory_.version();
+        outcome.withdrawn = inventory_.take_withdrawn_targets();
     }
     outcome.as_of = inventory_.as_of();
     outcome.notes = inventory_.take_notes();
--- a/wigeonrill/src/platform/feed_reader_thread.h
+++ b/wigeonrill/src/platform/feed_reader_thread.h
@@ -16,6 +16,7 @@
     std::uint64_t as_of{0};       ///< revision of the store up to which all changes are included
     instant when{};               ///< the configuration includes every change made before this time
     std::optional<error> failure; ///< reason of the failure; empty when the call succeeded
+    std::vector<withdrawn_target> withdrawn; ///< targets that were read to be leaving or gone
     std::vector<inventory_note> notes; ///< messages for the log, in the order in which they arose
 };
 
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -127,6 +127,15 @@
          about.content.service.value + " at " + to_string(about.content.target.address), revision});
 }
 
+void inventory::add_withdrawn_target(const target_registration& target) {
+    if (target.started_ms != 0 && (target.leaving || target.created != 0)) {
+        withdrawn_.push_back({target.service,
+                              target.target.id,
+                              {target.started_ms, target.created},
+                              target.leaving});
+    }
+}
+
 void inventory::apply_record(const feed_record& record, instant now) {
     if (std::holds_alternative<deleted_record>(record.content)) {
         remove_target(record, now);
@@ -199,6 +208,9 @@
         add_note(content.leaving ? "Target is leaving." : "Target is new.", added->second, key,
                  revision);
         changed_since_build_ = true;
+        if (content.leaving) {
+            add_withdrawn_target(content);
+        }
         return;
     }
     auto& known = it->second;
@@ -212,6 +224,9 @@
                  known_target{content, revision, std::nullopt, false}, key, revision);
         changed_since_build_ = true;
     }
+    if (content.leaving && !known.content.leaving) {
+        add_withdrawn_target(content);
+    }
     known = {content, revision, std::nullopt, false};
 }
 
@@ -228,6 +243,10 @@
         return;
     }
     add_note("Target is gone.", it->second, record.key, record.revision);
+    // An unreadable record may be followed by a readable one of the same creation.
+    if (!target.leaving && std::holds_alternative<deleted_record>(record.content)) {
+        add_withdrawn_target(target);
+    }
     record_removal(record.key, it->second, now);
     targets_.erase(it);
     changed_since_build_ = true;
@@ -289,6 +308,10 @@
     return configuration_;
 }
 
+std::vector<withdrawn_target> inventory::take_withdrawn_targets() {
+    return std::exchange(withdrawn_, {});
+}
+
 std::vector<inventory_note> inventory::take_notes() {
     return std::exchange(notes_, {});
 }
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -37,6 +37,17 @@
     std::uint64_t revision{0}; ///< revision of the record, 0 if unknown
 };
 
+/// \brief A target that this node has read to be leaving or gone.
+struct withdrawn_target {
+    service_name service;
+    target_id target;
+    /// The last registration that it had.
+    config::registration registered;
+    /// The process said that it leaves. If false, only its registration is gone, and the process
+    /// may register again.
+    bool is_leaving{false};
+};
+
 /// \brief Builds a configuration from the records of the platform's store. Pure: performs no calls
 ///        and reads no clock.
 ///
@@ -89,6 +100,9 @@
     [[nodiscard]] config::snapshot_ptr configuration();
     /// \returns the messages added since the last call
     [[nodiscard]] std::vector<inventory_note> take_notes();
+    /// \returns the targets that were read to be leaving or gone since the last call, but for those
+    ///          of an unknown process or registration
+    [[nodiscard]] std::vector<withdrawn_target> take_withdrawn_targets();
 
 private:
     struct known_target {
@@ -128,6 +142,7 @@
     /// \returns whether a registration was written before the target's removal
     [[nodiscard]] bool is_from_before_removal(const std::string& key, std::uint64_t revision,
                                               const target_registration& content) const;
+    void add_withdrawn_target(const target_registration& target);
     void add_note(const char* what, const known_target& about, const std::string& key,
                   std::uint64_t revision);
     void end_outage(instant when);
@@ -157,6 +172,7 @@
     config::snapshot_ptr configuration_; ///< result of the last build()
     bool changed_since_build_{false};
     std::vector<inventory_note> notes_;
+    std::vector<withdrawn_target> withdrawn_;
 };
 
 } // namespace wigeonrill::platform
