Take requests in a planned stop only while the balancer sends them

Cause: a node took requests for half of its grace period (5 s of 10 there) and judged by the usual latency whether they end in time, which says nothing of a target that hangs.

Ruled out: the repeat; requests that hang at their first target end the same way.

Change: from 2.5 s after SIGTERM on, the time that the balancer needs, new and waiting requests are refused at once, not run. Requests taken before may still be repeated. The dispatcher checks it, so the end of the acceptor's wait doesn't matter.

Measured: two new tests of planned_stop fail with the check switched off. dispatch, daemon and the four planned stops of the fleet tests pass.

--- a/test/daemon/settings_test.cpp
+++ b/test/daemon/settings_test.cpp
@@ -71,6 +71,21 @@
                     settings_error(node + "," + file + R"(, "log": {"level": "loud"})").c_str());
 }
 
+// Guards against a time for new requests that grows with the grace period (LOST, inc1), and against
+// one beyond the time in which connections are accepted.
+TEST(settings, time_for_new_requests_in_a_stop_is_that_of_the_balancer) {
+    const auto shutdown = [](const std::string& fields) {
+        const auto parsed =
+            parse_settings("{" + node + "," + file + R"(, "shutdown": {)" + fields + "}}", "test");
+        CHECK(parsed.has_value());
+        return *parsed;
+    };
+    LONGS_EQUAL(2'500, shutdown(R"("grace": "10s")").take_for.count());
+    LONGS_EQUAL(5'000, shutdown(R"("grace": "10s")").accept_for.count());
+    LONGS_EQUAL(1'000, shutdown(R"("grace": "2s")").take_for.count());
+    LONGS_EQUAL(7'000, shutdown(R"("accept_for": "7s")").take_for.count());
+}
+
 // Guards against seeds in the settings of a node without a peer address, which can't use them.
 TEST(settings, rejects_seeds_without_a_peer_address) {
     STRCMP_CONTAINS(
--- a/test/dispatch/planned_stop_test.cpp
+++ b/test/dispatch/planned_stop_test.cpp
@@ -35,7 +35,7 @@
 // Guards against a stop that passes on requests which their targets can't answer in time.
 TEST(planned_stop, request_that_may_outlast_the_stop_is_refused) {
     learn_latency();
-    node->dispatcher->begin_stop(seconds(5));
+    node->dispatcher->begin_stop(seconds(5), seconds(5));
     const auto early = node->request("POST", "/runs/1");
     CHECK(node->dispatcher->first_step(early).kind == step_kind::send);
     node->clock.advance(seconds(3));
@@ -60,7 +60,7 @@
         CHECK_FALSE(node->dispatcher->on_attempt_ended(request, attempt));
         node->dispatcher->finish_request(request, true, nullptr);
     }
-    node->dispatcher->begin_stop(seconds(3));
+    node->dispatcher->begin_stop(seconds(3), seconds(3));
     CHECK(node->dispatcher->first_step(node->request("POST", "/runs/1")).kind == step_kind::refuse);
 }
 
@@ -70,7 +70,7 @@
     learn_latency();
     const auto before = node->dispatcher->first_step(node->request("POST", "/runs/1"));
     CHECK(before.deadline > node->clock.now() + seconds(8)); // that of the caller
-    node->dispatcher->begin_stop(seconds(5));
+    node->dispatcher->begin_stop(seconds(5), seconds(5));
     const auto end = node->clock.now() + seconds(5);
     node->clock.advance(seconds(2));
     const auto late = node->dispatcher->first_step(node->request("POST", "/runs/1"));
@@ -82,7 +82,7 @@
 // Guards against a refusal of requests that end in time because of their own deadline.
 TEST(planned_stop, request_with_an_earlier_deadline_is_sent) {
     learn_latency();
-    node->dispatcher->begin_stop(seconds(2));
+    node->dispatcher->begin_stop(seconds(2), seconds(2));
     auto request = node->request("POST", "/runs/1");
     request.deadline = node->clock.now() + milliseconds(1'500);
     CHECK(node->dispatcher->first_step(request).kind == step_kind::send);
@@ -91,7 +91,7 @@
 // Guards against placing requests of unknown latency late in a stop.
 TEST(planned_stop, without_measured_latency_the_total_limit_counts) {
     snapshot->routes.at(1).limits.total = seconds(4);
-    node->dispatcher->begin_stop(seconds(5));
+    node->dispatcher->begin_stop(seconds(5), seconds(5));
     CHECK(node->dispatcher->first_step(node->request("POST", "/runs/1")).kind == step_kind::send);
     node->clock.advance(milliseconds(1'500));
     CHECK(node->dispatcher->first_step(node->request("POST", "/runs/1")).kind == step_kind::refuse);
@@ -100,7 +100,7 @@
 // Guards against a retry that is sent too late after a target shed the request.
 TEST(planned_stop, shed_request_is_not_sent_again_too_late) {
     learn_latency();
-    node->dispatcher->begin_stop(seconds(3));
+    node->dispatcher->begin_stop(seconds(3), seconds(3));
     const auto request = node->request("POST", "/runs/1");
     CHECK(node->dispatcher->first_step(request).kind == step_kind::send);
     CHECK(node->dispatcher->may_send(request));
@@ -132,8 +132,65 @@
     at.now += milliseconds(800);
     const auto waiting = begin();
     CHECK_FALSE(core.poll(waiting, at).has_value());
-    core.begin_stop(at.now + milliseconds(1'900), at.now);
+    core.begin_stop({at.now + milliseconds(1'900), at.now + milliseconds(1'900)}, at.now);
     const auto step = core.poll(waiting, at);
     CHECK(step.has_value() && step->kind == step_kind::refuse);
     CHECK(step->reason.result == traffic::outcome::not_run);
 }
+
+// Guards against passing on a request that comes long after the stop began: its target may hang,
+// and then the node breaks it off at its end (LOST, inc1). The usual latency says nothing about
+// that.
+TEST(planned_stop, request_after_the_time_for_new_work_is_refused_at_once) {
+    learn_latency();
+    node->dispatcher->begin_stop(milliseconds(2'500), seconds(9));
+    node->clock.advance(milliseconds(2'499));
+    CHECK(node->dispatcher->first_step(node->request("POST", "/runs/1")).kind == step_kind::send);
+    node->clock.advance(milliseconds(1));
+    const auto late = node->dispatcher->first_step(node->request("POST", "/runs/1"));
+    CHECK(late.kind == step_kind::refuse);
+    LONGS_EQUAL(503, late.reason.status);
+    CHECK(late.reason.result == traffic::outcome::not_run);
+    CHECK(late.reason.retry_after.has_value());
+}
+
+// Guards against refusing a request late that waited for a slot: from the end of the time for new
+// work on it can't be placed, so it is told at once.
+TEST(planned_stop, waiting_request_is_refused_when_the_time_for_new_work_ends) {
+    dispatch::clock_reading at{instant{} + seconds(100), wall_time{} + seconds(100)};
+    dispatch::decision_core core({"10.1.0.1", 80}, 7, at, {}, node->random);
+    const auto one_slot = test::make_snapshot(1, 1);
+    one_slot->routes.at(1).key = config::key_policy::optional;
+    one_slot->routes.at(1).limits.total = seconds(5);
+    core.set_view(test::make_view(one_slot), std::make_shared<routing::route_table>(one_slot),
+                  at.now);
+    const auto begin = [&] {
+        auto request = node->request("POST", "/runs/1");
+        request.arrived = at.now;
+        request.deadline = at.now + seconds(10);
+        core.begin_request(request, at);
+        return request.id;
+    };
+    CHECK(core.poll(begin(), at)->kind == step_kind::send);
+    const auto waiting = begin();
+    CHECK_FALSE(core.poll(waiting, at).has_value());
+    core.begin_stop({at.now + milliseconds(2'500), at.now + seconds(9)}, at.now);
+    CHECK_FALSE(core.poll(waiting, at).has_value());
+    at.now += milliseconds(2'500);
+    core.tick(at.now);
+    const auto step = core.poll(waiting, at);
+    CHECK(step.has_value() && step->kind == step_kind::refuse);
+    CHECK(step->reason.result == traffic::outcome::not_run);
+}
+
+// Guards against giving up a request that was taken in time because its first target failed later.
+TEST(planned_stop, request_that_was_taken_in_time_is_repeated_after_it) {
+    learn_latency();
+    node->dispatcher->begin_stop(milliseconds(2'500), seconds(9));
+    const auto request = node->request("POST", "/runs/1");
+    CHECK(node->dispatcher->first_step(request).kind == step_kind::send);
+    CHECK(node->dispatcher->may_send(request));
+    node->clock.advance(seconds(3));
+    const auto next = node->dispatcher->on_attempt_ended(request, node->attempt(answer_kind::shed));
+    CHECK(next.has_value() && next->kind == step_kind::send);
+}
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -337,6 +337,7 @@
     auto& it = *components_;
     it.write_log(log_level::info,
                  log_line("Shutdown started; new connections are still accepted for a while.")
+                     .with("take_ms", it.node_settings.take_for.count())
                      .with("accept_ms", it.node_settings.accept_for.count()));
     it.queries->set_draining();
     if (it.gossip) {
@@ -346,7 +347,8 @@
     const auto accept_until = it.clock.now() + it.node_settings.accept_for;
     const auto finish_until = accept_until + it.node_settings.finish_within;
     it.traffic_server->begin_drain();
-    it.dispatcher.begin_stop(it.node_settings.accept_for + it.node_settings.finish_within);
+    it.dispatcher.begin_stop(it.node_settings.take_for,
+                             it.node_settings.accept_for + it.node_settings.finish_within);
     while (it.clock.now() < accept_until) {
         if (signals.wait_for_request(step) == process_request::force) {
             return false;
--- a/wigeonrill/src/daemon/settings.cpp
+++ b/wigeonrill/src/daemon/settings.cpp
@@ -87,18 +87,23 @@
     limits.reject_unread_keys();
 }
 
-// Divides the time between SIGTERM and SIGKILL. During the first half the node accepts connections,
-// until the load balancer has removed it. The margin lets the process notice the signal and end
-// before the platform kills it.
+// Divides the time between SIGTERM and SIGKILL. During the first half the node accepts connections.
+// It takes requests only until the load balancer has removed it, so that they have the rest of the
+// time to end; later ones are refused at once. The margin lets the process notice the signal and
+// end before the platform kills it.
 void split_grace_period(milliseconds grace, settings& it) {
     constexpr milliseconds min_margin{250};
+    // The balancer asks once a second and removes a node after two answers that it isn't ready.
+    constexpr milliseconds balancer_time{2'500};
     const auto margin = std::max(min_margin, grace / 10);
     it.accept_for = grace / 2;
+    it.take_for = std::min(it.accept_for, balancer_time);
     it.finish_within = grace - it.accept_for - margin;
 }
 
 void read_shutdown(config::checked_object shutdown, settings& it) {
     it.accept_for = shutdown.duration("accept_for", milliseconds(0), max_duration, it.accept_for);
+    it.take_for = it.accept_for;
     it.finish_within =
         shutdown.duration("finish_within", min_duration, max_duration, it.finish_within);
     if (shutdown.has("grace")) {
--- a/wigeonrill/src/daemon/settings.h
+++ b/wigeonrill/src/daemon/settings.h
@@ -48,6 +48,7 @@
     milliseconds connect_time{1'000}; ///< limit for connecting to a target
 
     milliseconds accept_for{5'000};      ///< time in a shutdown in which connections are accepted
+    milliseconds take_for{5'000};        ///< time in a shutdown in which new requests are taken
     milliseconds finish_within{600'000}; ///< time after it in which requests may finish
 
     double retry_share{0.1};        ///< retry budget that each request of a service adds
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -236,6 +236,10 @@
 
 void decision_core::enqueue(request_record& record, instant now) {
     auto& service = *record.service;
+    if (!takes_requests(now)) {
+        refuse(record, refusal_kind::stopping, outcome_of(record), now, return_elsewhere);
+        return;
+    }
     const auto limited = service.announced_wait(now);
     // Half of the remaining time is reserved for the answer and for errors of the estimate.
     if (limited && *limited > (record.deadline - now) / 2) {
@@ -317,7 +321,7 @@
     std::size_t failed_placements = 0;
     for (const auto id : service.queue.oldest(service.queue.size())) {
         auto& record = record_of(id);
-        if (!can_finish_before_stop(record, now)) {
+        if (!takes_requests(now) || !can_finish_before_stop(record, now)) {
             refuse_queued(service, id, refusal_kind::stopping, now, return_elsewhere);
             continue;
         }
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -15,6 +15,12 @@
 ///        node.
 inline constexpr seconds return_elsewhere{1};
 
+/// \brief Times of a planned stop.
+struct planned_stop {
+    instant take_until; ///< new requests are taken up to here
+    instant finish_by;  ///< requests that were taken must have ended by then
+};
+
 /// \brief Connection to a target that is tried to learn whether this node reaches targets.
 struct connection_check {
     service_name service;
@@ -67,9 +73,9 @@
     ///        to learn whether the target has recovered.
     /// \param until time after which the probe is dropped when no such request came
     void request_probe(const service_name& service, const target_id& target, instant until);
-    /// \brief Begins a planned stop. Requests that targets probably can't answer before `finish_by`
-    ///        are refused instead of placed, and those that wait are refused in time.
-    void begin_stop(instant finish_by, instant now);
+    /// \brief Begins a planned stop. From `take_until` on, new and waiting requests are refused;
+    ///        before, those that targets probably can't answer before `finish_by`.
+    void begin_stop(const planned_stop& times, instant now);
     /// \brief Refuses all waiting requests, and all new ones from now on.
     void stop(instant now);
     /// \brief Refuses waiting requests whose deadline has passed, sends others to free targets, and
@@ -157,13 +163,17 @@
     /// \returns the state of a request between begin_request() and finish_request()
     request_record& record_of(std::uint64_t id);
 
+    /// \returns false when a planned stop has begun and its time for new work is over
+    [[nodiscard]] bool takes_requests(instant now) const {
+        return !planned_stop_ || now < planned_stop_->take_until;
+    }
     /// \returns true when a request probably ends before the node has stopped, because of its
     ///          target's usual latency or its own deadline
     [[nodiscard]] bool can_finish_before_stop(const request_record& record, instant now);
     /// \returns the time before the end of a planned stop by which answers must have arrived, and
     ///          which targets are told as the deadline; instant::max() without a planned stop
     [[nodiscard]] instant last_answer_at() const;
-    /// \brief Refuses a request that can't finish before the node has stopped.
+    /// \brief Refuses a request that comes too late in a planned stop.
     /// \returns false when the request may be placed
     bool refuse_when_stopping(request_record& record, instant now);
 
@@ -290,7 +300,7 @@
     std::uint64_t generation_{0};                       ///< number of views set so far
     std::shared_ptr<const routing::route_table> table_; ///< routes of view_
     bool stopping_{false};                              ///< stop() was called
-    std::optional<instant> finish_by_;                  ///< end of a planned stop that has begun
+    std::optional<planned_stop> planned_stop_;          ///< a planned stop that has begun
     routing::rate_limit_table rate_limits_;             ///< of all targets; used by services_
     std::unordered_map<service_name, std::unique_ptr<service_state>> services_;
     std::unordered_map<std::uint64_t, request_record> records_; ///< by request id
--- a/wigeonrill/src/dispatch/decision_core_stop.cpp
+++ b/wigeonrill/src/dispatch/decision_core_stop.cpp
@@ -2,8 +2,8 @@
 
 namespace wigeonrill::dispatch {
 
-void decision_core::begin_stop(instant finish_by, instant now) {
-    finish_by_ = finish_by;
+void decision_core::begin_stop(const planned_stop& times, instant now) {
+    planned_stop_ = times;
     for (auto& [name, service] : services_) {
         serve_queue(*service, now);
     }
@@ -19,11 +19,11 @@
 instant decision_core::last_answer_at() const {
     // An answer needs some time to reach its caller before the node ends.
     constexpr milliseconds final_answer_time{100};
-    return finish_by_ ? *finish_by_ - final_answer_time : instant::max();
+    return planned_stop_ ? planned_stop_->finish_by - final_answer_time : instant::max();
 }
 
 bool decision_core::can_finish_before_stop(const request_record& record, instant now) {
-    if (!finish_by_ || record.deadline <= *finish_by_) {
+    if (!planned_stop_ || record.deadline <= planned_stop_->finish_by) {
         return true;
     }
     const auto* service = service_of(record.chosen_service);
@@ -32,7 +32,9 @@
 }
 
 bool decision_core::refuse_when_stopping(request_record& record, instant now) {
-    if (can_finish_before_stop(record, now)) {
+    // A request that was sent before is repeated, as its caller can't know that it may come again.
+    const bool is_new = record.attempts == 0;
+    if ((takes_requests(now) || !is_new) && can_finish_before_stop(record, now)) {
         return false;
     }
     refuse(record, refusal_kind::stopping, outcome_of(record), now, return_elsewhere);
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -42,10 +42,10 @@
     core_.request_probe(service, target, clock_.now() + wait);
 }
 
-void request_dispatcher::begin_stop(milliseconds time_left) {
+void request_dispatcher::begin_stop(milliseconds take_for, milliseconds time_left) {
     std::unique_lock lock(mutex_);
     const auto now = clock_.now();
-    core_.begin_stop(now + time_left, now);
+    core_.begin_stop({now + take_for, now + time_left}, now);
     unlock_and_notify_sink(lock);
 }
 
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -34,10 +34,10 @@
     ///        to learn whether the target has recovered.
     /// \param wait time after which the probe is dropped when no such request came
     void request_probe(const service_name& service, const target_id& target, milliseconds wait);
-    /// \brief Begins a planned stop that ends after `time_left`. Requests that targets probably
-    /// can't
-    ///        answer within it are refused.
-    void begin_stop(milliseconds time_left);
+    /// \brief Begins a planned stop, see decision_core::begin_stop().
+    /// \param take_for time in which new requests are taken
+    /// \param time_left time until the requests that were taken must have ended
+    void begin_stop(milliseconds take_for, milliseconds time_left);
     /// \brief Refuses waiting and new requests. Requests that targets are running continue.
     void stop();
     /// \brief Refuses waiting requests whose deadline has passed, sends others to free targets, and
