Bound the memory of all large answers together

Cause: an answer with a stated length of up to 1 MiB is read into memory before it is passed on; nothing bounded the sum.

Ruled out, by tests that held before: answers without a length whose callers read nothing, and heads without end.

Change: answers of more than 64 KiB share limits.body_memory; without room an answer is passed on while it arrives.

--- a/test/traffic/endless_answer_test.cpp
+++ b/test/traffic/endless_answer_test.cpp
@@ -1,6 +1,8 @@
 #include "proxy_fixture.h"
 
 #include <array>
+#include <fstream>
+#include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -64,10 +66,105 @@
     return answer;
 }
 
+/// Memory that this process holds, in bytes.
+std::int64_t resident_bytes() {
+    std::ifstream in("/proc/self/statm");
+    std::int64_t total = 0;
+    std::int64_t resident = 0;
+    in >> total >> resident;
+    return resident * sysconf(_SC_PAGESIZE);
+}
+
+// The stated target: half of the memory of the smallest machine, which has 160 MB.
+constexpr std::int64_t max_growth_bytes = 80'000'000;
+constexpr int many_callers = 150;
+
+/// Sends a request from many callers that read nothing.
+std::vector<raw_caller> send_from_many(proxy_fixture& it) {
+    std::vector<raw_caller> callers;
+    callers.reserve(many_callers);
+    for (int i = 0; i < many_callers; ++i) {
+        callers.push_back(it.connect());
+        callers.back().send(plain_get);
+    }
+    return callers;
+}
+
+/// Returns the largest growth of this process's memory within a time.
+std::int64_t growth_within(milliseconds time, std::int64_t before) {
+    std::int64_t most = 0;
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end) {
+        most = std::max(most, resident_bytes() - before);
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+    return most;
+}
+
 } // namespace
 
 TEST_GROUP(endless_answer){};
 
+// Guards against a node that keeps the answers of many faulty targets, which never end, until it is
+// out of memory, and all requests on it end with it. The length that they state is one that is read
+// into memory.
+TEST(endless_answer, many_bodies_that_never_end_take_bounded_memory) {
+    const std::string stated = "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n";
+    proxy_fixture it([&](const std::string& /*request*/, int /*number*/) {
+        return scripted_answer{stated, false, false, std::string(10'000, 'x'), milliseconds{30}};
+    });
+    const auto before = resident_bytes();
+    const auto callers = send_from_many(it);
+    CHECK(growth_within(seconds{3}, before) < max_growth_bytes);
+}
+
+// Guards against the same where the answers have no length and their callers read nothing.
+TEST(endless_answer, many_bodies_for_callers_that_read_nothing_take_bounded_memory) {
+    const std::string piece(100'000, 'x');
+    proxy_fixture it([&](const std::string& /*request*/, int /*number*/) {
+        return scripted_answer{"HTTP/1.1 200 OK\r\n\r\n", false, false, piece, milliseconds{1}};
+    });
+    const auto before = resident_bytes();
+    const auto callers = send_from_many(it);
+    CHECK(growth_within(seconds{3}, before) < max_growth_bytes);
+}
+
+// Guards against the same in heads.
+TEST(endless_answer, many_heads_that_never_end_take_bounded_memory) {
+    proxy_fixture it([&](const std::string& /*request*/, int /*number*/) {
+        return scripted_answer{"HTTP/1.1 200 OK\r\nX-A: ", false, false, std::string(1'000, 'x'),
+                               milliseconds{20}};
+    });
+    const auto before = resident_bytes();
+    const auto callers = send_from_many(it);
+    CHECK(growth_within(seconds{3}, before) < max_growth_bytes);
+}
+
+// Guards against an answer that is not passed on because the memory for large answers is in use.
+TEST(endless_answer, body_is_passed_on_while_others_use_the_memory) {
+    traffic::server_options options;
+    options.body_memory_bytes = 1'048'576;
+    proxy_fixture it(
+        [](const std::string& /*request*/, int number) {
+            const std::string body(200'000, 'x');
+            const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+            return number == 1 ? scripted_answer{head + "1048576\r\n\r\n" + body, false, false, "",
+                                                 milliseconds{100}}
+                               : scripted_answer{head + "200000\r\n\r\n" + body};
+        },
+        options);
+    auto first = it.connect();
+    first.send(plain_get);
+    const auto limit = it.clock.now() + answer_time;
+    while (it.target.requests().empty() && it.clock.now() < limit) {
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+    std::this_thread::sleep_for(milliseconds{200});
+    auto second = it.connect();
+    second.send(plain_get);
+    CHECK(second.receive_answer().size() > 200'000);
+}
+
 // Guards against a caller that waits for its deadline, and a target connection that stays open,
 // while the target sends bytes that never become an answer.
 TEST(endless_answer, is_given_up) {
--- a/wigeonrill/src/traffic/server_context.h
+++ b/wigeonrill/src/traffic/server_context.h
@@ -15,7 +15,7 @@
 struct server_context {
     server_context(server_options settings, dispatcher& server_dispatcher, const clock_source& time)
         : options(std::move(settings)), decisions(&server_dispatcher), clock(&time), pool(time),
-          large_bodies(options.body_memory_bytes) {}
+          large_bodies(options.body_memory_bytes), large_answers(options.body_memory_bytes) {}
 
     /// \brief Passes a line to the log callback, if there is one.
     void log(const std::string& line) const {
@@ -29,6 +29,7 @@
     const clock_source* clock;
     target_pool pool;                      ///< idle connections to targets and nodes
     body_memory large_bodies;              ///< for bodies that take more than each may
+    body_memory large_answers;             ///< the same for the bodies of answers
     connection_registry connections;       ///< open caller connections
     std::atomic<bool> draining{false};     ///< connections are closed after their next answer
     std::atomic<std::uint64_t> next_id{1}; ///< identifier of the next request
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -18,8 +18,8 @@
 /// answer is truncated, another attempt or a refusal can replace it.
 constexpr std::uint64_t max_buffered_answer_bytes = 65'536;
 /// The same limit for requests that can be repeated at another target. It is higher because a
-/// repetition costs the caller less than a truncated download. 128 such answers fit into half of
-/// the memory of a small VM.
+/// repetition costs the caller less than a truncated download. All requests share the memory for
+/// what is beyond the first limit.
 constexpr std::uint64_t max_buffered_repeatable_bytes = 1'048'576;
 
 /// Interval at which the dispatcher is asked again whether another target can take the request
@@ -219,15 +219,22 @@
     if (result_.kind == answer_kind::shed && !is_own_refusal()) {
         return fail(answer_kind::malformed);
     }
-    const auto& parser = connection_->reader().parser();
-    length_ = parser.content_length();
+    length_ = connection_->reader().parser().content_length();
+    return !reserve_body_memory() || buffer_answer_body();
+}
+
+bool target_attempt::reserve_body_memory() {
+    body_memory_ = body_reservation(context_->large_answers);
+    if (connection_->reader().parser().done()) {
+        return true;
+    }
     const auto limit = plan_->route.repeat == config::repeat_policy::idempotent
                            ? max_buffered_repeatable_bytes
                            : max_buffered_answer_bytes;
-    if (parser.done() || length_.value_or(limit + 1) <= limit) {
-        return buffer_answer_body();
+    if (!length_ || *length_ > limit) {
+        return false;
     }
-    return true;
+    return *length_ <= max_buffered_answer_bytes || body_memory_.grow(*length_);
 }
 
 // A faulty target may write an earlier refusal once more. If that were believed, a request that the
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -71,6 +71,9 @@
     [[nodiscard]] bool read_final_head();
     /// \brief Waits for the first byte of an answer.
     [[nodiscard]] status wait_for_answer();
+    /// \returns whether the body of the answer is to be read into memory before anything is sent to
+    ///          the caller; then the memory for it is reserved
+    [[nodiscard]] bool reserve_body_memory();
     /// \brief Reads the whole body into memory.
     [[nodiscard]] bool buffer_answer_body();
     /// \returns true when no bytes follow the answer on the connection
@@ -105,6 +108,7 @@
     message_head head_;                        ///< head of the final answer
     std::optional<std::uint64_t> length_;      ///< Content-Length of the answer
     std::optional<std::string> buffered_body_; ///< body of the answer, if read into memory
+    body_reservation body_memory_;             ///< for buffered_body_, if it is large
     std::optional<framing_fault> caller_fault_;
     instant answer_expected_since_{}; ///< when the request had been sent
     instant deadline_{};              ///< until when the head of the answer must be read
