Never send a request again on a connection that carried it

Cause: the answer is matched by the request's id, which all attempts share.

Ruled out: not keeping connections after a rejection at all, which costs a connection for each.

Change: the request remembers the connections that it was sent on and gets another one.

The new test in connection_reuse fails without it (1 connection instead of 2); the group passes with it.

--- a/test/traffic/connection_reuse_test.cpp
+++ b/test/traffic/connection_reuse_test.cpp
@@ -136,6 +136,33 @@
     LONGS_EQUAL(3, it.target.connections());
 }
 
+// Guards against taking a late copy of a refusal for the answer to the next attempt of the same
+// request, which has the same id: the target runs it, and the caller is told that it hasn't run
+// (review/1, REFUSED). Other requests may use the connection.
+TEST(connection_reuse, request_is_not_sent_again_on_a_connection_that_carried_it) {
+    traffic::server_options options;
+    options.names.request_id = "Request-Name";
+    options.names.not_run = "Not-Run";
+    proxy_fixture it(
+        [](const std::string& request, int number) {
+            const auto* name = request.find("r1") != std::string::npos ? "r1" : "r2";
+            const auto echo = std::string("Request-Name: ") + name + "\r\n";
+            return scripted_answer{number == 1 ? make_answer(503, echo + "Not-Run: 1\r\n", "")
+                                               : make_answer(200, echo, "ok"),
+                                   false, false};
+        },
+        options);
+    it.decisions.default_step = it.send_step(repeat_policy::at_most_once);
+    it.decisions.add_step(it.decisions.default_step);
+    it.decisions.add_step(it.decisions.default_step);
+    STRCMP_CONTAINS(
+        "\r\n\r\nok",
+        it.send_request("GET /a HTTP/1.1\r\nHost: shop\r\nRequest-Name: r1\r\n\r\n").c_str());
+    LONGS_EQUAL(2, it.target.connections());
+    static_cast<void>(it.send_request("GET /a HTTP/1.1\r\nHost: shop\r\nRequest-Name: r2\r\n\r\n"));
+    LONGS_EQUAL(2, it.target.connections());
+}
+
 // The same where answers name their request: such a connection is kept.
 TEST(connection_reuse, earlier_refusal_is_not_believed_without_the_id) {
     traffic::server_options options;
--- a/wigeonrill/src/traffic/caller_request.h
+++ b/wigeonrill/src/traffic/caller_request.h
@@ -36,6 +36,8 @@
     bool body_streamed{false};    ///< a part of the body has been read that is not in buffered_body
     bool expects_continue{false}; ///< the caller waits for a 100 answer before it sends the body
     bool keep_alive{false};       ///< the caller allows further requests on this connection
+    /// Serial numbers of the connections to targets that it was sent on.
+    std::vector<std::uint64_t> used_connections;
 };
 
 /// \brief Builds a request from a head that was parsed without a fault, and checks the header
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -97,13 +97,21 @@
            !plan_->needs_fresh_connection && request_->body_complete && !request_->body_streamed;
 }
 
-bool target_attempt::open_connection(bool force_new) {
+connection_ptr target_attempt::take_idle_connection() {
     const bool fresh =
         plan_->needs_fresh_connection || plan_->route.repeat == config::repeat_policy::at_most_once;
+    auto taken = context_->pool.take(plan_->address, fresh ? fresh_connection_max_idle
+                                                           : reused_connection_max_idle);
+    const bool carried_it =
+        taken && std::ranges::find(request_->used_connections, taken->serial()) !=
+                     request_->used_connections.end();
+    return carried_it ? nullptr : std::move(taken);
+}
+
+bool target_attempt::open_connection(bool force_new) {
     connection_.reset();
     if (!force_new) {
-        connection_ = context_->pool.take(plan_->address, fresh ? fresh_connection_max_idle
-                                                                : reused_connection_max_idle);
+        connection_ = take_idle_connection();
     }
     if (!connection_) {
         const auto left = std::chrono::ceil<milliseconds>(deadline_ - context_->clock->now());
@@ -111,6 +119,9 @@
         connection_ = limit.count() > 0 ? context_->pool.connect(plan_->address, limit) : nullptr;
         new_connection_opened_ = new_connection_opened_ || connection_ != nullptr;
     }
+    if (connection_) {
+        request_->used_connections.push_back(connection_->serial());
+    }
     return connection_ != nullptr;
 }
 
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -41,6 +41,10 @@
 private:
     using status = message_reader::status;
 
+    /// \returns a connection of the pool that has not carried this request, or null. A late copy of
+    ///          the answer to an earlier attempt has the same id, so it would be taken for the
+    ///          answer.
+    [[nodiscard]] connection_ptr take_idle_connection();
     /// \brief Takes a connection from the pool or opens one.
     /// \param force_new true to open one in any case
     /// \returns false when there is no connection
--- a/wigeonrill/src/traffic/target_pool.cpp
+++ b/wigeonrill/src/traffic/target_pool.cpp
@@ -18,6 +18,11 @@
 
 } // namespace
 
+std::uint64_t target_connection::next_serial() {
+    static std::atomic<std::uint64_t> last{0};
+    return ++last;
+}
+
 target_connection::~target_connection() {
     ::close(fd_);
 }
--- a/wigeonrill/src/traffic/target_pool.h
+++ b/wigeonrill/src/traffic/target_pool.h
@@ -12,12 +12,15 @@
 /// \brief Connection to a target or node. The destructor closes it.
 class target_connection {
 public:
-    target_connection(int fd, const clock_source& clock) : fd_(fd), reader_(fd, clock) {}
+    target_connection(int fd, const clock_source& clock)
+        : fd_(fd), serial_(next_serial()), reader_(fd, clock) {}
     target_connection(const target_connection&) = delete;
     target_connection& operator=(const target_connection&) = delete;
     ~target_connection();
 
     [[nodiscard]] int fd() const { return fd_; }
+    /// \returns a number that no other connection of this process has
+    [[nodiscard]] std::uint64_t serial() const { return serial_; }
     [[nodiscard]] message_reader& reader() { return reader_; }
     /// \returns true when the connection has carried a request and its answer
     [[nodiscard]] bool used() const { return used_; }
@@ -33,7 +36,10 @@
     }
 
 private:
+    [[nodiscard]] static std::uint64_t next_serial();
+
     int fd_;
+    std::uint64_t serial_;
     message_reader reader_;
     bool used_{false};
     bool carried_refusal_{false};
