--- a/test/daemon/store_readings_test.cpp
+++ b/test/daemon/store_readings_test.cpp
@@ -78,7 +78,8 @@
     LONGS_EQUAL(7, version());
     CHECK(config::apply_outcome::accepted == peer.apply_changes(loop.changes_since(5), "peer"));
     const auto& target = peer.state()->configuration->services.at(0).targets.at(1);
-    CHECK(config::registration(2'000, 6) == target.registered);
+    const config::registration expected{2'000, 6};
+    CHECK(expected == target.registered);
     CHECK(*loop.state()->configuration == *peer.state()->configuration);
 }
 
--- a/test/platform/inventory_test.cpp
+++ b/test/platform/inventory_test.cpp
@@ -86,7 +86,8 @@
     LONGS_EQUAL(2, found.size());
     CHECK(found.at(0).target == target_id("c") && found.at(0).is_leaving);
     CHECK(found.at(1).target == target_id("d") && !found.at(1).is_leaving);
-    CHECK(found.at(1).registered == config::registration(8, 10));
+    const config::registration removed{8, 10};
+    CHECK(found.at(1).registered == removed);
     it.apply({13, {deleted("c", 13)}}, now);
     CHECK(it.take_withdrawn_targets().empty());
 }
