Wait for silent targets while a node stops

Cause: a request at a silent target is broken off to be repeated elsewhere, and the stop then refuses the repeat for lack of time or of a free target.

Change: a node that stops doesn't break off requests at silent targets.

The new test in planned_stop fails without the change; the group passes with it.

--- a/test/dispatch/planned_stop_test.cpp
+++ b/test/dispatch/planned_stop_test.cpp
@@ -194,3 +194,17 @@
     const auto next = node->dispatcher->on_attempt_ended(request, node->attempt(answer_kind::shed));
     CHECK(next.has_value() && next->kind == step_kind::send);
 }
+
+// Guards against breaking off a request at a target that is at work, in a planned stop that leaves
+// no time or no target for another attempt: its caller gets a refusal in the target's place (LOST,
+// inc1). An answer may still come.
+TEST(planned_stop, silent_target_is_waited_for) {
+    learn_latency();
+    const auto request = node->request("GET", "/stock/1");
+    CHECK(node->dispatcher->first_step(request).kind == step_kind::send);
+    CHECK(node->dispatcher->may_send(request));
+    node->clock.advance(seconds(6));
+    CHECK(node->dispatcher->may_retry_elsewhere(request));
+    node->dispatcher->begin_stop(milliseconds(2'500), seconds(9));
+    CHECK_FALSE(node->dispatcher->may_retry_elsewhere(request));
+}
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -316,6 +316,11 @@
     if (record.forwarding || !record.assigned_target) {
         return true;
     }
+    // Nothing makes sure that a stopping node has time and room for another attempt. If it hadn't,
+    // the caller would get a refusal in place of an answer that may still come.
+    if (planned_stop_) {
+        return false;
+    }
     sync_service(record.chosen_service, *record.service);
     const bool overdue =
         record.sent && now - *record.sent > record.service->late_threshold(*record.route);
