Let a target take back that it leaves

A target that drains in the store and is ready again in the same process got no requests for 10 minutes.

Cause: the notice that a process leaves had no later news that ends it.

Change: news of leaving has an order, the era and revision of the store in which it was read, and the state healthy takes it back. What a target says in its answers has the last order.

--- a/test/daemon/store_readings_test.cpp
+++ b/test/daemon/store_readings_test.cpp
@@ -108,8 +108,9 @@
     loop.handle_store_reading(with(5, {1'000, 2}, {1'000, 3}));
     STRCMP_EQUAL("t0 t1 t2 ", eligible().c_str());
     auto next = reading(7, 1);
-    next.withdrawn = {{service_name("stock"), target_id("t0"), {1'000, 2}, true},
-                      {service_name("stock"), target_id("t1"), {1'000, 3}, false}};
+    next.withdrawn = {
+        {service_name("stock"), target_id("t0"), {1'000, 2}, platform::target_change::leaving, 7},
+        {service_name("stock"), target_id("t1"), {1'000, 3}, platform::target_change::gone, 7}};
     loop.handle_store_reading(next);
     peer.handle_store_reading(with(9, {1'000, 2}, {1'000, 3}));
     CHECK(config::apply_outcome::accepted == loop.apply_changes(peer.changes_since(0), "peer"));
--- a/test/health/detection_test.cpp
+++ b/test/health/detection_test.cpp
@@ -109,7 +109,7 @@
     }
     LONGS_EQUAL(2, sick_targets(nodes));
     CHECK(!nodes.is_used(0, 2) && !nodes.is_used(0, 7));
-    nodes.node(0).on_leaving(target_name(2), {0, any_registration}, nodes.now());
+    nodes.node(0).on_leaving(target_name(2), {{0, any_registration}}, nodes.now());
     nodes.tick();
     CHECK(nodes.state(0, 2) == target_state::leaving);
     shape.floor_slots = 54;
--- a/test/health/leaving_targets_test.cpp
+++ b/test/health/leaving_targets_test.cpp
@@ -37,14 +37,14 @@
 // same id out of use at every node that heard it later (review/5, FLOOR).
 TEST(leaving_targets, notice_about_an_earlier_process_does_not_hold_for_the_present_one) {
     CHECK(target_state::healthy == state_with({2'000, 9}, 1));
-    CHECK(node.on_leaving(restarted, {1'000, any_registration}, now));
+    CHECK(node.on_leaving(restarted, {{1'000, any_registration}}, now));
     CHECK(target_state::healthy == state());
 }
 
 // Guards against the same where the notice comes before the restart.
 TEST(leaving_targets, process_that_starts_under_the_same_id_is_used_again) {
     CHECK(target_state::healthy == state_with({1'000, 5}, 1));
-    CHECK(node.on_leaving(restarted, {1'000, any_registration}, now));
+    CHECK(node.on_leaving(restarted, {{1'000, any_registration}}, now));
     CHECK(target_state::leaving == state());
     CHECK(target_state::leaving == state_with({1'000, 8}, 2));
     CHECK(target_state::leaving != state_with({2'000, 9}, 3));
@@ -53,7 +53,7 @@
 // Guards against losing a notice that arrives before the configuration with the target, as at a
 // node that has just started.
 TEST(leaving_targets, notice_holds_for_a_target_that_is_configured_later) {
-    CHECK(node.on_leaving(restarted, {1'000, any_registration}, now));
+    CHECK(node.on_leaving(restarted, {{1'000, any_registration}}, now));
     CHECK(target_state::leaving == state_with({1'000, 5}, 1));
     CHECK(target_state::leaving != state_with({2'000, 9}, 2));
 }
@@ -62,18 +62,21 @@
 // stays unused.
 TEST(leaving_targets, removed_registration_does_not_come_back) {
     CHECK(target_state::healthy == state_with({1'000, 5}, 1));
-    CHECK(node.on_leaving(restarted, {1'000, 5}, now));
+    CHECK(node.on_leaving(restarted, {{1'000, 5}, 20}, now));
     CHECK(target_state::leaving == state());
     CHECK(target_state::leaving != state_with({1'000, 6}, 2));
-    CHECK_FALSE(node.on_leaving(restarted, {1'000, 5}, now));
+    CHECK_FALSE(node.on_leaving(restarted, {{1'000, 5}, 20}, now));
     CHECK(target_state::leaving != state());
 }
 
 // Guards against a result that depends on the order, repetition or delay in which configurations
 // and notices reach a node. 200 seeded orders.
 TEST(leaving_targets, order_of_news_does_not_matter) {
-    const std::vector<config::registration> notices{
-        {1'000, any_registration}, {2'000, 9}, {1'000, 5}};
+    const std::vector<leaving_notice> notices{{{1'000, any_registration}, 8},
+                                              {{1'000, 5}, 7},
+                                              {{2'000, any_registration}, 10},
+                                              {{2'000, any_registration}, 11, false},
+                                              {{2'000, 9}, 12}};
     const std::vector<std::pair<config::registration, bool>> last_configured{
         {{1'000, 5}, true}, {{2'000, 9}, true}, {{2'000, 11}, false}, {{3'000, 12}, false}};
     seeded_random_source random(7);
@@ -99,6 +102,21 @@
     }
 }
 
+// Guards against a target that took back that it leaves and stays unused, and against a late copy
+// of that news. What the target says of itself counts until its process ends.
+TEST(leaving_targets, process_that_does_not_leave_any_more_is_used_again) {
+    CHECK(target_state::healthy == state_with({1'000, 5}, 1));
+    CHECK(node.on_leaving(restarted, {{1'000, any_registration}, 20}, now));
+    CHECK(target_state::leaving == state());
+    CHECK(node.on_leaving(restarted, {{1'000, any_registration}, 22, false}, now));
+    CHECK(target_state::healthy == state());
+    CHECK_FALSE(node.on_leaving(restarted, {{1'000, any_registration}, 20}, now));
+    CHECK(target_state::healthy == state());
+    CHECK(node.on_leaving(restarted, {{1'000, any_registration}}, now));
+    CHECK_FALSE(node.on_leaving(restarted, {{1'000, any_registration}, 24, false}, now));
+    CHECK(target_state::leaving == state());
+}
+
 // Guards against a verdict that ejects the process which started after it was made.
 TEST(leaving_targets, verdict_on_an_earlier_process_does_not_eject_the_present_one) {
     CHECK(target_state::healthy == state_with({2'000, 9}, 1));
@@ -115,7 +133,7 @@
 // Guards against notices of builds that name no process: they hold for the configured one only.
 TEST(leaving_targets, notice_without_a_process_holds_for_the_configured_one) {
     CHECK(target_state::healthy == state_with({1'000, 5}, 1));
-    CHECK(node.on_leaving(restarted, {0, any_registration}, now));
+    CHECK(node.on_leaving(restarted, {{0, any_registration}}, now));
     CHECK(target_state::leaving == state());
     CHECK(target_state::leaving != state_with({2'000, 9}, 2));
 }
--- a/test/peers/codec_test.cpp
+++ b/test/peers/codec_test.cpp
@@ -123,6 +123,7 @@
     content.verdicts.at(0).about = {1'700'000'000'123, health::any_registration};
     content.verdicts.push_back(make_verdict(alice, "stock-9", 41, clock.now() + seconds(25)));
     content.verdicts.back().about = {1'700'000'000'123, 412};
+    content.verdicts.back().order = 413;
     const auto decoded = plain.decode(*plain.encode(content, alice, bob), alice, bob);
     CHECK(decoded.has_value());
     CHECK(content == *decoded);
--- a/test/platform/inventory_test.cpp
+++ b/test/platform/inventory_test.cpp
@@ -84,11 +84,18 @@
              now);
     const auto found = it.take_withdrawn_targets();
     LONGS_EQUAL(2, found.size());
-    CHECK(found.at(0).target == target_id("c") && found.at(0).is_leaving);
-    CHECK(found.at(1).target == target_id("d") && !found.at(1).is_leaving);
+    CHECK(found.at(0).target == target_id("c") && found.at(0).change == target_change::leaving);
+    CHECK(found.at(1).target == target_id("d") && found.at(1).change == target_change::gone);
+    CHECK(found.at(0).order < found.at(1).order);
     const config::registration removed{8, 10};
     CHECK(found.at(1).registered == removed);
-    it.apply({13, {deleted("c", 13)}}, now);
+    it.apply({13, {registered(target("c", 13, "10.0.0.3:1", "print", false, 7, 3), 10)}}, now);
+    const auto back = it.take_withdrawn_targets();
+    LONGS_EQUAL(1, back.size());
+    CHECK(back.at(0).change == target_change::ready_again && found.at(1).order < back.at(0).order);
+    it.apply({14, {registered(target("c", 14, "10.0.0.3:1", "print", true, 7, 4), 10)}}, now);
+    LONGS_EQUAL(1, it.take_withdrawn_targets().size());
+    it.apply({15, {deleted("c", 15)}}, now);
     CHECK(it.take_withdrawn_targets().empty());
 }
 
--- a/wigeonrill/gen-cpp/messages_types.cpp
+++ b/wigeonrill/gen-cpp/messages_types.cpp
@@ -291,6 +291,11 @@
   this->created = val;
 __isset.created = true;
 }
+
+void Verdict::__set_order(const int64_t val) {
+  this->order = val;
+__isset.order = true;
+}
 std::ostream& operator<<(std::ostream& out, const Verdict& obj)
 {
   obj.printTo(out);
@@ -391,6 +396,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -446,6 +459,11 @@
     xfer += oprot->writeI64(this->created);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.order) {
+    xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->order);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -462,6 +480,7 @@
   swap(a.remaining_ms, b.remaining_ms);
   swap(a.started_ms, b.started_ms);
   swap(a.created, b.created);
+  swap(a.order, b.order);
   swap(a.__isset, b.__isset);
 }
 
@@ -475,6 +494,7 @@
   remaining_ms = other2.remaining_ms;
   started_ms = other2.started_ms;
   created = other2.created;
+  order = other2.order;
   __isset = other2.__isset;
 }
 Verdict& Verdict::operator=(const Verdict& other3) {
@@ -487,6 +507,7 @@
   remaining_ms = other3.remaining_ms;
   started_ms = other3.started_ms;
   created = other3.created;
+  order = other3.order;
   __isset = other3.__isset;
   return *this;
 }
@@ -502,6 +523,7 @@
   out << ", " << "remaining_ms=" << to_string(remaining_ms);
   out << ", " << "started_ms="; (__isset.started_ms ? (out << to_string(started_ms)) : (out << "<null>"));
   out << ", " << "created="; (__isset.created ? (out << to_string(created)) : (out << "<null>"));
+  out << ", " << "order="; (__isset.order ? (out << to_string(order)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wigeonrill/gen-cpp/messages_types.h
+++ b/wigeonrill/gen-cpp/messages_types.h
@@ -142,7 +142,7 @@
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
 typedef struct _Verdict__isset {
-  _Verdict__isset() : service_name(false), target_name(false), state(false), severity_milli(false), judge(false), sequence(false), remaining_ms(false), started_ms(false), created(false) {}
+  _Verdict__isset() : service_name(false), target_name(false), state(false), severity_milli(false), judge(false), sequence(false), remaining_ms(false), started_ms(false), created(false), order(false) {}
   bool service_name :1;
   bool target_name :1;
   bool state :1;
@@ -152,6 +152,7 @@
   bool remaining_ms :1;
   bool started_ms :1;
   bool created :1;
+  bool order :1;
 } _Verdict__isset;
 
 class Verdict : public virtual ::apache::thrift::TBase {
@@ -168,7 +169,8 @@
             sequence(0),
             remaining_ms(0),
             started_ms(0),
-            created(0) {
+            created(0),
+            order(0) {
   }
 
   virtual ~Verdict() noexcept;
@@ -181,6 +183,7 @@
   int32_t remaining_ms;
   int64_t started_ms;
   int64_t created;
+  int64_t order;
 
   _Verdict__isset __isset;
 
@@ -202,6 +205,8 @@
 
   void __set_created(const int64_t val);
 
+  void __set_order(const int64_t val);
+
   bool operator == (const Verdict & rhs) const
   {
     if (!(service_name == rhs.service_name))
@@ -226,6 +231,10 @@
       return false;
     else if (__isset.created && !(created == rhs.created))
       return false;
+    if (__isset.order != rhs.__isset.order)
+      return false;
+    else if (__isset.order && !(order == rhs.order))
+      return false;
     return true;
   }
   bool operator != (const Verdict &rhs) const {
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -167,7 +167,7 @@
     monitor_.on_answer(answer);
     if (answer.draining) {
         announce_leaving_target(answer.service, answer.target,
-                                {answer.target_process.started_ms, health::any_registration},
+                                {{answer.target_process.started_ms, health::any_registration}},
                                 "answer");
     }
     log_unreadable_rate_limit(answer);
@@ -222,34 +222,37 @@
 }
 
 void control_loop::announce_leaving_target(const service_name& service, const target_id& target,
-                                           const config::registration& about,
+                                           const health::leaving_notice& notice,
                                            std::string_view source) {
     const auto now = dependencies_.clock.now();
-    if (monitor_.on_leaving(target, about, now)) {
-        log_leaving_target(service, target, about, source);
+    if (monitor_.on_leaving(target, notice, now)) {
+        log_leaving_target(service, target, notice, source);
     }
     if (dependencies_.gossip == nullptr) {
         return;
     }
-    health::verdict notice;
-    notice.service = service;
-    notice.target = target;
-    notice.state = health::target_state::leaving;
-    notice.judge = dependencies_.gossip->id();
-    notice.sequence = nanoseconds_since_epoch(dependencies_.clock);
-    notice.expires = now + leaving_notice_lifetime;
-    notice.about = about;
-    dependencies_.gossip->announce(notice, {});
+    health::verdict told;
+    told.service = service;
+    told.target = target;
+    told.state = notice.leaves ? health::target_state::leaving : health::target_state::healthy;
+    told.judge = dependencies_.gossip->id();
+    told.sequence = nanoseconds_since_epoch(dependencies_.clock);
+    told.expires = now + leaving_notice_lifetime;
+    told.about = notice.about;
+    told.order = notice.order;
+    dependencies_.gossip->announce(told, {});
 }
 
 void control_loop::log_leaving_target(const service_name& service, const target_id& target,
-                                      const config::registration& about, std::string_view source) {
-    log_line line("Target leaves; it gets no new requests.");
+                                      const health::leaving_notice& notice,
+                                      std::string_view source) {
+    log_line line(notice.leaves ? "Target leaves; it gets no new requests."
+                                : "Target doesn't leave any more.");
     line.with("service", service.value)
         .with("target", target.value)
-        .with("started_ms", static_cast<std::int64_t>(about.started_ms));
-    if (about.created != health::any_registration) {
-        line.with("created", static_cast<std::int64_t>(about.created));
+        .with("started_ms", static_cast<std::int64_t>(notice.about.started_ms));
+    if (notice.about.created != health::any_registration) {
+        line.with("created", static_cast<std::int64_t>(notice.about.created));
     }
     write_log(log_level::info, log_subsystem::health, line.with("source", source));
 }
@@ -296,9 +299,11 @@
         monitor_.on_evidence(it, now);
     }
     for (const auto& it : items.verdicts) {
-        if (it.state == health::target_state::leaving) {
-            if (monitor_.on_leaving(it.target, it.about, now)) {
-                log_leaving_target(it.service, it.target, it.about, "peer");
+        if (health::is_news_of_leaving(it)) {
+            const health::leaving_notice notice{it.about, it.order,
+                                                it.state == health::target_state::leaving};
+            if (monitor_.on_leaving(it.target, notice, now)) {
+                log_leaving_target(it.service, it.target, notice, "peer");
             }
         } else {
             monitor_.on_verdict(it, now);
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -84,13 +84,12 @@
     /// \brief Makes the content that was read the configuration in force, if it differs.
     /// \returns true when the configuration in force now has that content
     [[nodiscard]] bool apply_store_content(const platform::store_reading& latest);
-    /// \brief Records that a target leaves, and tells the other nodes.
-    /// \param about the last registration with which it leaves
+    /// \brief Records that a target leaves, or doesn't leave any more, and tells the other nodes.
     /// \param source origin of the news, for the log
     void announce_leaving_target(const service_name& service, const target_id& target,
-                                 const config::registration& about, std::string_view source);
+                                 const health::leaving_notice& notice, std::string_view source);
     void log_leaving_target(const service_name& service, const target_id& target,
-                            const config::registration& about, std::string_view source);
+                            const health::leaving_notice& notice, std::string_view source);
     void log_crash_mark(const once::crash_mark& mark, std::string_view source);
     void log_rate_limit(const health::rate_limit& notice, std::string_view source);
     void log_unreadable_rate_limit(const health::answer& answer);
--- a/wigeonrill/src/daemon/control_loop_readings.cpp
+++ b/wigeonrill/src/daemon/control_loop_readings.cpp
@@ -10,8 +10,12 @@
 
 void control_loop::handle_store_reading(const platform::store_reading& latest) {
     for (const auto& it : latest.withdrawn) {
-        const auto created = it.is_leaving ? health::any_registration : it.registered.created;
-        announce_leaving_target(it.service, it.target, {it.registered.started_ms, created},
+        const bool is_gone = it.change == platform::target_change::gone;
+        const auto created = is_gone ? it.registered.created : health::any_registration;
+        announce_leaving_target(it.service, it.target,
+                                {{it.registered.started_ms, created},
+                                 it.order,
+                                 it.change != platform::target_change::ready_again},
                                 "store");
     }
     if (!latest.configuration) {
--- a/wigeonrill/src/health/leaving_targets.h
+++ b/wigeonrill/src/health/leaving_targets.h
@@ -7,6 +7,13 @@
 
 namespace wigeonrill::health {
 
+/// \brief What a node hears of the leaving of a target.
+struct leaving_notice {
+    config::registration about;      ///< the last registration that it leaves with
+    std::uint64_t order{last_order}; ///< see verdict::order
+    bool leaves{true};               ///< false: it doesn't leave any more
+};
+
 /// \brief Targets that leave or are gone, as far as this node has heard.
 ///
 /// What is heard of a target holds for a registration and all earlier ones, also while the target
@@ -18,10 +25,10 @@
     /// shorter than a day, so that a replacement at the same address is used again.
     static constexpr seconds lifetime{600};
 
-    /// \brief Records that a target leaves.
-    /// \param about the last registration that it leaves with
+    /// \brief Records what was heard of a target. Of one process the notice of the highest order
+    ///        counts.
     /// \returns whether it was news
-    bool add(const target_id& target, const config::registration& about, instant now);
+    bool add(const target_id& target, const leaving_notice& notice, instant now);
     /// \returns whether the target leaves if this is its registration
     [[nodiscard]] bool contains(const target_id& target, const config::registration& registered,
                                 instant now) const;
@@ -32,7 +39,7 @@
 
 private:
     struct entry {
-        config::registration about;
+        leaving_notice notice;
         instant until{};
     };
     /// \brief Removes the entries that have ended, and the oldest one if there is no space.
--- a/wigeonrill/src/health/monitor.cpp
+++ b/wigeonrill/src/health/monitor.cpp
@@ -67,8 +67,8 @@
     }
 }
 
-bool monitor::on_leaving(const target_id& target, const config::registration& about, instant now) {
-    return state_->mark_leaving(target, about, now);
+bool monitor::on_leaving(const target_id& target, const leaving_notice& notice, instant now) {
+    return state_->mark_leaving(target, notice, now);
 }
 
 void monitor::forget_removed_registrations() {
--- a/wigeonrill/src/health/monitor.h
+++ b/wigeonrill/src/health/monitor.h
@@ -89,11 +89,10 @@
     /// \param received the verdict, with its expiry converted to this node's clock
     void on_verdict(const verdict& received, instant now);
     /// \brief Records that a target is about to stop or has stopped, and must receive no new
-    ///        requests.
-    /// \param about the last registration with which it leaves; if its process is not known, the
-    ///        one that is configured
+    ///        requests; or that it doesn't leave any more.
+    /// \param notice if its process is not known, it is about the one that is configured
     /// \returns whether it was news
-    bool on_leaving(const target_id& target, const config::registration& about, instant now);
+    bool on_leaving(const target_id& target, const leaving_notice& notice, instant now);
     /// \brief Forgets which registrations are gone; processes that leave are remembered. To be
     /// called
     ///        when the platform's store counts its revisions anew.
--- a/wigeonrill/src/health/monitor_answers.cpp
+++ b/wigeonrill/src/health/monitor_answers.cpp
@@ -77,7 +77,7 @@
         return;
     }
     if (ended.draining) {
-        mark_leaving(ended.target, {ended.target_process.started_ms, any_registration}, now);
+        mark_leaving(ended.target, {{ended.target_process.started_ms, any_registration}}, now);
     }
     const double counted = remove_counted_evidence(ended.request, ended.target);
     const bool is_of_other_process =
--- a/wigeonrill/src/health/monitor_config.cpp
+++ b/wigeonrill/src/health/monitor_config.cpp
@@ -112,8 +112,8 @@
     plans_changed = true;
 }
 
-bool monitor_state::mark_leaving(const target_id& target, config::registration about, instant now) {
-    const bool is_process_known = about.started_ms != 0;
+bool monitor_state::mark_leaving(const target_id& target, leaving_notice notice, instant now) {
+    const bool is_process_known = notice.about.started_ms != 0;
     bool is_configured = false;
     for (std::uint32_t i = 0; i < services.size(); ++i) {
         const auto it = services[i].positions.find(target);
@@ -121,12 +121,12 @@
             continue;
         }
         if (!is_process_known) {
-            about.started_ms = services[i].targets[it->second].registered.started_ms;
+            notice.about.started_ms = services[i].targets[it->second].registered.started_ms;
         }
         is_configured = true;
         watched.insert({i, it->second});
     }
-    return (is_process_known || is_configured) && leaving.add(target, about, now);
+    return (is_process_known || is_configured) && leaving.add(target, notice, now);
 }
 
 bool monitor_state::find(const service_name& service, const target_id& target,
--- a/wigeonrill/src/health/monitor_state.h
+++ b/wigeonrill/src/health/monitor_state.h
@@ -121,7 +121,7 @@
     /// \brief Rebuilds the sets of target positions after the configuration changed.
     void rebuild_target_sets(instant now);
     /// \copydoc monitor::on_leaving
-    bool mark_leaving(const target_id& target, config::registration about, instant now);
+    bool mark_leaving(const target_id& target, leaving_notice notice, instant now);
     /// \returns the old record if it is of the same process, else a new one
     [[nodiscard]] target_record make_target(const config::target& from, service_record* old,
                                             instant now);
--- a/wigeonrill/src/health/verdict.h
+++ b/wigeonrill/src/health/verdict.h
@@ -26,9 +26,13 @@
 /// \brief Value of registration::created above that of every registration of a process.
 inline constexpr std::uint64_t any_registration = std::numeric_limits<std::int64_t>::max();
 
+/// \brief Value of verdict::order of what a target says of itself.
+inline constexpr std::uint64_t last_order = std::numeric_limits<std::int64_t>::max();
+
 /// \brief Decision of a node on the state of one target.
 ///
-/// Aggregators decide from evidence. Any node may announce a target as leaving.
+/// Aggregators decide from evidence. Any node may announce a target as leaving, or as healthy if it
+/// took that back.
 struct verdict {
     service_name service;
     target_id target;
@@ -40,12 +44,19 @@
     /// Process of the target that it is about, unknown if its start is 0. A target that leaves does
     /// so with this registration and all earlier ones.
     config::registration about{0, any_registration};
+    /// Orders the news of the leaving of one process: era and revision of the store in which it was
+    /// read, or last_order if the process said so itself, which holds until it ends.
+    std::uint64_t order{last_order};
 
     friend bool operator==(const verdict&, const verdict&) = default;
 };
 
-/// \brief Returns the order of two verdicts on the same target by the same judge, or by any judges
-///        if both say that the target leaves.
+/// \returns whether a verdict tells that a target leaves, or that it doesn't leave any more
+[[nodiscard]] bool is_news_of_leaving(const verdict& it);
+
+/// \brief Returns the order of two verdicts on the same target: both by the same judge, or both
+/// news
+///        of its leaving by any judges.
 /// \returns true when one is later than the other
 [[nodiscard]] bool is_later(const verdict& one, const verdict& other);
 
--- a/wigeonrill/src/peers/codec.cpp
+++ b/wigeonrill/src/peers/codec.cpp
@@ -125,7 +125,7 @@
 }
 
 std::size_t size_bound(const health::verdict& item) {
-    return 55 + item.service.value.size() + item.target.value.size() + item.judge.value.size();
+    return 66 + item.service.value.size() + item.target.value.size() + item.judge.value.size();
 }
 
 std::size_t size_bound(const once::crash_mark& item) {
--- a/wigeonrill/src/peers/digest_builder.cpp
+++ b/wigeonrill/src/peers/digest_builder.cpp
@@ -64,10 +64,9 @@
 
 } // namespace
 
-// That a target leaves is the same news from every node.
+// News of a target's leaving is the same from every node.
 digest_builder::verdict_key digest_builder::key_of(const health::verdict& item) {
-    const bool is_leaving = item.state == health::target_state::leaving;
-    return {item.target, item.service, is_leaving ? node_id() : item.judge};
+    return {item.target, item.service, health::is_news_of_leaving(item) ? node_id() : item.judge};
 }
 
 bool digest_builder::add_if_new(const health::verdict& item, instant now) {
--- a/wigeonrill/src/peers/digest_builder.h
+++ b/wigeonrill/src/peers/digest_builder.h
@@ -26,7 +26,7 @@
 class digest_builder {
 public:
     /// \brief Adds a verdict. Of each judge only the latest verdict is kept per target, and of all
-    ///        judges only the latest one that says that the target leaves.
+    ///        judges only the latest news of its leaving.
     /// \returns whether it was added; false if it is expired, not later than the one held, or there
     ///          is no space
     bool add_if_new(const health::verdict& item, instant now);
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -134,7 +134,7 @@
     if (!digest_.add_if_new(item, now)) {
         return;
     }
-    if (item.state == health::target_state::leaving) {
+    if (health::is_news_of_leaving(item)) {
         gossip_immediately(now);
     }
     byte_budget_.refill(now);
--- a/wigeonrill/src/peers/gossip_rounds.cpp
+++ b/wigeonrill/src/peers/gossip_rounds.cpp
@@ -248,7 +248,7 @@
             }
         } else if (digest_.add_if_new(it, now)) {
             inbox_.verdicts.push_back(it);
-            urgent = urgent || it.state == health::target_state::leaving;
+            urgent = urgent || health::is_news_of_leaving(it);
         }
     }
     inbox_.observations.insert(inbox_.observations.end(), content.observations.begin(),
--- a/wigeonrill/src/peers/messages.thrift
+++ b/wigeonrill/src/peers/messages.thrift
@@ -34,6 +34,9 @@
   8: optional i64 started_ms
   // The latest registration of that process that the verdict is about; absent if it is about all.
   9: optional i64 created
+  // Era and revision of the store in which it was read that the target leaves; absent if the target
+  // said so itself. With the state healthy: it doesn't leave any more.
+  10: optional i64 order
 }
 
 // Statement that a target died while it ran a request with this fingerprint.
--- a/wigeonrill/src/peers/wire_conversion.cpp
+++ b/wigeonrill/src/peers/wire_conversion.cpp
@@ -84,6 +84,9 @@
     if (item.about.created != health::any_registration) {
         out.__set_created(static_cast<std::int64_t>(item.about.created));
     }
+    if (item.order != health::last_order) {
+        out.__set_order(static_cast<std::int64_t>(item.order));
+    }
     return out;
 }
 
@@ -189,7 +192,7 @@
         item.state >= 0 && item.state <= static_cast<int>(health::target_state::leaving);
     if (!valid_name(item.target_name) || !valid_name(item.service_name) ||
         !valid_name(item.judge) || !known_state || item.remaining_ms <= 0 || item.sequence < 0 ||
-        item.started_ms < 0 || item.created < 0) {
+        item.started_ms < 0 || item.created < 0 || item.order < 0) {
         return std::nullopt;
     }
     health::verdict out;
@@ -204,6 +207,9 @@
     if (item.__isset.created) {
         out.about.created = static_cast<std::uint64_t>(item.created);
     }
+    if (item.__isset.order) {
+        out.order = static_cast<std::uint64_t>(item.order);
+    }
     return out;
 }
 
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -80,7 +80,7 @@
         }
     }
     for (const auto& key : missing) {
-        remove_target({key, 0, deleted_record{}}, now);
+        remove_target({key, all.as_of, deleted_record{}}, now);
     }
     apply(all, now);
     for (const auto& key : unconfirmed) {
@@ -127,12 +127,14 @@
          about.content.service.value + " at " + to_string(about.content.target.address), revision});
 }
 
-void inventory::add_withdrawn_target(const target_registration& target) {
-    if (target.started_ms != 0 && (target.leaving || target.created != 0)) {
-        withdrawn_.push_back({target.service,
-                              target.target.id,
-                              {target.started_ms, target.created},
-                              target.leaving});
+void inventory::add_withdrawn_target(const target_registration& target, target_change change,
+                                     std::uint64_t revision) {
+    const bool is_ordered = change != target_change::gone || target.created != 0;
+    if (target.started_ms != 0 && is_ordered) {
+        const auto order =
+            std::min(era_, max_era) * versions_per_era + std::min(revision, versions_per_era - 1);
+        withdrawn_.push_back(
+            {target.service, target.target.id, {target.started_ms, target.created}, change, order});
     }
 }
 
@@ -209,7 +211,7 @@
                  revision);
         changed_since_build_ = true;
         if (content.leaving) {
-            add_withdrawn_target(content);
+            add_withdrawn_target(content, target_change::leaving, revision);
         }
         return;
     }
@@ -225,7 +227,10 @@
         changed_since_build_ = true;
     }
     if (content.leaving && !known.content.leaving) {
-        add_withdrawn_target(content);
+        add_withdrawn_target(content, target_change::leaving, revision);
+    } else if (known.content.leaving && !content.leaving &&
+               content.started_ms == known.content.started_ms) {
+        add_withdrawn_target(content, target_change::ready_again, revision);
     }
     known = {content, revision, std::nullopt, false};
 }
@@ -245,7 +250,7 @@
     add_note("Target is gone.", it->second, record.key, record.revision);
     // An unreadable record may be followed by a readable one of the same creation.
     if (!target.leaving && std::holds_alternative<deleted_record>(record.content)) {
-        add_withdrawn_target(target);
+        add_withdrawn_target(target, target_change::gone, record.revision);
     }
     record_removal(record.key, it->second, now);
     targets_.erase(it);
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -37,15 +37,20 @@
     std::uint64_t revision{0}; ///< revision of the record, 0 if unknown
 };
 
-/// \brief A target that this node has read to be leaving or gone.
+/// \brief What this node has read of the end of a target.
+enum class target_change : std::uint8_t {
+    leaving,    ///< its process says that it leaves
+    gone,       ///< its registration is gone; its process may register again
+    ready_again ///< its process took back that it leaves
+};
+
+/// \brief A target whose end this node has read.
 struct withdrawn_target {
     service_name service;
     target_id target;
-    /// The last registration that it had.
-    config::registration registered;
-    /// The process said that it leaves. If false, only its registration is gone, and the process
-    /// may register again.
-    bool is_leaving{false};
+    config::registration registered; ///< the last one that it had
+    target_change change{target_change::leaving};
+    std::uint64_t order{0}; ///< higher for what was read in a later era or revision of the store
 };
 
 /// \brief Builds a configuration from the records of the platform's store. Pure: performs no calls
@@ -100,8 +105,8 @@
     [[nodiscard]] config::snapshot_ptr configuration();
     /// \returns the messages added since the last call
     [[nodiscard]] std::vector<inventory_note> take_notes();
-    /// \returns the targets that were read to be leaving or gone since the last call, but for those
-    ///          of an unknown process or registration
+    /// \returns what was read of the ends of targets since the last call, but for those of an
+    ///          unknown process or registration
     [[nodiscard]] std::vector<withdrawn_target> take_withdrawn_targets();
 
 private:
@@ -142,7 +147,8 @@
     /// \returns whether a registration was written before the target's removal
     [[nodiscard]] bool is_from_before_removal(const std::string& key, std::uint64_t revision,
                                               const target_registration& content) const;
-    void add_withdrawn_target(const target_registration& target);
+    void add_withdrawn_target(const target_registration& target, target_change change,
+                              std::uint64_t revision);
     void add_note(const char* what, const known_target& about, const std::string& key,
                   std::uint64_t revision);
     void end_outage(instant when);
--- a/wigeonrill/src/platform/inventory_outages.cpp
+++ b/wigeonrill/src/platform/inventory_outages.cpp
@@ -84,7 +84,7 @@
     const auto n = std::erase_if(targets_, [this, now](const auto& it) {
         if (it.second.lapsed_at) {
             record_removal(it.first, it.second, now);
-            add_withdrawn_target(it.second.content);
+            add_withdrawn_target(it.second.content, target_change::gone, as_of_);
             add_note("Target did not come back after the outage.", it.second, it.first, 0);
         }
         return it.second.lapsed_at.has_value();
--- a/wigeonrill/src/replay/monitor_policy.cpp
+++ b/wigeonrill/src/replay/monitor_policy.cpp
@@ -54,7 +54,7 @@
 
 void monitor_policy::on_leaving(const target_id& target, instant now) {
     for (const auto& it : monitors_) {
-        it->on_leaving(target, {0, health::any_registration}, now);
+        it->on_leaving(target, {{0, health::any_registration}}, now);
     }
 }
 
