Add message fields for the digest of contents and for busy nodes

Nodes can't compare contents that they have read by other steps, since the digest in a change set contains the versions of the shards; and a node that has many calls can't tell its callers to ask another one. Change: optional fields ChangeSet.content_digest and Refusal.busy, and the argument may_refuse of changes_since, false from older builds. Nothing sets or reads them yet.

--- a/wigeonrill/gen-cpp/PeerService.cpp
+++ b/wigeonrill/gen-cpp/PeerService.cpp
@@ -50,6 +50,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->may_refuse);
+          this->__isset.may_refuse = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -75,6 +83,10 @@
   xfer += oprot->writeI16(this->protocol);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("may_refuse", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->may_refuse);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -98,6 +110,10 @@
   xfer += oprot->writeI16((*(this->protocol)));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("may_refuse", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool((*(this->may_refuse)));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -438,13 +454,13 @@
   return xfer;
 }
 
-void PeerServiceClient::changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol)
+void PeerServiceClient::changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol, const bool may_refuse)
 {
-  send_changes_since(version, protocol);
+  send_changes_since(version, protocol, may_refuse);
   recv_changes_since(_return);
 }
 
-void PeerServiceClient::send_changes_since(const int64_t version, const int16_t protocol)
+void PeerServiceClient::send_changes_since(const int64_t version, const int16_t protocol, const bool may_refuse)
 {
   int32_t cseqid = 0;
   oprot_->writeMessageBegin("changes_since", ::apache::thrift::protocol::T_CALL, cseqid);
@@ -452,6 +468,7 @@
   PeerService_changes_since_pargs args;
   args.version = &version;
   args.protocol = &protocol;
+  args.may_refuse = &may_refuse;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -603,7 +620,7 @@
 
   PeerService_changes_since_result result;
   try {
-    iface_->changes_since(result.success, args.version, args.protocol);
+    iface_->changes_since(result.success, args.version, args.protocol, args.may_refuse);
     result.__isset.success = true;
   } catch (Refusal &refusal) {
     result.refusal = std::move(refusal);
@@ -701,13 +718,13 @@
   return processor;
 }
 
-void PeerServiceConcurrentClient::changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol)
+void PeerServiceConcurrentClient::changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol, const bool may_refuse)
 {
-  int32_t seqid = send_changes_since(version, protocol);
+  int32_t seqid = send_changes_since(version, protocol, may_refuse);
   recv_changes_since(_return, seqid);
 }
 
-int32_t PeerServiceConcurrentClient::send_changes_since(const int64_t version, const int16_t protocol)
+int32_t PeerServiceConcurrentClient::send_changes_since(const int64_t version, const int16_t protocol, const bool may_refuse)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
@@ -716,6 +733,7 @@
   PeerService_changes_since_pargs args;
   args.version = &version;
   args.protocol = &protocol;
+  args.may_refuse = &may_refuse;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
--- a/wigeonrill/gen-cpp/PeerService.h
+++ b/wigeonrill/gen-cpp/PeerService.h
@@ -22,7 +22,7 @@
 class PeerServiceIf {
  public:
   virtual ~PeerServiceIf() {}
-  virtual void changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol) = 0;
+  virtual void changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol, const bool may_refuse) = 0;
   virtual void status(Status& _return, const int16_t protocol) = 0;
 };
 
@@ -53,7 +53,7 @@
 class PeerServiceNull : virtual public PeerServiceIf {
  public:
   virtual ~PeerServiceNull() {}
-  void changes_since(ChangeSet& /* _return */, const int64_t /* version */, const int16_t /* protocol */) override {
+  void changes_since(ChangeSet& /* _return */, const int64_t /* version */, const int16_t /* protocol */, const bool /* may_refuse */) override {
     return;
   }
   void status(Status& /* _return */, const int16_t /* protocol */) override {
@@ -62,9 +62,10 @@
 };
 
 typedef struct _PeerService_changes_since_args__isset {
-  _PeerService_changes_since_args__isset() : version(false), protocol(false) {}
+  _PeerService_changes_since_args__isset() : version(false), protocol(false), may_refuse(false) {}
   bool version :1;
   bool protocol :1;
+  bool may_refuse :1;
 } _PeerService_changes_since_args__isset;
 
 class PeerService_changes_since_args {
@@ -74,12 +75,14 @@
   PeerService_changes_since_args& operator=(const PeerService_changes_since_args&) noexcept;
   PeerService_changes_since_args() noexcept
                                  : version(0),
-                                   protocol(0) {
+                                   protocol(0),
+                                   may_refuse(0) {
   }
 
   virtual ~PeerService_changes_since_args() noexcept;
   int64_t version;
   int16_t protocol;
+  bool may_refuse;
 
   _PeerService_changes_since_args__isset __isset;
 
@@ -87,12 +90,16 @@
 
   void __set_protocol(const int16_t val);
 
+  void __set_may_refuse(const bool val);
+
   bool operator == (const PeerService_changes_since_args & rhs) const
   {
     if (!(version == rhs.version))
       return false;
     if (!(protocol == rhs.protocol))
       return false;
+    if (!(may_refuse == rhs.may_refuse))
+      return false;
     return true;
   }
   bool operator != (const PeerService_changes_since_args &rhs) const {
@@ -114,6 +121,7 @@
   virtual ~PeerService_changes_since_pargs() noexcept;
   const int64_t* version;
   const int16_t* protocol;
+  const bool* may_refuse;
 
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
@@ -320,8 +328,8 @@
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> getOutputProtocol() {
     return poprot_;
   }
-  void changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol) override;
-  void send_changes_since(const int64_t version, const int16_t protocol);
+  void changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol, const bool may_refuse) override;
+  void send_changes_since(const int64_t version, const int16_t protocol, const bool may_refuse);
   void recv_changes_since(ChangeSet& _return);
   void status(Status& _return, const int16_t protocol) override;
   void send_status(const int16_t protocol);
@@ -376,13 +384,13 @@
     ifaces_.push_back(iface);
   }
  public:
-  void changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol) override {
+  void changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol, const bool may_refuse) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
-      ifaces_[i]->changes_since(_return, version, protocol);
+      ifaces_[i]->changes_since(_return, version, protocol, may_refuse);
     }
-    ifaces_[i]->changes_since(_return, version, protocol);
+    ifaces_[i]->changes_since(_return, version, protocol, may_refuse);
     return;
   }
 
@@ -428,8 +436,8 @@
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> getOutputProtocol() {
     return poprot_;
   }
-  void changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol) override;
-  int32_t send_changes_since(const int64_t version, const int16_t protocol);
+  void changes_since(ChangeSet& _return, const int64_t version, const int16_t protocol, const bool may_refuse) override;
+  int32_t send_changes_since(const int64_t version, const int16_t protocol, const bool may_refuse);
   void recv_changes_since(ChangeSet& _return, const int32_t seqid);
   void status(Status& _return, const int16_t protocol) override;
   int32_t send_status(const int16_t protocol);
--- a/wigeonrill/gen-cpp/messages_types.cpp
+++ b/wigeonrill/gen-cpp/messages_types.cpp
@@ -2186,6 +2186,11 @@
   this->rules_version = val;
 __isset.rules_version = true;
 }
+
+void ChangeSet::__set_content_digest(const std::string& val) {
+  this->content_digest = val;
+__isset.content_digest = true;
+}
 std::ostream& operator<<(std::ostream& out, const ChangeSet& obj)
 {
   obj.printTo(out);
@@ -2310,6 +2315,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->content_digest);
+          this->__isset.content_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2380,6 +2393,11 @@
     xfer += oprot->writeI64(this->rules_version);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.content_digest) {
+    xfer += oprot->writeFieldBegin("content_digest", ::apache::thrift::protocol::T_STRING, 10);
+    xfer += oprot->writeString(this->content_digest);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2396,6 +2414,7 @@
   swap(a.changed, b.changed);
   swap(a.removed, b.removed);
   swap(a.rules_version, b.rules_version);
+  swap(a.content_digest, b.content_digest);
   swap(a.__isset, b.__isset);
 }
 
@@ -2409,6 +2428,7 @@
   changed = other72.changed;
   removed = other72.removed;
   rules_version = other72.rules_version;
+  content_digest = other72.content_digest;
   __isset = other72.__isset;
 }
 ChangeSet& ChangeSet::operator=(const ChangeSet& other73) {
@@ -2421,6 +2441,7 @@
   changed = other73.changed;
   removed = other73.removed;
   rules_version = other73.rules_version;
+  content_digest = other73.content_digest;
   __isset = other73.__isset;
   return *this;
 }
@@ -2436,6 +2457,7 @@
   out << ", " << "changed=" << to_string(changed);
   out << ", " << "removed=" << to_string(removed);
   out << ", " << "rules_version="; (__isset.rules_version ? (out << to_string(rules_version)) : (out << "<null>"));
+  out << ", " << "content_digest="; (__isset.content_digest ? (out << to_string(content_digest)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2563,6 +2585,11 @@
 void Refusal::__set_remedy(const std::string& val) {
   this->remedy = val;
 }
+
+void Refusal::__set_busy(const bool val) {
+  this->busy = val;
+__isset.busy = true;
+}
 std::ostream& operator<<(std::ostream& out, const Refusal& obj)
 {
   obj.printTo(out);
@@ -2607,6 +2634,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->busy);
+          this->__isset.busy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2632,6 +2667,11 @@
   xfer += oprot->writeString(this->remedy);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.busy) {
+    xfer += oprot->writeFieldBegin("busy", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->busy);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2641,17 +2681,20 @@
   using ::std::swap;
   swap(a.message, b.message);
   swap(a.remedy, b.remedy);
+  swap(a.busy, b.busy);
   swap(a.__isset, b.__isset);
 }
 
 Refusal::Refusal(const Refusal& other76) : TException() {
   message = other76.message;
   remedy = other76.remedy;
+  busy = other76.busy;
   __isset = other76.__isset;
 }
 Refusal& Refusal::operator=(const Refusal& other77) {
   message = other77.message;
   remedy = other77.remedy;
+  busy = other77.busy;
   __isset = other77.__isset;
   return *this;
 }
@@ -2660,6 +2703,7 @@
   out << "Refusal(";
   out << "message=" << to_string(message);
   out << ", " << "remedy=" << to_string(remedy);
+  out << ", " << "busy="; (__isset.busy ? (out << to_string(busy)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wigeonrill/gen-cpp/messages_types.h
+++ b/wigeonrill/gen-cpp/messages_types.h
@@ -862,7 +862,7 @@
 std::ostream& operator<<(std::ostream& out, const Shard& obj);
 
 typedef struct _ChangeSet__isset {
-  _ChangeSet__isset() : protocol(false), format(false), base_version(false), version(false), published_ms(false), digest(false), changed(false), removed(false), rules_version(false) {}
+  _ChangeSet__isset() : protocol(false), format(false), base_version(false), version(false), published_ms(false), digest(false), changed(false), removed(false), rules_version(false), content_digest(false) {}
   bool protocol :1;
   bool format :1;
   bool base_version :1;
@@ -872,6 +872,7 @@
   bool changed :1;
   bool removed :1;
   bool rules_version :1;
+  bool content_digest :1;
 } _ChangeSet__isset;
 
 class ChangeSet : public virtual ::apache::thrift::TBase {
@@ -886,7 +887,8 @@
               version(0),
               published_ms(0),
               digest(),
-              rules_version(0) {
+              rules_version(0),
+              content_digest() {
   }
 
   virtual ~ChangeSet() noexcept;
@@ -899,6 +901,7 @@
   std::vector<Shard>  changed;
   std::vector<std::string>  removed;
   int64_t rules_version;
+  std::string content_digest;
 
   _ChangeSet__isset __isset;
 
@@ -920,6 +923,8 @@
 
   void __set_rules_version(const int64_t val);
 
+  void __set_content_digest(const std::string& val);
+
   bool operator == (const ChangeSet & rhs) const
   {
     if (!(protocol == rhs.protocol))
@@ -942,6 +947,10 @@
       return false;
     else if (__isset.rules_version && !(rules_version == rhs.rules_version))
       return false;
+    if (__isset.content_digest != rhs.__isset.content_digest)
+      return false;
+    else if (__isset.content_digest && !(content_digest == rhs.content_digest))
+      return false;
     return true;
   }
   bool operator != (const ChangeSet &rhs) const {
@@ -1011,9 +1020,10 @@
 std::ostream& operator<<(std::ostream& out, const Status& obj);
 
 typedef struct _Refusal__isset {
-  _Refusal__isset() : message(false), remedy(false) {}
+  _Refusal__isset() : message(false), remedy(false), busy(false) {}
   bool message :1;
   bool remedy :1;
+  bool busy :1;
 } _Refusal__isset;
 
 class Refusal : public ::apache::thrift::TException {
@@ -1023,12 +1033,14 @@
   Refusal& operator=(const Refusal&);
   Refusal() noexcept
           : message(),
-            remedy() {
+            remedy(),
+            busy(0) {
   }
 
   virtual ~Refusal() noexcept;
   std::string message;
   std::string remedy;
+  bool busy;
 
   _Refusal__isset __isset;
 
@@ -1036,12 +1048,18 @@
 
   void __set_remedy(const std::string& val);
 
+  void __set_busy(const bool val);
+
   bool operator == (const Refusal & rhs) const
   {
     if (!(message == rhs.message))
       return false;
     if (!(remedy == rhs.remedy))
       return false;
+    if (__isset.busy != rhs.__isset.busy)
+      return false;
+    else if (__isset.busy && !(busy == rhs.busy))
+      return false;
     return true;
   }
   bool operator != (const Refusal &rhs) const {
--- a/wigeonrill/src/peers/change_client.cpp
+++ b/wigeonrill/src/peers/change_client.cpp
@@ -115,7 +115,7 @@
                                          change_client_limits limits) {
     auto answer = call_peer(peer, limits, [since](wire::PeerServiceClient& client) {
         wire::ChangeSet changes;
-        client.changes_since(changes, static_cast<std::int64_t>(since), protocol_number);
+        client.changes_since(changes, static_cast<std::int64_t>(since), protocol_number, false);
         return changes;
     });
     if (!answer) {
--- a/wigeonrill/src/peers/change_server.cpp
+++ b/wigeonrill/src/peers/change_server.cpp
@@ -116,7 +116,7 @@
     explicit service_handler(change_server_callbacks source) : source_(std::move(source)) {}
 
     void changes_since(wire::ChangeSet& out, const std::int64_t version,
-                       const std::int16_t protocol) override {
+                       const std::int16_t protocol, const bool /*may_refuse*/) override {
         check_protocol(protocol);
         const auto changes =
             source_.changes(static_cast<std::uint64_t>(std::max<std::int64_t>(0, version)));
--- a/wigeonrill/src/peers/messages.thrift
+++ b/wigeonrill/src/peers/messages.thrift
@@ -137,6 +137,9 @@
   8: list<string> removed
   // Number of the operator's rules in the version; left out if they have none.
   9: optional i64 rules_version
+  // Digest of the content of all shards and their registrations, without their versions; left out
+  // by builds that don't know it.
+  10: optional string content_digest
 }
 
 // Status of a node as JSON text.
@@ -149,9 +152,14 @@
 exception Refusal {
   1: string message
   2: string remedy
+  // Whether the called node only has too many calls at this moment.
+  3: optional bool busy
 }
 
 service PeerService {
-  ChangeSet changes_since(1: i64 version, 2: i16 protocol) throws (1: Refusal refusal)
+  // may_refuse: the caller can ask another node if this one is busy; false for builds that don't
+  // know it.
+  ChangeSet changes_since(1: i64 version, 2: i16 protocol, 3: bool may_refuse)
+      throws (1: Refusal refusal)
   Status status(1: i16 protocol) throws (1: Refusal refusal)
 }
