Log what calls to the store bring and what refused requests asked for

The logs don't tell a store that is silent from an answer that is too large for the time limit, nor from which revision a node reads, nor how long a call took; a refusal without a route names neither host, path nor the configuration that decided. Change: lines on readings have the kind of the call, the revision since, duration, records and bytes; a reading that brings records is logged; a call that ends by its limit tells how many bytes came. Lines of decisions have the version of the configuration, and without a route the host and path.

--- a/test/daemon/traffic_event_sink_test.cpp
+++ b/test/daemon/traffic_event_sink_test.cpp
@@ -39,3 +39,15 @@
     events.on_decision(decision);
     CHECK(log.lines().back().find("fingerprint=000000000000ab12") != std::string::npos);
 }
+
+// Guards against a refusal without a route that doesn't tell which route was missing, and from
+// which version of the configuration.
+TEST(traffic_event_sink, refusal_without_a_route_names_what_was_asked_for) {
+    dispatch::decision_record decision;
+    decision.refusal = "no-route";
+    decision.configuration_version = 4'097;
+    decision.host = "h.example";
+    decision.path = "/a/1";
+    events.on_decision(decision);
+    CHECK(log.lines().back().find("version=4097 host=h.example path=/a/1") != std::string::npos);
+}
--- a/test/platform/feed_reader_thread_test.cpp
+++ b/test/platform/feed_reader_thread_test.cpp
@@ -31,12 +31,12 @@
         const std::lock_guard lock(mutex_);
         ++lists_;
         ++calls_;
-        return fails_ ? failure() : feed_page{revision_, {rules(), registration(2)}, era_};
+        return fails_ ? failure() : feed_page{revision_, {rules(), registration(2)}, era_, 700};
     }
     result<feed_page> changes_since(std::uint64_t, milliseconds) override {
         const std::lock_guard lock(mutex_);
         ++calls_;
-        return fails_ ? failure() : feed_page{revision_, std::exchange(changes_, {}), era_};
+        return fails_ ? failure() : feed_page{revision_, std::exchange(changes_, {}), era_, 70};
     }
     void interrupt() override {}
 
@@ -119,6 +119,21 @@
     LONGS_EQUAL(60, last_reading().as_of);
 }
 
+// Guards against log lines that don't tell how much a call to the store had to bring, and from
+// where.
+TEST(feed_reader_thread, tells_what_a_call_asked_for) {
+    feed_reader_thread reader({}, {}, feed, clock, random, [this](const store_reading& it) {
+        const std::lock_guard lock(mutex);
+        latest = it;
+    });
+    CHECK_TRUE(waits_for([](const store_reading& it) { return it.call.lists_all; }));
+    LONGS_EQUAL(2, last_reading().call.records);
+    LONGS_EQUAL(700, last_reading().call.bytes);
+    CHECK_TRUE(waits_for([](const store_reading& it) { return !it.call.lists_all; }));
+    LONGS_EQUAL(50, last_reading().call.since);
+    LONGS_EQUAL(70, last_reading().call.bytes);
+}
+
 // Guards against calling a failing store again and again without a pause, while a target that
 // lapsed in an earlier outage is due to be removed.
 TEST(feed_reader_thread, pauses_between_failed_calls_while_a_lapsed_target_is_due) {
--- a/wigeonrill/src/daemon/store_reader_adapter.cpp
+++ b/wigeonrill/src/daemon/store_reader_adapter.cpp
@@ -39,15 +39,22 @@
 
 void store_reader_adapter::log_read_result(const platform::store_reading& latest) {
     const bool fails = latest.failure && latest.failure->kind != error_kind::not_found;
+    const auto line_of = [&latest](const char* what) {
+        return log_line(what)
+            .with("as_of", static_cast<std::int64_t>(latest.as_of))
+            .with("call", latest.call.lists_all ? "list" : "changes")
+            .with("since", static_cast<std::int64_t>(latest.call.since))
+            .with("duration_ms", latest.call.duration);
+    };
     if (latest.failure) {
         log_.write(log_level::warning, log_subsystem::platform,
-                   log_line("Reading the store failed; what is known stays in force.")
-                       .with("as_of", static_cast<std::int64_t>(latest.as_of))
+                   line_of("Reading the store failed; what is known stays in force.")
                        .with("reason", to_string(*latest.failure)));
-    } else if (failing_) {
+    } else if (failing_ || latest.call.records > 0) {
         log_.write(log_level::info, log_subsystem::platform,
-                   log_line("Reading the store succeeded again.")
-                       .with("as_of", static_cast<std::int64_t>(latest.as_of)));
+                   line_of(failing_ ? "Reading the store succeeded again." : "Store read.")
+                       .with("records", static_cast<std::int64_t>(latest.call.records))
+                       .with("bytes", static_cast<std::int64_t>(latest.call.bytes)));
     }
     failing_ = fails;
 }
--- a/wigeonrill/src/daemon/traffic_event_sink.cpp
+++ b/wigeonrill/src/daemon/traffic_event_sink.cpp
@@ -27,8 +27,13 @@
     if (!decision.name.empty()) {
         line.with("id", decision.name);
     }
+    if (decision.configuration_version != 0) {
+        line.with("version", static_cast<std::int64_t>(decision.configuration_version));
+    }
     if (!decision.route.value.empty()) {
         line.with("route", decision.route.value).with("service", decision.service.value);
+    } else {
+        line.with("host", decision.host).with("path", decision.path);
     }
     if (decision.kind == traffic::step_kind::send) {
         line.with("target", decision.target.value)
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -17,6 +17,8 @@
 // Number of queued requests without a usable target after which serve_queue() stops. It is above 1,
 // because the oldest request may have failed at the only free target, which a later one can use.
 constexpr std::size_t max_failed_placements = 8;
+// Callers choose host and path; longer ones are cut in log lines.
+constexpr std::size_t max_logged_name = 200;
 
 } // namespace
 
@@ -305,6 +307,12 @@
         decision.route = record.route->name;
         decision.service = record.chosen_service;
         step.route = *record.route;
+    } else {
+        decision.host = record.info.host.substr(0, max_logged_name);
+        decision.path = record.info.path.substr(0, max_logged_name);
+    }
+    if (record.view) {
+        decision.configuration_version = record.view->configuration->version;
     }
     step.deadline = std::min(record.deadline, last_answer_at());
     record.decided_at.reset();
--- a/wigeonrill/src/dispatch/decision_record.h
+++ b/wigeonrill/src/dispatch/decision_record.h
@@ -12,6 +12,9 @@
     std::uint64_t request{0}; ///< id of the request, unique in this process
     std::string name;         ///< request name sent by the caller; empty: none
     traffic::step_kind kind{traffic::step_kind::refuse};
+    std::uint64_t configuration_version{0}; ///< version that was in force; 0: none
+    std::string host;                       ///< host that the caller named, if no route matched
+    std::string path;     ///< path that the caller named, if no route matched; may be shortened
     route_name route;     ///< empty: no route matched
     service_name service; ///< empty: no route matched
     target_id target;     ///< chosen target, for send
--- a/wigeonrill/src/platform/feed_reader_thread.cpp
+++ b/wigeonrill/src/platform/feed_reader_thread.cpp
@@ -68,7 +68,14 @@
     store_reading outcome;
     full_list_due_ = full_list_due_ || ++calls_since_full_list_ > max_calls_between_full_lists;
     outcome.when = clock_->now();
+    outcome.call.lists_all = full_list_due_;
+    outcome.call.since = full_list_due_ ? 0 : inventory_.as_of();
     const auto page = read_page(wait);
+    outcome.call.duration = clock_->now() - outcome.when;
+    if (page) {
+        outcome.call.records = page->records.size();
+        outcome.call.bytes = page->bytes;
+    }
     // A watch that ends without a change confirms that there was none while it waited.
     if (page && !full_list_due_ && page->records.empty()) {
         outcome.when = std::max(outcome.when, std::min(outcome.when + wait, clock_->now()));
--- a/wigeonrill/src/platform/feed_reader_thread.h
+++ b/wigeonrill/src/platform/feed_reader_thread.h
@@ -7,6 +7,15 @@
 
 namespace wigeonrill::platform {
 
+/// \brief What one call to the platform's store asked for and cost, for the log.
+struct store_call {
+    bool lists_all{false};   ///< all records were asked for; otherwise the changes since a revision
+    std::uint64_t since{0};  ///< revision whose later changes were asked for
+    nanoseconds duration{0}; ///< time from the start of the call to its end
+    std::size_t records{0};  ///< records in the answer
+    std::size_t bytes{0};    ///< size of the answer
+};
+
 /// \brief Result of one call to the platform's store: a configuration or the reason of the failure.
 struct store_reading {
     /// Configuration built from the store's records. Null when the call failed or the operator's
@@ -18,6 +27,7 @@
     std::optional<error> failure; ///< reason of the failure; empty when the call succeeded
     std::vector<withdrawn_target> withdrawn; ///< targets that were read to be leaving or gone
     std::vector<inventory_note> notes; ///< messages for the log, in the order in which they arose
+    store_call call;
 };
 
 /// \brief Thread that reads the platform's store through a record_feed.
--- a/wigeonrill/src/platform/record_feed.h
+++ b/wigeonrill/src/platform/record_feed.h
@@ -50,6 +50,7 @@
     /// Era of the store, which rises each time it comes back from an older copy of its records.
     /// Revisions of different eras can't be compared. 0: the store names no era.
     std::uint64_t era{0};
+    std::size_t bytes{0}; ///< size of the store's answers, for the log
 };
 
 /// \brief Read access to the platform's store, which holds target registrations and operator rules.
--- a/wigeonrill/src/traffic/http_get_client.cpp
+++ b/wigeonrill/src/traffic/http_get_client.cpp
@@ -22,8 +22,11 @@
                   "none needed; the call is repeated");
 }
 
-tl::unexpected<error> timed_out(const std::string& server) {
-    return failed(error_kind::timed_out, server + " did not answer in time",
+tl::unexpected<error> timed_out(const std::string& server, std::size_t received) {
+    const auto* const what =
+        received == 0 ? " did not answer in time" : " did not end its answer in time";
+    return failed(error_kind::timed_out,
+                  server + what + ", bytes received: " + std::to_string(received),
                   "none needed; the call is repeated");
 }
 
@@ -39,7 +42,9 @@
 
     [[nodiscard]] result<http_response> perform_call(const std::string& target, instant deadline);
     [[nodiscard]] result<http_response> read_answer(instant deadline);
-    [[nodiscard]] tl::unexpected<error> to_error(message_reader::status ended) const;
+    /// \param received bytes of the answer's body that were received before
+    [[nodiscard]] tl::unexpected<error> to_error(message_reader::status ended,
+                                                 std::size_t received) const;
 
     endpoint server;
     std::string name;
@@ -49,11 +54,12 @@
     detail::connection_registry interruption; ///< its close signal ends the waits of a call
 };
 
-tl::unexpected<error> http_get_client::state::to_error(message_reader::status ended) const {
+tl::unexpected<error> http_get_client::state::to_error(message_reader::status ended,
+                                                       std::size_t received) const {
     using status = message_reader::status;
     switch (ended) {
     case status::timed_out:
-        return timed_out(name);
+        return timed_out(name, received);
     case status::watched_closed:
         return failed(error_kind::unavailable, "the call was interrupted",
                       "none needed; the program stops");
@@ -70,7 +76,7 @@
     reader.begin(detail::make_answer_parser({max_answer_head_bytes, max_answer_body_bytes}, false));
     if (const auto ended = reader.read_head(deadline, interruption.close_signal());
         ended != status::ok) {
-        return to_error(ended);
+        return to_error(ended, 0);
     }
     const auto& head = reader.parser().head();
     http_response answer{head.status, {}, head.fields};
@@ -80,7 +86,7 @@
         const auto ended =
             reader.read_body(piece.data(), piece.size(), n, deadline, interruption.close_signal());
         if (ended != status::ok) {
-            return to_error(ended);
+            return to_error(ended, answer.body.size());
         }
         answer.body.append(piece.data(), n);
     }
@@ -102,7 +108,7 @@
     const auto sending = detail::send_watching(connection->fd(), text, left, *clock, sent,
                                                interruption.close_signal());
     if (sending != io_status::ok) {
-        return sending == io_status::timed_out ? timed_out(name)
+        return sending == io_status::timed_out ? timed_out(name, 0)
                                                : unavailable(name, "closed the connection");
     }
     return read_answer(deadline);
