Give up calls to the store for silence, not for the time an answer takes

A call to the store ended after 800 ms, also while its answer was arriving. The operator's record has the whole configuration, some 370 KB in base64 with 1,400 routes more; a link of 10 Mbit/s carries that in 0.3 s when it is idle, and two or three of them, or one beside transfers to peers, in more than 800 ms. What had arrived was thrown away, and the call was made again. Ruled out: a store that was down; other nodes read it in the same second. An answer that was still arriving then is told apart from silence (overloaded instead of timed_out).

--- a/test/traffic/named_headers_test.cpp
+++ b/test/traffic/named_headers_test.cpp
@@ -203,8 +203,8 @@
         return answer(200 + number, "", "body");
     });
     traffic::http_get_client it(target.address(), clock);
-    LONGS_EQUAL(201, it.get("/x?a=1", seconds{5})->status);
-    LONGS_EQUAL(202, it.get("/y", seconds{5})->status);
+    LONGS_EQUAL(201, it.get("/x?a=1", {seconds{5}, seconds{5}})->status);
+    LONGS_EQUAL(202, it.get("/y", {seconds{5}, seconds{5}})->status);
     LONGS_EQUAL(1, target.connections());
     STRCMP_CONTAINS("GET /x?a=1 HTTP/1.1\r\n", target.requests().at(0).c_str());
 }
@@ -216,9 +216,9 @@
         return number == 1 ? scripted_answer{"", false, true} : answer(200, "", "body");
     });
     traffic::http_get_client it(target.address(), clock);
-    const auto lost = it.get("/x", milliseconds{50});
+    const auto lost = it.get("/x", {milliseconds{50}, milliseconds{50}});
     CHECK(!lost && lost.error().kind == error_kind::timed_out);
-    STRCMP_EQUAL("body", it.get("/x", seconds{5})->body.c_str());
+    STRCMP_EQUAL("body", it.get("/x", {seconds{5}, seconds{5}})->body.c_str());
     LONGS_EQUAL(2, target.connections());
 }
 
@@ -228,7 +228,7 @@
         return scripted_answer{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello", true, false};
     });
     traffic::http_get_client it(target.address(), clock);
-    const auto cut = it.get("/x", seconds{5});
+    const auto cut = it.get("/x", {seconds{5}, seconds{5}});
     CHECK(!cut && cut.error().kind == error_kind::unavailable);
 }
 
@@ -244,9 +244,25 @@
         }
         it.interrupt();
     });
-    CHECK(!it.get("/x", std::chrono::hours{1}).has_value());
+    CHECK(!it.get("/x", {std::chrono::hours{1}, std::chrono::hours{1}}).has_value());
     stopper.join();
-    CHECK(!it.get("/x", std::chrono::hours{1}).has_value());
+    CHECK(!it.get("/x", {std::chrono::hours{1}, std::chrono::hours{1}}).has_value());
+}
+
+// Guards against giving up an answer that is on its way over a slow link, and against one without
+// end.
+TEST(http_get_client, limits_silence_and_the_whole_call) {
+    scripted_target target([](const std::string& /*request*/, int number) {
+        const std::string length = number == 1 ? "20" : "2000000";
+        return scripted_answer{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + length +
+                                   "\r\n\r\n",
+                               false, false, "x", milliseconds{20}};
+    });
+    traffic::http_get_client it(target.address(), clock);
+    const auto slow = it.get("/x", {milliseconds{250}, seconds{20}});
+    CHECK(slow && slow->body.size() == 20); // takes at least 400 ms
+    const auto endless = it.get("/x", {milliseconds{250}, milliseconds{500}});
+    CHECK(!endless && endless.error().kind == error_kind::overloaded);
 }
 
 // Guards against passing on the head of an answer that ends in the middle as a whole answer, with
--- a/wigeonrill/src/traffic/http_get_client.cpp
+++ b/wigeonrill/src/traffic/http_get_client.cpp
@@ -22,14 +22,34 @@
                   "none needed; the call is repeated");
 }
 
-tl::unexpected<error> timed_out(const std::string& server, std::size_t received) {
-    const auto* const what =
-        received == 0 ? " did not answer in time" : " did not end its answer in time";
-    return failed(error_kind::timed_out,
-                  server + what + ", bytes received: " + std::to_string(received),
+tl::unexpected<error> timed_out(const std::string& server) {
+    return failed(error_kind::timed_out, server + " did not answer in time",
                   "none needed; the call is repeated");
 }
 
+tl::unexpected<error> still_arriving(const std::string& server, std::size_t received) {
+    return failed(
+        error_kind::overloaded,
+        server + " did not end its answer in time, bytes received: " + std::to_string(received),
+        "none needed; the call is repeated");
+}
+
+// Deadlines of one call: the server may be silent for some time only, again and again.
+class call_deadline {
+public:
+    call_deadline(const http_call_limits& limits, const clock_source& clock)
+        : clock_(&clock), silence_(limits.silence), end_(clock.now() + limits.total) {}
+
+    /// \returns until when the next byte may arrive
+    [[nodiscard]] instant next() const { return std::min(clock_->now() + silence_, end_); }
+    [[nodiscard]] instant end() const { return end_; }
+
+private:
+    const clock_source* clock_;
+    milliseconds silence_;
+    instant end_;
+};
+
 } // namespace
 
 std::string_view http_response::value(std::string_view name) const {
@@ -40,11 +60,10 @@
     state(endpoint address, const clock_source& time)
         : server(std::move(address)), name(to_string(server)), clock(&time), pool(time) {}
 
-    [[nodiscard]] result<http_response> perform_call(const std::string& target, instant deadline);
-    [[nodiscard]] result<http_response> read_answer(instant deadline);
-    /// \param received bytes of the answer's body that were received before
-    [[nodiscard]] tl::unexpected<error> to_error(message_reader::status ended,
-                                                 std::size_t received) const;
+    [[nodiscard]] result<http_response> perform_call(const std::string& target,
+                                                     const call_deadline& deadline);
+    [[nodiscard]] result<http_response> read_answer(const call_deadline& deadline);
+    [[nodiscard]] tl::unexpected<error> to_error(message_reader::status ended) const;
 
     endpoint server;
     std::string name;
@@ -54,12 +73,11 @@
     detail::connection_registry interruption; ///< its close signal ends the waits of a call
 };
 
-tl::unexpected<error> http_get_client::state::to_error(message_reader::status ended,
-                                                       std::size_t received) const {
+tl::unexpected<error> http_get_client::state::to_error(message_reader::status ended) const {
     using status = message_reader::status;
     switch (ended) {
     case status::timed_out:
-        return timed_out(name, received);
+        return timed_out(name);
     case status::watched_closed:
         return failed(error_kind::unavailable, "the call was interrupted",
                       "none needed; the program stops");
@@ -70,23 +88,25 @@
     }
 }
 
-result<http_response> http_get_client::state::read_answer(instant deadline) {
+result<http_response> http_get_client::state::read_answer(const call_deadline& deadline) {
     using status = message_reader::status;
     auto& reader = connection->reader();
     reader.begin(detail::make_answer_parser({max_answer_head_bytes, max_answer_body_bytes}, false));
-    if (const auto ended = reader.read_head(deadline, interruption.close_signal());
+    if (const auto ended = reader.read_head(deadline.next(), interruption.close_signal());
         ended != status::ok) {
-        return to_error(ended, 0);
+        return to_error(ended);
     }
     const auto& head = reader.parser().head();
     http_response answer{head.status, {}, head.fields};
     std::array<char, detail::transfer_buffer_bytes> piece{};
     while (!reader.parser().done()) {
         std::size_t n = 0;
+        const auto until = deadline.next();
         const auto ended =
-            reader.read_body(piece.data(), piece.size(), n, deadline, interruption.close_signal());
+            reader.read_body(piece.data(), piece.size(), n, until, interruption.close_signal());
         if (ended != status::ok) {
-            return to_error(ended, answer.body.size());
+            const bool arriving = ended == status::timed_out && until == deadline.end();
+            return arriving ? still_arriving(name, answer.body.size()) : to_error(ended);
         }
         answer.body.append(piece.data(), n);
     }
@@ -94,9 +114,9 @@
 }
 
 result<http_response> http_get_client::state::perform_call(const std::string& target,
-                                                           instant deadline) {
+                                                           const call_deadline& deadline) {
     if (!connection) {
-        const auto left = std::chrono::ceil<milliseconds>(deadline - clock->now());
+        const auto left = std::chrono::ceil<milliseconds>(deadline.next() - clock->now());
         connection = pool.connect(server, left);
     }
     if (!connection) {
@@ -104,11 +124,11 @@
     }
     const std::string text = "GET " + target + " HTTP/1.1\r\nHost: " + name + "\r\n\r\n";
     std::size_t sent = 0;
-    const auto left = std::chrono::ceil<milliseconds>(deadline - clock->now());
+    const auto left = std::chrono::ceil<milliseconds>(deadline.next() - clock->now());
     const auto sending = detail::send_watching(connection->fd(), text, left, *clock, sent,
                                                interruption.close_signal());
     if (sending != io_status::ok) {
-        return sending == io_status::timed_out ? timed_out(name, 0)
+        return sending == io_status::timed_out ? timed_out(name)
                                                : unavailable(name, "closed the connection");
     }
     return read_answer(deadline);
@@ -119,8 +139,9 @@
 
 http_get_client::~http_get_client() = default;
 
-result<http_response> http_get_client::get(const std::string& target, milliseconds limit) {
-    const auto deadline = state_->clock->now() + limit;
+result<http_response> http_get_client::get(const std::string& target,
+                                           const http_call_limits& limits) {
+    const call_deadline deadline(limits, *state_->clock);
     if (state_->connection && !detail::is_open_without_input(state_->connection->fd())) {
         state_->connection.reset();
     }
--- a/wigeonrill/src/traffic/http_get_client.h
+++ b/wigeonrill/src/traffic/http_get_client.h
@@ -17,6 +17,12 @@
     [[nodiscard]] std::string_view value(std::string_view name) const;
 };
 
+/// \brief Time limits of a call.
+struct http_call_limits {
+    milliseconds silence{0}; ///< longest time without a byte from the server
+    milliseconds total{0};   ///< longest time of the whole call
+};
+
 /// \brief HTTP client with which this node itself makes GET calls to one server, such as the
 /// platform's store. The connection is kept open between calls.
 ///
@@ -31,9 +37,11 @@
     ~http_get_client();
 
     /// \param target path and query of the request
-    /// \param limit bound on the duration of the whole call, including the time to connect
-    /// \returns the answer, whatever its status code; or an error of kind unavailable or timed_out
-    [[nodiscard]] result<http_response> get(const std::string& target, milliseconds limit);
+    /// \param limits the time to connect counts as silence
+    /// \returns the answer, whatever its status code; or an error of kind unavailable, timed_out if
+    ///          the server was silent, or overloaded if its answer was still arriving at the end
+    [[nodiscard]] result<http_response> get(const std::string& target,
+                                            const http_call_limits& limits);
     /// \brief Makes the call in progress and all later calls fail. May be called on any thread.
     void interrupt();
 
