List the store's records where its changes would be too much

The changes since a revision contain each version of the operator's record, with the whole configuration. Class: a request whose answer grows with the time for which it fails. Change: after a call that was not answered in time, and when peers have put newer rules of a later revision in force, all records are listed: a list has each record once, however many changes there were. A store whose answer is still arriving counts as answering, not as in an outage, so lapsed targets are not kept for it.

--- a/test/platform/feed_reader_thread_test.cpp
+++ b/test/platform/feed_reader_thread_test.cpp
@@ -77,10 +77,57 @@
     int lists_{0};
 };
 
+constexpr std::uint64_t versions_per_revision = 2'048;
+
+/// Store behind a slow link: an answer with more than one version of the rules doesn't arrive in
+/// time.
+class slow_feed final : public record_feed {
+public:
+    result<feed_page> list() override {
+        const std::lock_guard lock(mutex_);
+        return feed_page{revision_, {rules_at(revision_)}, 1};
+    }
+    result<feed_page> changes_since(std::uint64_t revision, milliseconds) override {
+        const std::lock_guard lock(mutex_);
+        if (revision_ > revision + 1) {
+            ++late_answers_;
+            return failed(error_kind::timed_out, "the store did not answer in time", "wait");
+        }
+        feed_page page{revision_, {}, 1};
+        if (revision_ > revision) {
+            page.records.push_back(rules_at(revision_));
+        }
+        return page;
+    }
+    void interrupt() override {}
+
+    void publish(std::uint64_t versions) {
+        const std::lock_guard lock(mutex_);
+        revision_ += versions;
+    }
+    int late_answers() {
+        const std::lock_guard lock(mutex_);
+        return late_answers_;
+    }
+
+private:
+    static feed_record rules_at(std::uint64_t revision) {
+        operator_rules it;
+        it.version = revision;
+        it.services = {service_name("print")};
+        return {"rules", revision, it};
+    }
+
+    std::mutex mutex_;
+    std::uint64_t revision_{50};
+    int late_answers_{0};
+};
+
 } // namespace
 
 TEST_GROUP(feed_reader_thread) {
     scripted_feed feed;
+    slow_feed slow_store;
     system_clock_source clock;
     seeded_random_source random{1};
     std::mutex mutex;
@@ -119,6 +166,44 @@
     LONGS_EQUAL(60, last_reading().as_of);
 }
 
+// Guards against a node that asks for the same changes again and again, which never arrive in time
+// because each has the whole configuration. 2.5 s is the time within which a change must be in
+// force.
+TEST(feed_reader_thread, changes_that_do_not_arrive_in_time_are_not_asked_for_again) {
+    feed_reader_thread reader({}, {}, slow_store, clock, random, [this](const store_reading& it) {
+        const std::lock_guard lock(mutex);
+        latest = it;
+    });
+    CHECK_TRUE(waits_for([](const store_reading& it) { return it.as_of == 50; }));
+    const auto published = clock.now();
+    slow_store.publish(4);
+    CHECK_TRUE(waits_for([](const store_reading& it) { return it.as_of == 54; }));
+    CHECK(clock.now() - published < 2'500ms);
+}
+
+// Guards against asking for all versions of the configuration since this node's last call, after
+// its peers have read later.
+TEST(feed_reader_thread, lists_all_records_after_peers_have_read_newer_rules) {
+    read_schedule_settings seldom;
+    seldom.takeover_age = seldom.max_age = 400ms;
+    feed_reader_thread reader(seldom, {}, slow_store, clock, random,
+                              [this](const store_reading& it) {
+                                  const std::lock_guard lock(mutex);
+                                  latest = it;
+                              });
+    reader.set_rank(5);
+    CHECK_TRUE(waits_for([](const store_reading& it) { return it.as_of == 50; }));
+    reader.mark_up_to_date(clock.now());
+    auto in_force = std::make_shared<config::snapshot>(*last_reading().configuration);
+    in_force->version += 4 * versions_per_revision;
+    in_force->rules_version = 54;
+    slow_store.publish(4);
+    reader.set_configuration_in_force(in_force);
+    CHECK_TRUE(waits_for([](const store_reading& it) { return it.as_of == 54; }));
+    CHECK_TRUE(last_reading().call.lists_all);
+    LONGS_EQUAL(0, slow_store.late_answers());
+}
+
 // Guards against log lines that don't tell how much a call to the store had to bring, and from
 // where.
 TEST(feed_reader_thread, tells_what_a_call_asked_for) {
--- a/wigeonrill/src/platform/feed_reader_thread.cpp
+++ b/wigeonrill/src/platform/feed_reader_thread.cpp
@@ -83,9 +83,13 @@
     const auto now = clock_->now();
     if (!page) {
         outcome.failure = page.error();
-        if (page.error().kind == error_kind::not_found) {
-            full_list_due_ = true;
-        } else {
+        const auto kind = page.error().kind;
+        const bool too_large = kind == error_kind::timed_out || kind == error_kind::overloaded;
+        // The changes contain each version of a record, so the same call would have more to bring
+        // the next time. A list contains each record once.
+        full_list_due_ = full_list_due_ || too_large || kind == error_kind::not_found;
+        // A store whose answer is still arriving is in no outage.
+        if (kind != error_kind::not_found && kind != error_kind::overloaded) {
             inventory_.record_read_failure(last_read_at, now);
         }
     } else if (full_list_due_) {
@@ -122,6 +126,8 @@
         if (era_in_force_) {
             inventory_.record_era(era_in_force_->era, era_in_force_->since);
         }
+        // The changes would contain all versions of the rules since, and a list only the latest.
+        full_list_due_ = full_list_due_ || inventory_.has_older_rules_than_in_force();
         if (const auto when = std::exchange(first_peer_reading_, std::nullopt)) {
             inventory_.record_answer_to_peer(*when);
         }
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -110,6 +110,16 @@
            (has_lapsed_targets() || has_unconfirmed_targets() ? 0 : 1);
 }
 
+bool inventory::has_older_rules_than_in_force() const {
+    if (!configuration_in_force_) {
+        return false;
+    }
+    const auto version = configuration_in_force_->version;
+    const auto revision = version % versions_per_era / versions_per_revision;
+    return era_of(version) == std::min(era_, max_era) && revision > as_of_ &&
+           configuration_in_force_->rules_version > stored_rules_version_;
+}
+
 bool inventory::is_in_force(const target_registration& target) const {
     const auto* service = configuration_in_force_
                               ? config::find_service(*configuration_in_force_, target.service)
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -101,6 +101,9 @@
     ///          newer; and content is newer when no target is lapsed or unconfirmed, because all
     ///          nodes build the same content then, while those targets differ between nodes.
     [[nodiscard]] std::uint64_t version() const;
+    /// \returns whether the configuration in force was read from the store later than the known
+    ///          records, and has newer rules than the store had then
+    [[nodiscard]] bool has_older_rules_than_in_force() const;
     /// \returns the configuration, or null before the operator's rules are known
     [[nodiscard]] config::snapshot_ptr configuration();
     /// \returns the messages added since the last call
