Carry the content digest of a change set between nodes

A receiver has to compare contents without the versions of the shards, and config::change_set has no place for it. Change: change_set::content_digest, converted from and to the field of the messages; empty from builds that don't know it. Nothing sets it yet.

--- a/test/peers/change_service_test.cpp
+++ b/test/peers/change_service_test.cpp
@@ -18,6 +18,7 @@
     out.published = wall_time(milliseconds(1'700'000'000'123));
     out.rules_version = 19;
     out.digest = "abc";
+    out.content_digest = "012";
     out.changed.push_back({"service/stock", 8, "def", std::string("{\0}", 3), {}});
     out.removed = {"service/old"};
     return out;
--- a/wigeonrill/src/config/change_set.h
+++ b/wigeonrill/src/config/change_set.h
@@ -51,6 +51,10 @@
     std::uint64_t rules_version{0};
     /// SHA-1 over the "name version digest\n" lines of all shards, sorted by name.
     std::string digest;
+    /// Digest of the names, contents and registrations of all shards, without their versions, which
+    /// depend on the versions that the sender has read; see content_digest_of(). Empty: the
+    /// sender's build doesn't know it.
+    std::string content_digest;
     std::vector<shard> changed;       ///< shards that are new or differ, sorted by name
     std::vector<std::string> removed; ///< names of shards that no longer exist
 
--- a/wigeonrill/src/peers/change_client.cpp
+++ b/wigeonrill/src/peers/change_client.cpp
@@ -92,6 +92,7 @@
     out.published = wall_time(milliseconds(in.published_ms));
     out.rules_version = in.__isset.rules_version ? static_cast<std::uint64_t>(in.rules_version) : 0;
     out.digest = std::move(in.digest);
+    out.content_digest = std::move(in.content_digest);
     out.changed.reserve(in.changed.size());
     for (auto& it : in.changed) {
         out.changed.push_back({std::move(it.name), static_cast<std::uint64_t>(it.version),
--- a/wigeonrill/src/peers/change_server.cpp
+++ b/wigeonrill/src/peers/change_server.cpp
@@ -102,6 +102,9 @@
         out.__set_rules_version(static_cast<std::int64_t>(in.rules_version));
     }
     out.digest = in.digest;
+    if (!in.content_digest.empty()) {
+        out.__set_content_digest(in.content_digest);
+    }
     out.removed = in.removed;
     out.changed.resize(in.changed.size());
     std::size_t bytes = 0;
