Reject change sets that both change and remove a shard

Cause: a change set that has the digest of its changed shards and names one of them as removed was accepted, and the records of this shard were missing from the configuration in force. No build sends one; a peer with a fault could. Change: check_shards() rejects it. Measured: the new test failed before the change (accepted instead of rejected); config_test passes (42 tests).

--- a/test/config/configuration_store_test.cpp
+++ b/test/config/configuration_store_test.cpp
@@ -199,6 +199,18 @@
     check_outcome(apply_outcome::accepted, subject.apply(first_set, now));
 }
 
+// Guards against a shard of a valid version that is removed although it belongs to the version.
+TEST(store, refuses_a_shard_that_is_both_changed_and_removed) {
+    (void)subject.apply(first_set, now);
+    auto contradictory = second_set;
+    contradictory.base_version = 7;
+    contradictory.removed = {"workspaces/0-of-1"};
+    check_outcome(apply_outcome::rejected, subject.apply(contradictory, now));
+    check_reason_contains("shard workspaces/0-of-1 is both changed and removed");
+    check_outcome(apply_outcome::accepted, subject.apply(second_set, now));
+    check_in_force(subject, second);
+}
+
 // Guards against a record that two shards define, which can't be seen in either shard alone.
 TEST(store, refuses_one_name_in_two_shards) {
     auto twice = first_set;
--- a/wigeonrill/src/config/change_checks.cpp
+++ b/wigeonrill/src/config/change_checks.cpp
@@ -2,6 +2,8 @@
 
 #include "wigeonrill/src/config/change_checks.h"
 
+#include <algorithm>
+
 namespace wigeonrill::config {
 
 bool shard_digests::match(const change_set& changes) const {
@@ -35,6 +37,12 @@
                                       "read the shard again");
         }
     }
+    for (const auto& name : changes.removed) {
+        if (std::ranges::binary_search(changes.changed, name, {}, &shard::name)) {
+            return make_invalid_input("shard " + name + " is both changed and removed",
+                                      "send it only as what it is in the version");
+        }
+    }
     return std::nullopt;
 }
 
