Compare content digests in gossip

Cause: gossip carries a hash of the digest with the shards' versions. Nodes with equal content that read the store by other steps counted conflicts, and took no confirmation of the version in force from each other. Change: the hash is that of the content digest. The readers of manifests still compare the digest with the versions. Limit: a build without this change and one with it count each other's messages under one version as conflicts, and take no confirmations from each other, until all nodes run the same build.

--- a/test/daemon/store_readings_test.cpp
+++ b/test/daemon/store_readings_test.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <array>
 
 using namespace wigeonrill;
 using namespace wigeonrill::daemon;
@@ -159,8 +160,8 @@
     LONGS_EQUAL(7, peer.state()->configuration->version);
 }
 
-// Guards against changes to other content that take effect, and against a node that stays with its
-// content then.
+// Guards against changes to other content that take effect, or that the log shows as a difference
+// of labels, and against a node that stays with its content then.
 TEST(store_readings, full_configuration_replaces_other_content) {
     loop.handle_store_reading(reading(5, 3));
     loop.handle_store_reading(reading(7, 2));
@@ -175,6 +176,49 @@
     CHECK(peer.state()->configuration->routes == loop.state()->configuration->routes);
 }
 
+// Guards against nodes that count equal content as different and don't pass on confirmations,
+// because they have read other versions before; and against different content that isn't counted.
+TEST(store_readings, only_different_content_is_a_conflict_in_gossip) {
+    const std::array<endpoint, 2> addresses{{{"10.1.0.1", 7}, {"10.1.0.2", 7}}};
+    std::vector<std::unique_ptr<peers::gossip_node>> gossip;
+    std::vector<std::unique_ptr<control_loop>> loops;
+    for (const auto& it : addresses) {
+        peers::gossip_settings settings;
+        settings.address = it;
+        settings.domain = domain_name("d1");
+        settings.process = {1, 1};
+        settings.seeds.assign(addresses.begin(), addresses.end());
+        settings.accepts_unlisted_peers = true;
+        gossip.push_back(std::make_unique<peers::gossip_node>(settings, clock, random));
+        auto with_gossip = dependencies();
+        with_gossip.gossip = gossip.back().get();
+        loops.push_back(
+            std::make_unique<control_loop>(with_gossip, node_id(to_string(it)), domain_name("d1")));
+    }
+    const auto exchange = [&] {
+        for (int i = 0; i < 40; ++i) {
+            clock.advance(peers::gossip_node::tick_interval);
+            for (std::size_t from = 0; from < 2; ++from) {
+                gossip.at(from)->tick();
+                for (const auto& it : gossip.at(from)->take_outgoing()) {
+                    gossip.at(1 - from)->receive(gossip.at(from)->id(), it.content, 100);
+                }
+            }
+        }
+    };
+    loops.at(0)->handle_store_reading(reading(5, 3));
+    loops.at(0)->handle_store_reading(reading(9, 1));
+    loops.at(1)->handle_store_reading(reading(9, 1));
+    CHECK(loops.at(0)->changes_since(0).digest != loops.at(1)->changes_since(0).digest);
+    exchange();
+    LONGS_EQUAL(2, gossip.at(0)->live_nodes().size());
+    LONGS_EQUAL(0, gossip.at(0)->digest_conflicts() + gossip.at(1)->digest_conflicts());
+    loops.at(0)->handle_store_reading(reading(11, 2));
+    loops.at(1)->handle_store_reading(reading(11, 3));
+    exchange();
+    CHECK(gossip.at(0)->digest_conflicts() > 0);
+}
+
 // Guards against a configuration that differs after it was written as a document and parsed again.
 TEST(store_readings, written_document_parses_to_the_same_configuration) {
     auto built = *content(3);
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -105,7 +105,7 @@
     monitor_.configure(configuration, dependencies_.clock.now());
     if (dependencies_.gossip != nullptr) {
         dependencies_.gossip->set_vms(configuration->vms);
-        dependencies_.gossip->set_config(store_.version(), store_.digest());
+        dependencies_.gossip->set_config(store_.version(), store_.content_digest());
     }
     plans_changed_ = true;
     publish_state();
--- a/wigeonrill/src/peers/gossip_node.h
+++ b/wigeonrill/src/peers/gossip_node.h
@@ -100,7 +100,7 @@
     /// \brief Replaces the platform's list of VMs; entries with another role than node are ignored.
     void set_vms(const std::vector<config::vm_record>& vms);
     /// \brief Sets the configuration in force; a version that isn't newer is ignored.
-    /// \param digest digest of the change set, as in config::change_set
+    /// \param digest content digest of the change set, as in config::change_set
     void set_config(std::uint64_t version, std::string_view digest);
     /// \brief Records that the platform confirmed the version in force as its newest.
     void confirm_by_platform(wall_time when);
