Log whether refused configurations differ in content or only in labels

Change: for both results "Configuration offered." has the base, the version in force and what was compared. Measured: 2 tests of store_readings fail without it; daemon_test passes (24 tests).

--- a/test/daemon/store_readings_test.cpp
+++ b/test/daemon/store_readings_test.cpp
@@ -54,6 +54,11 @@
     std::uint64_t version() {
         return loop.state()->configuration->version;
     }
+    bool is_logged(const std::string& part) {
+        const auto lines = log.lines();
+        return std::ranges::any_of(
+            lines, [&part](const auto& it) { return it.find(part) != std::string::npos; });
+    }
 };
 
 // Guards against a new version, and its transfer to every node, for each report of a target. In the
@@ -154,6 +159,7 @@
     auto delta = loop.changes_since(6);
     delta.content_digest.clear();
     CHECK(config::apply_outcome::base_mismatch == peer.apply_changes(delta, "peer"));
+    CHECK(is_logged("result=base_mismatch base=6 in_force=6 compared=shard_versions"));
     auto whole = loop.changes_since(0);
     whole.content_digest.clear();
     CHECK(config::apply_outcome::accepted == peer.apply_changes(whole, "peer"));
@@ -172,6 +178,7 @@
     peer.handle_store_reading(other);
     CHECK(config::apply_outcome::base_mismatch ==
           peer.apply_changes(loop.changes_since(6), "peer"));
+    CHECK(is_logged("result=base_mismatch base=6 in_force=6 compared=content"));
     CHECK(config::apply_outcome::accepted == peer.apply_changes(loop.changes_since(0), "peer"));
     CHECK(peer.state()->configuration->routes == loop.state()->configuration->routes);
 }
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -57,6 +57,14 @@
         .with("rules_version", static_cast<std::int64_t>(changes.rules_version))
         .with("source", source)
         .with("result", enum_name(config::apply_outcome_names, outcome));
+    if (outcome == config::apply_outcome::rejected ||
+        outcome == config::apply_outcome::base_mismatch) {
+        // Builds that send no content digest are compared by a digest with the shards' versions, so
+        // that their content may be the same.
+        line.with("base", static_cast<std::int64_t>(changes.base_version))
+            .with("in_force", static_cast<std::int64_t>(store_.version()))
+            .with("compared", changes.content_digest.empty() ? "shard_versions" : "content");
+    }
     if (outcome == config::apply_outcome::rejected && store_.last_rejection()) {
         line.with("reason", to_string(*store_.last_rejection()));
         write_log(log_level::error, log_subsystem::config, line);
