Pass a target's error on when a stopping node has no time to repeat it

Cause: a repeatable request that a target answered with a server error is sent to another target if one is free. In a planned stop the repeat was then refused, as the request couldn't end in time (refuse_when_stopping), and the caller got the node's 502 "stopping" in place of the target's answer.

Ruled out: the target at work.

Change: the time is asked for before the answer is given up (decision_core::can_repeat_error()).

--- a/test/dispatch/planned_stop_test.cpp
+++ b/test/dispatch/planned_stop_test.cpp
@@ -208,3 +208,14 @@
     node->dispatcher->begin_stop(milliseconds(2'500), seconds(9));
     CHECK_FALSE(node->dispatcher->may_retry_elsewhere(request));
 }
+
+// Guards against replacing a target's error by a refusal of the node, when a planned stop leaves no
+// time to repeat the request at another target.
+TEST(planned_stop, server_error_is_passed_on_if_there_is_no_time_to_repeat) {
+    const auto request = node->request("GET", "/stock/1");
+    CHECK(node->dispatcher->first_step(request).kind == step_kind::send);
+    CHECK(node->dispatcher->may_send(request));
+    node->dispatcher->begin_stop(milliseconds(2'500), seconds(5));
+    CHECK_FALSE(
+        node->dispatcher->on_attempt_ended(request, node->attempt(answer_kind::server_error)));
+}
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -170,6 +170,10 @@
     /// \returns true when a request probably ends before the node has stopped, because of its
     ///          target's usual latency or its own deadline
     [[nodiscard]] bool can_finish_before_stop(const request_record& record, instant now);
+    /// \returns true when another target is free for a request that its target answered with an
+    ///          error, and the request probably ends there before the node has stopped, because of
+    ///          the usual latency or its own deadline
+    [[nodiscard]] bool can_repeat_error(const request_record& record, instant now);
     /// \returns the time before the end of a planned stop by which answers must have arrived, and
     ///          which targets are told as the deadline; instant::max() without a planned stop
     [[nodiscard]] instant last_answer_at() const;
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -335,8 +335,7 @@
 bool decision_core::retry_server_error(request_record& record,
                                        const traffic::attempt_result& attempt, clock_reading at) {
     if (!may_run_again(record, record.inconclusive_attempts + 1) ||
-        !may_retry(record, attempt, at) ||
-        !record.service->has_alternative_to(record.assigned_target->id, at.now) ||
+        !may_retry(record, attempt, at) || !can_repeat_error(record, at.now) ||
         !record.service->retries.take(at.now)) {
         return false;
     }
--- a/wigeonrill/src/dispatch/decision_core_stop.cpp
+++ b/wigeonrill/src/dispatch/decision_core_stop.cpp
@@ -31,6 +31,12 @@
            now + service->longest_usual_latency(*record.route) <= last_answer_at();
 }
 
+bool decision_core::can_repeat_error(const request_record& record, instant now) {
+    // Without time for another attempt the caller would get a refusal in place of the error.
+    return can_finish_before_stop(record, now) &&
+           record.service->has_alternative_to(record.assigned_target->id, now);
+}
+
 bool decision_core::refuse_when_stopping(request_record& record, instant now) {
     // A request that was sent before is repeated, as its caller can't know that it may come again.
     const bool is_new = record.attempts == 0;
