Answer requests that have arrived before a draining node closes a connection

Cause: from SIGTERM on, a node closes each caller connection after its next answer, also if the caller's next request had been read together with the first one or lay in the socket.

Change: a connection on which input has arrived is kept, so that the request behind is answered or refused; the last answer says "Connection: close". A caller that pipelines without a pause keeps its connection until the end of the grace period.

--- a/test/traffic/cancellation_test.cpp
+++ b/test/traffic/cancellation_test.cpp
@@ -162,3 +162,31 @@
     STRCMP_EQUAL("", idle.receive_all().c_str());
     CHECK(it.proxy.wait_idle(it.clock.now() + seconds{30}));
 }
+
+// Guards against a graceful stop that closes a connection on which the caller's next request has
+// already arrived: the caller can't know whether that request ran.
+TEST(cancellation, drain_answers_requests_that_arrived_before_the_last_answer) {
+    gate target_gate;
+    proxy_fixture it([&](const std::string& request, int number) {
+        if (number == 1) {
+            target_gate.pass();
+        }
+        return answer_ok(request, number);
+    });
+    auto caller = it.connect();
+    caller.send(plain_get + plain_get); // The second request is read together with the first one.
+    target_gate.wait_entered();
+    it.proxy.begin_drain();
+    caller.send(plain_get); // This one is still in the socket when the first answer is sent.
+    it.proxy.stop_listening();
+    target_gate.open();
+    for (int i = 0; i < 2; ++i) {
+        const auto answer = caller.receive_answer();
+        STRCMP_CONTAINS("\r\n\r\nok", answer.c_str());
+        CHECK(answer.find("Connection: close\r\n") == std::string::npos);
+    }
+    const auto last = caller.receive_all();
+    STRCMP_CONTAINS("\r\n\r\nok", last.c_str());
+    STRCMP_CONTAINS("Connection: close\r\n", last.c_str());
+    CHECK(it.proxy.wait_idle(it.clock.now() + seconds{30}));
+}
--- a/wigeonrill/src/traffic/exchange.cpp
+++ b/wigeonrill/src/traffic/exchange.cpp
@@ -53,7 +53,11 @@
 }
 
 bool exchange::can_keep_connection() const {
-    return request_->keep_alive && request_->body_complete && !context_->draining.load();
+    // The caller of a request that has arrived already can't know whether it ran, so a server that
+    // drains answers it, too.
+    const bool is_last = context_->draining.load() && !caller_->reader().has_unread_bytes() &&
+                         !has_input(caller_->fd());
+    return request_->keep_alive && request_->body_complete && !is_last;
 }
 
 std::optional<step> exchange::perform_step(const step& plan) {
--- a/wigeonrill/src/traffic/server.h
+++ b/wigeonrill/src/traffic/server.h
@@ -52,8 +52,8 @@
     /// \brief Closes idle connections to targets that expired or on which bytes arrived. To be
     ///        called about every second, so that a target that sends on is let go without traffic.
     void close_unusable_connections();
-    /// \brief Makes the server close each connection after its next answer. New connections are
-    /// still accepted.
+    /// \brief Makes the server close each connection after an answer behind which no further
+    /// request has arrived. New connections are still accepted.
     void begin_drain();
     /// \brief Closes the listening socket and the connections that wait for a request.
     void stop_listening();
