Divide lists by their size alone

The number of shards of a list of routes depended on the number in the version before. A node that starts with a list that has grown divides it in another way than nodes that saw it grow; they refuse each other's equal content under one version, and changes don't fit. Class: what a version is called depends on the way by which a node came to it. Change: the number depends on the size only. Price: a list that goes back and forth over 16 KiB times a power of 2 is sent as a whole.

--- a/test/config/content_digest_test.cpp
+++ b/test/config/content_digest_test.cpp
@@ -307,3 +307,30 @@
         (void)run_fleet(nodes, source_of_all, random);
     }
 }
+
+// Guards against a list that nodes divide into different shards because they have read other
+// versions before, so that they refuse each other's equal content.
+TEST(content_digest, does_not_depend_on_the_sizes_of_earlier_lists) {
+    const auto with_routes = [](std::uint64_t version, int count) {
+        config::snapshot built;
+        built.version = version;
+        built.services.push_back({});
+        built.services.back().name = service_name("s");
+        for (int i = 0; i < count; ++i) {
+            config::route it;
+            it.name = route_name("r" + std::to_string(1'000 + i));
+            it.service = service_name("s");
+            it.path_prefix = "/" + it.name.value + "/";
+            built.routes.push_back(it);
+        }
+        return built;
+    };
+    for (const int later : {20, 100, 150, 400}) {
+        const auto first = config::split_snapshot(with_routes(1, 90), "source");
+        CHECK(first.has_value());
+        const auto grown = config::split_snapshot(with_routes(2, later), "source", &*first);
+        const auto fresh = config::split_snapshot(with_routes(2, later), "source");
+        CHECK(grown && fresh);
+        STRCMP_EQUAL(fresh->content_digest.c_str(), grown->content_digest.c_str());
+    }
+}
--- a/wigeonrill/src/config/sharding.cpp
+++ b/wigeonrill/src/config/sharding.cpp
@@ -17,8 +17,6 @@
 // day, parts of 16 KiB cause about 2 KB/s, of a budget for control traffic of 8 KB/s. Smaller parts
 // would make the manifest longer.
 constexpr std::size_t target_part_bytes = 16'384;
-constexpr std::size_t min_part_bytes = 4'096;
-constexpr std::size_t max_part_bytes = 32'768;
 
 struct record {
     std::string key; ///< its hash selects the part that holds the record
@@ -33,29 +31,9 @@
     return total;
 }
 
-// Returns the number of parts that a list had in the previous version, for example 16 if there was
-// a shard "routes/3-of-16". Returns 0 if the list had no parts.
-std::size_t previous_part_count(const std::string& list, const change_set* previous) {
-    if (previous == nullptr) {
-        return 0;
-    }
-    for (const auto& it : previous->changed) {
-        const auto separator = it.name.rfind("-of-");
-        if (it.name.rfind(list + "/", 0) == 0 && separator != std::string::npos) {
-            return std::strtoul(it.name.c_str() + separator + 4, nullptr, 10);
-        }
-    }
-    return 0;
-}
-
-// Keeps the previous number of parts if their mean size stays within the limits. Otherwise returns
-// a power of 2.
-std::size_t choose_part_count(std::size_t size, std::size_t previous_count) {
-    const bool fits = previous_count > 0 && size <= previous_count * max_part_bytes &&
-                      (previous_count == 1 || size >= previous_count * min_part_bytes);
-    if (fits) {
-        return previous_count;
-    }
+// Returns a power of 2. It depends on the size alone, so that all nodes divide equal lists in the
+// same way, whichever versions they have read before.
+std::size_t choose_part_count(std::size_t size) {
     std::size_t part_count = 1;
     while (part_count * target_part_bytes < size) {
         part_count *= 2;
@@ -65,7 +43,7 @@
 
 class shard_builder {
 public:
-    explicit shard_builder(const change_set* previous) : previous_(previous) {
+    explicit shard_builder(const change_set* previous) {
         if (previous != nullptr) {
             for (const auto& it : previous->changed) {
                 previous_shards_.emplace(it.name, &it);
@@ -84,8 +62,7 @@
 
     void add_parts(const std::string& list, const std::vector<record>& records,
                    std::uint64_t version, std::string_view brackets) {
-        const auto count =
-            choose_part_count(total_size(records), previous_part_count(list, previous_));
+        const auto count = choose_part_count(total_size(records));
         std::vector<std::string> contents(count);
         for (const auto& it : records) {
             auto& content = contents[stable_hash(it.key) % count];
@@ -107,7 +84,6 @@
     }
 
 private:
-    const change_set* previous_;
     std::unordered_map<std::string, const shard*> previous_shards_;
     std::vector<shard> shards_;
 };
--- a/wigeonrill/src/config/sharding.h
+++ b/wigeonrill/src/config/sharding.h
@@ -28,8 +28,8 @@
 ///
 /// There is one shard "rules" and one shard "service/<name>" per service. Routes, workspaces and
 /// VMs are distributed by the hash of their name or address over shards such as "routes/3-of-16",
-/// so that a change of one record changes one shard. The number of these shards stays the same as
-/// long as their mean size is between 4 and 32 KiB. Only the structure of the document is checked,
+/// so that a change of one record changes one shard. Their number depends on the size of the list
+/// only, so that their mean size is at most 16 KiB. Only the structure of the document is checked,
 /// not the rules of validate().
 /// \param source file name or other origin of the text, shown in error messages
 /// \param previous the version published before; a shard whose content did not change keeps the
