Answer requests of silent targets before a stopping node ends

Cause: a request that is sent during a planned stop gets the node's last answer time as its deadline (dispatch), but one that was sent before SIGTERM kept its own. If its target was silent, the node reset the connection at the end of the grace period, 5.4 s after SIGTERM of 6 s, and the requests that the caller had sent behind it got no answer either.

Change: begin_drain() names the time by which answers must have begun, and a wait for an answer looks at it every 500 ms. The caller gets 504, outcome unknown, and the requests behind are answered or refused. Bodies that have begun are read on to the end, as before.

--- a/test/traffic/cancellation_test.cpp
+++ b/test/traffic/cancellation_test.cpp
@@ -190,3 +190,30 @@
     STRCMP_CONTAINS("Connection: close\r\n", last.c_str());
     CHECK(it.proxy.wait_idle(it.clock.now() + seconds{30}));
 }
+
+// Guards against a graceful stop that cuts the connection of a caller whose target has been silent
+// since before the stop, with the requests behind it: their callers get no answer.
+TEST(cancellation, drain_answers_before_its_end_while_a_target_is_silent) {
+    gate target_gate;
+    proxy_fixture it([&](const std::string& request, int number) {
+        if (number > 1) {
+            return answer_ok(request, number);
+        }
+        target_gate.pass();
+        return scripted_answer{"", false, true};
+    });
+    auto patient = it.send_step();
+    patient.route.limits.first_byte = seconds{12};
+    it.decisions.default_step = patient;
+    it.decisions.retry_elsewhere_allowed = false;
+    auto caller = it.connect();
+    caller.send(plain_get + plain_get);
+    target_gate.wait_entered();
+    target_gate.open();
+    const auto begun = it.clock.now();
+    it.proxy.begin_drain(begun + seconds{2});
+    STRCMP_CONTAINS("HTTP/1.1 504 ", caller.receive_answer().c_str());
+    CHECK(it.clock.now() >= begun + seconds{2});
+    CHECK(it.clock.now() < begun + seconds{10});
+    STRCMP_CONTAINS("Connection: close\r\n", caller.receive_answer().c_str());
+}
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -346,7 +346,7 @@
     // Both spans count from here, so that nothing that takes time between them delays the end.
     const auto accept_until = it.clock.now() + it.node_settings.accept_for;
     const auto finish_until = accept_until + it.node_settings.finish_within;
-    it.traffic_server->begin_drain();
+    it.traffic_server->begin_drain(finish_until - dispatch::planned_stop::final_answer_time);
     it.dispatcher.begin_stop(it.node_settings.take_for,
                              it.node_settings.accept_for + it.node_settings.finish_within);
     while (it.clock.now() < accept_until) {
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -19,6 +19,9 @@
 struct planned_stop {
     instant take_until; ///< new requests are taken up to here
     instant finish_by;  ///< requests that were taken must have ended by then
+
+    /// Time that an answer needs to reach its caller before the node ends.
+    static constexpr milliseconds final_answer_time{100};
 };
 
 /// \brief Connection to a target that is tried to learn whether this node reaches targets.
--- a/wigeonrill/src/dispatch/decision_core_stop.cpp
+++ b/wigeonrill/src/dispatch/decision_core_stop.cpp
@@ -17,9 +17,8 @@
 }
 
 instant decision_core::last_answer_at() const {
-    // An answer needs some time to reach its caller before the node ends.
-    constexpr milliseconds final_answer_time{100};
-    return planned_stop_ ? planned_stop_->finish_by - final_answer_time : instant::max();
+    return planned_stop_ ? planned_stop_->finish_by - planned_stop::final_answer_time
+                         : instant::max();
 }
 
 bool decision_core::can_finish_before_stop(const request_record& record, instant now) {
--- a/wigeonrill/src/traffic/server.cpp
+++ b/wigeonrill/src/traffic/server.cpp
@@ -129,7 +129,8 @@
 void server::close_unusable_connections() {
     impl_->context.pool.close_unusable();
 }
-void server::begin_drain() {
+void server::begin_drain(instant answer_by) {
+    impl_->context.answer_by = answer_by;
     impl_->context.draining = true;
 }
 void server::stop_listening() {
--- a/wigeonrill/src/traffic/server.h
+++ b/wigeonrill/src/traffic/server.h
@@ -54,7 +54,9 @@
     void close_unusable_connections();
     /// \brief Makes the server close each connection after an answer behind which no further
     /// request has arrived. New connections are still accepted.
-    void begin_drain();
+    /// \param answer_by requests for which no answer has begun by then are refused, also those that
+    ///        were sent to their target before this call
+    void begin_drain(instant answer_by = instant::max());
     /// \brief Closes the listening socket and the connections that wait for a request.
     void stop_listening();
     /// \brief Waits until every caller connection has ended.
--- a/wigeonrill/src/traffic/server_context.h
+++ b/wigeonrill/src/traffic/server_context.h
@@ -27,12 +27,13 @@
     server_options options;
     dispatcher* decisions;
     const clock_source* clock;
-    target_pool pool;                      ///< idle connections to targets and nodes
-    body_memory large_bodies;              ///< for bodies that take more than each may
-    body_memory large_answers;             ///< the same for the bodies of answers
-    connection_registry connections;       ///< open caller connections
-    std::atomic<bool> draining{false};     ///< connections are closed after their next answer
-    std::atomic<std::uint64_t> next_id{1}; ///< identifier of the next request
+    target_pool pool;                  ///< idle connections to targets and nodes
+    body_memory large_bodies;          ///< for bodies that take more than each may
+    body_memory large_answers;         ///< the same for the bodies of answers
+    connection_registry connections;   ///< open caller connections
+    std::atomic<bool> draining{false}; ///< connections are closed after their last answer
+    std::atomic<instant> answer_by{instant::max()}; ///< answers must have begun by then
+    std::atomic<std::uint64_t> next_id{1};          ///< identifier of the next request
 };
 
 } // namespace wigeonrill::traffic::detail
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -26,6 +26,9 @@
 /// while a target is silent.
 constexpr milliseconds silence_check_period{100};
 
+/// Interval at which a silent target's request is checked for the end of a drain.
+constexpr milliseconds drain_check_period{500};
+
 /// Longest time from the first byte of an answer's head to its end, and for the body of a late
 /// answer to another request. Lost packets are repeated several times within it.
 constexpr milliseconds max_head_time{2'000};
@@ -277,17 +280,22 @@
 }
 
 target_attempt::status target_attempt::wait_for_answer() {
-    auto& reader = connection_->reader();
-    const auto first_byte =
-        std::min(deadline_, answer_expected_since_ + plan_->route.limits.first_byte);
-    auto reading = reader.wait_first_byte(first_byte, caller_->fd());
-    // If no other target can take the request, the silent one may still answer in time.
-    while (reading == status::timed_out && context_->clock->now() < deadline_ &&
-           !context_->decisions->may_retry_elsewhere(request_->info)) {
-        const auto next = std::min(deadline_, context_->clock->now() + silence_check_period);
-        reading = reader.wait_first_byte(next, caller_->fd());
+    const auto first_byte = answer_expected_since_ + plan_->route.limits.first_byte;
+    for (;;) {
+        // The server may have begun to drain since this attempt began.
+        deadline_ = std::min(deadline_, context_->answer_by.load());
+        auto now = context_->clock->now();
+        const auto next = now < first_byte ? std::min(first_byte, now + drain_check_period)
+                                           : now + silence_check_period;
+        const auto reading =
+            connection_->reader().wait_first_byte(std::min(deadline_, next), caller_->fd());
+        now = context_->clock->now();
+        // If no other target can take the request, the silent one may still answer in time.
+        if (reading != status::timed_out || now >= deadline_ ||
+            (now >= first_byte && context_->decisions->may_retry_elsewhere(request_->info))) {
+            return reading;
+        }
     }
-    return reading;
 }
 
 bool target_attempt::read_final_head() {
