--- a/test/peers/fake_fleet.h
+++ b/test/peers/fake_fleet.h
@@ -105,6 +105,8 @@
     std::map<std::uint64_t, std::uint64_t> answered_fetches; // answered requests by node index
     std::map<int, std::uint64_t> started_fetches;            // started requests by step
     int step{0};
+    /// Called after each step instead of the transfers of 20 ms, if set.
+    std::function<void()> run_transfers{};
 
     explicit fake_fleet(std::size_t count) {
         clock.set_wall(wall_time(seconds(1'700'000'000)));
@@ -163,6 +165,9 @@
                     run_node(*nodes[i], step % 25 == static_cast<int>(i % 25));
                 }
             }
+            if (run_transfers) {
+                run_transfers();
+            }
         }
     }
     member_state state(std::size_t viewer, std::size_t subject) {
@@ -200,7 +205,9 @@
         it.evidence.insert(it.evidence.end(), received.evidence.begin(), received.evidence.end());
         it.rate_limits.insert(it.rate_limits.end(), received.rate_limits.begin(),
                               received.rate_limits.end());
-        run_fetch(it);
+        if (!run_transfers) {
+            run_fetch(it);
+        }
     }
     // Answers a request after 20 ms, or lets it fail if the peer isn't running or a direction is
     // broken.
--- /dev/null
+++ b/test/peers/fetch_scheduler_test.cpp
@@ -0,0 +1,96 @@
+#include "fake_fleet.h"
+
+using namespace wigeonrill;
+using namespace wigeonrill::peers;
+
+TEST_GROUP(fetch_scheduler) {
+    // A change has to be in force on the users' sites within 2.5 s. A second source must be asked
+    // early enough to leave most of this time to the transfer.
+    static constexpr milliseconds second_source_bound{1'000};
+    static constexpr auto no_peer = [](const std::set<node_id>&) -> std::optional<node_id> {
+        return std::nullopt;
+    };
+
+    seeded_random_source random{11};
+    fetch_scheduler fetches{random, instant{}};
+    instant now{seconds(2)};
+    node_id a{"10.0.0.2:1"};
+    node_id b{"10.0.0.3:1"};
+    node_id c{"10.0.0.4:1"};
+
+    void setup() override {
+        // The start ends because there is no peer to ask.
+        CHECK_FALSE(fetches.next_request(now, no_peer).has_value());
+        fetches.set_version(1);
+        now += seconds(1);
+    }
+    // Returns the next request within a time span.
+    std::optional<fetch_request> wait_for_request(milliseconds span) {
+        for (const auto until = now + span; now < until; now += milliseconds(10)) {
+            if (auto request = fetches.next_request(now, no_peer)) {
+                return request;
+            }
+        }
+        return std::nullopt;
+    }
+};
+
+// Guards against a node that is late because the one source that it asked accepts the call and
+// doesn't answer, while another one has the version.
+TEST(fetch_scheduler, asks_another_source_while_one_hangs) {
+    fetches.record_peer_version(a, 2, now);
+    const auto first = wait_for_request(second_source_bound);
+    CHECK(first == std::optional(fetch_request{a, 1}));
+    now += milliseconds(50);
+    fetches.record_peer_version(b, 2, now);
+    const auto second = wait_for_request(second_source_bound);
+    CHECK(second == std::optional(fetch_request{b, 1}));
+}
+
+// Guards against a fleet in which no good version is wanted any more below the number of one that
+// was rejected, such as that of a node which knows less but has a higher number.
+TEST(fetch_scheduler, rejected_version_hides_no_other) {
+    fetches.reject_version(9);
+    fetches.reject_version(9);
+    fetches.record_peer_version(a, 9, now);
+    CHECK_FALSE(wait_for_request(second_source_bound).has_value());
+    fetches.record_peer_version(b, 8, now);
+    CHECK(wait_for_request(second_source_bound) == std::optional(fetch_request{b, 1}));
+    fetches.set_version(7);
+    fetches.request_finished(b, true, now);
+    fetches.record_peer_version(c, 8, now);
+    CHECK(wait_for_request(second_source_bound) == std::optional(fetch_request{c, 7}));
+}
+
+// Guards against rejected versions that are wanted again after further ones were rejected.
+TEST(fetch_scheduler, remembers_several_rejected_versions) {
+    fetches.reject_version(9);
+    fetches.reject_version(8);
+    fetches.record_peer_version(a, 9, now);
+    fetches.record_peer_version(b, 8, now);
+    CHECK_FALSE(wait_for_request(second_source_bound).has_value());
+    fetches.record_peer_version(c, 7, now);
+    CHECK(wait_for_request(second_source_bound) == std::optional(fetch_request{c, 1}));
+}
+
+// Guards against a failed call that keeps a node from asking the other sources that it knows. The
+// failures of several calls come one after another within the time for one.
+TEST(fetch_scheduler, asks_another_source_soon_after_a_failure) {
+    for (int round = 0; round < 20; ++round) {
+        const auto version = static_cast<std::uint64_t>(2 + round);
+        for (const auto& it : {a, b, c}) {
+            fetches.record_peer_version(it, version, now);
+        }
+        std::set<node_id> asked;
+        const auto until = now + second_source_bound;
+        for (int i = 0; i < 3; ++i) {
+            const auto request = wait_for_request(second_source_bound);
+            CHECK(request.has_value());
+            asked.insert(request->from);
+            fetches.request_finished(request->from, i == 2, now);
+        }
+        UNSIGNED_LONGS_EQUAL(3, asked.size());
+        CHECK(now <= until);
+        fetches.set_version(version);
+    }
+}
