Log each fetch of the configuration with its bytes and times

The logs don't tell how long a fetch took and how many bytes came, so a slow transfer can't be told from a call that waited in vain. Change: each call to a peer that ends writes one line with peer, since, version, bytes, wait_ms (time until the first byte, left out if none came) and duration_ms: info where it brought a newer version, warning on failure, debug otherwise. log_failed_fetch becomes log_fetch, in a file of its own.

--- /dev/null
+++ b/test/daemon/fetch_log_test.cpp
@@ -0,0 +1,34 @@
+#include "control_loop_group.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonrill;
+using namespace wigeonrill::daemon;
+
+TEST_GROUP_BASE(fetch_log, test::control_loop_group) {
+    const peers::fetch_request request{node_id("10.1.0.2:7"), 3};
+
+    static config::change_set changes(std::uint64_t version) {
+        config::change_set out;
+        out.version = version;
+        return out;
+    }
+};
+
+// Guards against logs that don't tell a transfer over a slow link from a call that waited in vain.
+TEST(fetch_log, tells_a_slow_transfer_from_a_vain_wait) {
+    loop.log_fetch({request, changes(5), 300'000, milliseconds(40), milliseconds(1'900)});
+    loop.log_fetch({request,
+                    failed(error_kind::timed_out, "no answer", "ask another peer"),
+                    0,
+                    {},
+                    milliseconds(10'000)});
+    const auto lines = log.lines();
+    UNSIGNED_LONGS_EQUAL(2, lines.size());
+    STRCMP_EQUAL("config: Configuration fetched from a peer. peer=10.1.0.2:7 since=3 version=5 "
+                 "bytes=300000 wait_ms=40 duration_ms=1900",
+                 lines[0].c_str());
+    STRCMP_EQUAL("config: Fetching the configuration from a peer failed. peer=10.1.0.2:7 since=3 "
+                 "version=0 bytes=0 duration_ms=10000 reason=\"no answer; ask another peer\"",
+                 lines[1].c_str());
+}
--- a/test/peers/change_service_test.cpp
+++ b/test/peers/change_service_test.cpp
@@ -58,6 +58,16 @@
     UNSIGNED_LONGS_EQUAL(3, sent.load());
 }
 
+// Guards against logs that show no bytes or no time until the first byte of an answer.
+TEST(change_service, records_the_progress_of_a_call) {
+    const auto server = start();
+    transfer_progress progress;
+    CHECK_FALSE(progress.wait().has_value());
+    CHECK(fetch_changes(server->local(), 5, {}, &progress).has_value());
+    CHECK(progress.bytes() > 3);
+    CHECK(progress.wait().has_value());
+}
+
 // Guards against losing the registrations of targets on the way to another node.
 TEST(change_service, answers_with_the_registrations_of_targets) {
     auto expected = sample(5);
--- a/wigeonrill/daemon.h
+++ b/wigeonrill/daemon.h
@@ -27,6 +27,7 @@
 
 #include "src/daemon/admin_server.h"
 #include "src/daemon/event_queue.h"
+#include "src/daemon/finished_fetch.h"
 #include "src/daemon/node_state.h"
 #include "src/daemon/process_signals.h"
 #include "src/daemon/reachability_checker.h"
@@ -35,7 +36,7 @@
 #include "src/daemon/traffic_event_sink.h"
 // Needs node_state.h.
 #include "src/daemon/view_builder.h"
-// Needs traffic_event_sink.h.
+// Needs traffic_event_sink.h and finished_fetch.h.
 #include "src/daemon/control_loop.h"
 // Needs admin_server.h and control_loop.h.
 #include "src/daemon/control_thread.h"
--- a/wigeonrill/peers.h
+++ b/wigeonrill/peers.h
@@ -39,6 +39,8 @@
 // Needs gossip_node.h and transport.h.
 #include "src/peers/peer_link.h"
 // Thrift service over TCP.
+#include "src/peers/transfer_progress.h"
+// Needs transfer_progress.h.
 #include "src/peers/change_client.h"
 #include "src/peers/change_server.h"
 #include "src/peers/thrift_output.h"
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -85,14 +85,6 @@
     return outcome;
 }
 
-void control_loop::log_failed_fetch(const node_id& peer, const error& reason) {
-    write_log(log_level::warning, log_subsystem::config,
-              log_line("Fetching the configuration from a peer failed.")
-                  .with("version", static_cast<std::int64_t>(store_.version()))
-                  .with("peer", peer.value)
-                  .with("reason", to_string(reason)));
-}
-
 void control_loop::confirm(std::uint64_t version) {
     const auto now = dependencies_.clock.wall_now();
     store_.confirm(version, now);
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -51,8 +51,9 @@
     void on_group_rank(std::function<void(std::size_t)> listener) {
         group_rank_listener_ = std::move(listener);
     }
-    /// \brief Logs that a peer did not answer a request for configuration changes.
-    void log_failed_fetch(const node_id& peer, const error& reason);
+    /// \brief Logs the end of a call to a peer for configuration changes. To be called before the
+    ///        changes are applied.
+    void log_fetch(const finished_fetch& ended);
     /// \brief Records that this version is still the newest that the platform or file provides.
     void confirm(std::uint64_t version);
     /// \brief Processes the events of traffic threads, announces new observations to peers and
--- /dev/null
+++ b/wigeonrill/src/daemon/control_loop_fetches.cpp
@@ -0,0 +1,41 @@
+#include "wigeonrill/daemon.h"
+
+// Members of control_loop that log fetches of the configuration from peers.
+
+namespace wigeonrill::daemon {
+
+using observe::log_level;
+using observe::log_line;
+using observe::log_subsystem;
+
+namespace {
+
+log_line describe(std::string_view sentence, const finished_fetch& ended, std::uint64_t version) {
+    log_line line(sentence);
+    line.with("peer", ended.request.from.value)
+        .with("since", static_cast<std::int64_t>(ended.request.since))
+        .with("version", static_cast<std::int64_t>(version))
+        .with("bytes", static_cast<std::int64_t>(ended.bytes));
+    if (ended.wait) {
+        line.with("wait_ms", static_cast<std::int64_t>(ended.wait->count()));
+    }
+    line.with("duration_ms", static_cast<std::int64_t>(ended.duration.count()));
+    return line;
+}
+
+} // namespace
+
+void control_loop::log_fetch(const finished_fetch& ended) {
+    if (!ended.answer) {
+        write_log(
+            log_level::warning, log_subsystem::config,
+            describe("Fetching the configuration from a peer failed.", ended, store_.version())
+                .with("reason", to_string(ended.answer.error())));
+        return;
+    }
+    const bool is_news = ended.answer->version > store_.version();
+    write_log(is_news ? log_level::info : log_level::debug, log_subsystem::config,
+              describe("Configuration fetched from a peer.", ended, ended.answer->version));
+}
+
+} // namespace wigeonrill::daemon
--- a/wigeonrill/src/daemon/control_thread.cpp
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -111,18 +111,23 @@
 
 void control_thread::fetch(const peers::fetch_request& request) {
     const auto address = parse_endpoint(request.from.value);
-    auto changes = address ? peers::fetch_changes(*address, request.since)
+    const auto started = clock_.now();
+    peers::transfer_progress progress;
+    auto changes = address ? peers::fetch_changes(*address, request.since, {}, &progress)
                            : result<config::change_set>(tl::unexpected<error>(address.error()));
-    post([this, request, answer = std::move(changes)] {
-        gossip_->fetch_finished(request.from, answer.has_value());
-        gossip_->count_transfer(0, answer ? content_bytes(*answer) : 0);
-        if (!answer) {
-            loop_.log_failed_fetch(request.from, answer.error());
-        }
-        if (answer && answer->version > request.since) {
-            apply_fetched_changes(request, *answer);
-        }
-    });
+    const auto duration = std::chrono::duration_cast<milliseconds>(clock_.now() - started);
+    post([this, ended = finished_fetch{request, std::move(changes), progress.bytes(),
+                                       progress.wait(), duration}] { end_fetch(ended); });
+}
+
+void control_thread::end_fetch(const finished_fetch& ended) {
+    const auto& answer = ended.answer;
+    gossip_->fetch_finished(ended.request.from, answer.has_value());
+    gossip_->count_transfer(0, answer ? content_bytes(*answer) : 0);
+    loop_.log_fetch(ended);
+    if (answer && answer->version > ended.request.since) {
+        apply_fetched_changes(ended.request, *answer);
+    }
 }
 
 } // namespace wigeonrill::daemon
--- a/wigeonrill/src/daemon/control_thread.h
+++ b/wigeonrill/src/daemon/control_thread.h
@@ -55,7 +55,9 @@
     void run();
     void run_tasks();
     void fetch_if_due();
+    /// Calls the peer, and posts the end of the call to this thread.
     void fetch(const peers::fetch_request& request);
+    void end_fetch(const finished_fetch& ended);
     void apply_fetched_changes(const peers::fetch_request& request,
                                const config::change_set& changes);
     void wait_for_datagrams(instant until);
--- /dev/null
+++ b/wigeonrill/src/daemon/finished_fetch.h
@@ -0,0 +1,21 @@
+#ifndef WIGEONRILL_DAEMON_FINISHED_FETCH_H
+#define WIGEONRILL_DAEMON_FINISHED_FETCH_H
+
+#ifndef WIGEONRILL_DAEMON_MODULE
+#error "Include wigeonrill/daemon.h instead of this file."
+#endif
+
+namespace wigeonrill::daemon {
+
+/// \brief Call to a peer for configuration changes that has ended.
+struct finished_fetch {
+    peers::fetch_request request;
+    result<config::change_set> answer;
+    std::size_t bytes{0};             ///< bytes of the answer that were received
+    std::optional<milliseconds> wait; ///< time until the first byte; nothing if none came
+    milliseconds duration{0};         ///< time from the start to the end of the call
+};
+
+} // namespace wigeonrill::daemon
+
+#endif
--- a/wigeonrill/src/peers/change_client.cpp
+++ b/wigeonrill/src/peers/change_client.cpp
@@ -21,8 +21,10 @@
 // read, so a peer that sends single bytes at intervals could block the calling thread forever.
 class deadline_socket : public TSocket {
 public:
-    deadline_socket(const endpoint& peer, const change_client_limits& limits)
-        : TSocket(peer.ip, peer.port), deadline_(std::chrono::steady_clock::now() + limits.total) {
+    deadline_socket(const endpoint& peer, const change_client_limits& limits,
+                    transfer_progress* progress)
+        : TSocket(peer.ip, peer.port), started_(std::chrono::steady_clock::now()),
+          deadline_(started_ + limits.total), progress_(progress) {
         setConnTimeout(static_cast<int>(limits.connect_timeout.count()));
         setSendTimeout(static_cast<int>(limits.total.count()));
     }
@@ -35,22 +37,30 @@
                                       "the call exceeded its time limit");
         }
         setRecvTimeout(static_cast<int>(left.count()));
-        return TSocket::read(buf, len);
+        const auto count = TSocket::read(buf, len);
+        if (progress_ != nullptr) {
+            const auto since_start = std::chrono::steady_clock::now() - started_;
+            progress_->add_bytes(count, std::chrono::duration_cast<milliseconds>(since_start));
+        }
+        return count;
     }
 
 private:
+    std::chrono::steady_clock::time_point started_;
     std::chrono::steady_clock::time_point deadline_;
+    transfer_progress* progress_;
 };
 
 template <typename Call>
-auto call_peer(const endpoint& peer, const change_client_limits& limits, const Call& call)
+auto call_peer(const endpoint& peer, const change_client_limits& limits,
+               transfer_progress* progress, const Call& call)
     -> result<decltype(call(std::declval<wire::PeerServiceClient&>()))> {
     detail::disable_thrift_output();
     const auto error_prefix = "peers: " + to_string(peer);
     try {
         const auto max_bytes = static_cast<int>(limits.answer_bytes);
         const auto size_limits = std::make_shared<TConfiguration>(max_bytes, max_bytes);
-        const auto socket = std::make_shared<deadline_socket>(peer, limits);
+        const auto socket = std::make_shared<deadline_socket>(peer, limits, progress);
         const auto framed = std::make_shared<TFramedTransport>(socket, size_limits);
         wire::PeerServiceClient client(std::make_shared<TCompactProtocol>(framed));
         framed->open();
@@ -113,8 +123,8 @@
 } // namespace
 
 result<config::change_set> fetch_changes(const endpoint& peer, std::uint64_t since,
-                                         change_client_limits limits) {
-    auto answer = call_peer(peer, limits, [since](wire::PeerServiceClient& client) {
+                                         change_client_limits limits, transfer_progress* progress) {
+    auto answer = call_peer(peer, limits, progress, [since](wire::PeerServiceClient& client) {
         wire::ChangeSet changes;
         client.changes_since(changes, static_cast<std::int64_t>(since), protocol_number, false);
         return changes;
@@ -131,7 +141,7 @@
 }
 
 result<std::string> fetch_status(const endpoint& peer, change_client_limits limits) {
-    return call_peer(peer, limits, [](wire::PeerServiceClient& client) {
+    return call_peer(peer, limits, nullptr, [](wire::PeerServiceClient& client) {
         wire::Status status;
         client.status(status, protocol_number);
         return status.json;
--- a/wigeonrill/src/peers/change_client.h
+++ b/wigeonrill/src/peers/change_client.h
@@ -16,10 +16,12 @@
 
 /// \brief Requests the configuration changes since a version from a peer.
 /// \param since configuration version in force on this node
+/// \param progress records the bytes of the answer; may be null
 /// \returns the changes, or an error: unavailable, timed_out, or invalid_input if the answer is not
 ///          valid
 [[nodiscard]] result<config::change_set> fetch_changes(const endpoint& peer, std::uint64_t since,
-                                                       change_client_limits limits = {});
+                                                       change_client_limits limits = {},
+                                                       transfer_progress* progress = nullptr);
 
 /// \brief Requests the status of a peer.
 /// \returns the status as JSON text, or one of the errors of fetch_changes()
