Refuse calls for the configuration while enough are under way

The server takes calls first come, first served with 3 threads, so that over a link of 10 Mbit/s a caller may wait for the 10 s of its time limit while other peers have the version. A silent peer holds its caller for the same time, also while the node stops. Ruled out: sending to two callers at once. One at a time without a second that waits is as fast, but a client that doesn't read its answer then blocks the node; so the second one waits for its turn for 500 ms at most, and sends beside the first after that. Change: a node answers two calls at a time, one after another, and refuses further ones with Refusal.busy if the caller sets may_refuse. Older builds send none and wait for up to 10 s. A call ends when its connection does, since the end of an answer may still be in the socket's buffer. 32 threads, one for each connection, so that there is always one to refuse a call up to that number. The client gets a limit on silence beside that of the whole call, and can be cancelled within 50 ms.

--- a/wigeonrill/src/peers/change_client.cpp
+++ b/wigeonrill/src/peers/change_client.cpp
@@ -3,6 +3,7 @@
 #include "PeerService.h"
 
 #include <algorithm>
+#include <poll.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
@@ -17,37 +18,64 @@
 using apache::thrift::transport::TSocket;
 using apache::thrift::transport::TTransportException;
 
-// Socket with one deadline for the whole call. The receive timeout of TSocket restarts with every
-// read, so a peer that sends single bytes at intervals could block the calling thread forever.
+// A cancelled call ends within this time.
+constexpr milliseconds cancel_interval{50};
+
+// Socket with one deadline for the whole call and a limit on silence. The receive timeout of
+// TSocket restarts with every read, so a peer that sends single bytes at intervals could block the
+// calling thread forever.
 class deadline_socket : public TSocket {
 public:
     deadline_socket(const endpoint& peer, const change_client_limits& limits,
                     transfer_progress* progress)
         : TSocket(peer.ip, peer.port), started_(std::chrono::steady_clock::now()),
-          deadline_(started_ + limits.total), progress_(progress) {
+          deadline_(started_ + limits.total), silence_(limits.silence), last_read_(started_),
+          progress_(progress) {
         setConnTimeout(static_cast<int>(limits.connect_timeout.count()));
         setSendTimeout(static_cast<int>(limits.total.count()));
     }
 
     std::uint32_t read(std::uint8_t* buf, std::uint32_t len) override {
-        const auto left =
-            std::chrono::duration_cast<milliseconds>(deadline_ - std::chrono::steady_clock::now());
-        if (left.count() <= 0) {
-            throw TTransportException(TTransportException::TIMED_OUT,
-                                      "the call exceeded its time limit");
-        }
-        setRecvTimeout(static_cast<int>(left.count()));
+        wait_for_bytes();
         const auto count = TSocket::read(buf, len);
+        last_read_ = std::chrono::steady_clock::now();
         if (progress_ != nullptr) {
-            const auto since_start = std::chrono::steady_clock::now() - started_;
-            progress_->add_bytes(count, std::chrono::duration_cast<milliseconds>(since_start));
+            progress_->add_bytes(count,
+                                 std::chrono::duration_cast<milliseconds>(last_read_ - started_));
         }
         return count;
     }
 
 private:
+    void wait_for_bytes() {
+        const auto silent_until = last_read_ + silence_;
+        for (;;) {
+            const auto now = std::chrono::steady_clock::now();
+            if (now >= std::min(deadline_, silent_until)) {
+                throw TTransportException(TTransportException::TIMED_OUT,
+                                          deadline_ <= silent_until
+                                              ? "the call exceeded its time limit"
+                                              : "no byte came within the limit on silence");
+            }
+            if (progress_ != nullptr && progress_->is_cancelled()) {
+                throw TTransportException(TTransportException::INTERRUPTED,
+                                          "the call was cancelled");
+            }
+            const auto left =
+                std::chrono::ceil<milliseconds>(std::min(deadline_, silent_until) - now);
+            pollfd readable{getSocketFD(), POLLIN, 0};
+            // An end or error of the connection counts as readable, too.
+            if (::poll(&readable, 1, static_cast<int>(std::min(left, cancel_interval).count())) >
+                0) {
+                return;
+            }
+        }
+    }
+
     std::chrono::steady_clock::time_point started_;
     std::chrono::steady_clock::time_point deadline_;
+    milliseconds silence_;
+    std::chrono::steady_clock::time_point last_read_; // or the start
     transfer_progress* progress_;
 };
 
@@ -68,8 +96,9 @@
         framed->close();
         return answer;
     } catch (const wire::Refusal& refusal) {
-        return failed(error_kind::unavailable, error_prefix + " refused: " + refusal.message,
-                      refusal.remedy);
+        const bool busy = refusal.__isset.busy && refusal.busy;
+        return failed(busy ? error_kind::overloaded : error_kind::unavailable,
+                      error_prefix + " refused: " + refusal.message, refusal.remedy);
     } catch (const TTransportException& ex) {
         const bool late = ex.getType() == TTransportException::TIMED_OUT;
         return failed(late ? error_kind::timed_out : error_kind::unavailable,
@@ -124,9 +153,10 @@
 
 result<config::change_set> fetch_changes(const endpoint& peer, std::uint64_t since,
                                          change_client_limits limits, transfer_progress* progress) {
-    auto answer = call_peer(peer, limits, progress, [since](wire::PeerServiceClient& client) {
+    auto answer = call_peer(peer, limits, progress, [&](wire::PeerServiceClient& client) {
         wire::ChangeSet changes;
-        client.changes_since(changes, static_cast<std::int64_t>(since), protocol_number, false);
+        client.changes_since(changes, static_cast<std::int64_t>(since), protocol_number,
+                             limits.may_refuse);
         return changes;
     });
     if (!answer) {
--- a/wigeonrill/src/peers/change_client.h
+++ b/wigeonrill/src/peers/change_client.h
@@ -12,13 +12,15 @@
     milliseconds connect_timeout{1'000};  ///< longest time to establish the connection
     milliseconds total{10'000};           ///< longest time of the whole call
     std::size_t answer_bytes{64'000'000}; ///< largest accepted size of the answer
+    milliseconds silence{10'000};         ///< longest time until the first and between two bytes
+    bool may_refuse{false}; ///< the peer may refuse if it is busy; otherwise the call waits
 };
 
 /// \brief Requests the configuration changes since a version from a peer.
 /// \param since configuration version in force on this node
-/// \param progress records the bytes of the answer; may be null
-/// \returns the changes, or an error: unavailable, timed_out, or invalid_input if the answer is not
-///          valid
+/// \param progress records the bytes of the answer and can cancel the call; may be null
+/// \returns the changes, or an error: unavailable, timed_out, overloaded if the peer is busy, or
+///          invalid_input if the answer is not valid
 [[nodiscard]] result<config::change_set> fetch_changes(const endpoint& peer, std::uint64_t since,
                                                        change_client_limits limits = {},
                                                        transfer_progress* progress = nullptr);
--- a/wigeonrill/src/peers/change_server.cpp
+++ b/wigeonrill/src/peers/change_server.cpp
@@ -1,6 +1,7 @@
 #include "wigeonrill/peers.h"
 
 #include "PeerService.h"
+#include "wigeonrill/src/peers/transfer_slots.h"
 
 #include <future>
 #include <thread>
@@ -17,6 +18,9 @@
 namespace {
 
 using apache::thrift::TConfiguration;
+using apache::thrift::TConnectionInfo;
+using apache::thrift::TProcessor;
+using apache::thrift::TProcessorFactory;
 using apache::thrift::concurrency::ThreadFactory;
 using apache::thrift::concurrency::ThreadManager;
 using apache::thrift::protocol::TCompactProtocolFactory;
@@ -114,13 +118,24 @@
     return bytes;
 }
 
+// Serves one connection. It holds its slot until the connection ends, because the end of the answer
+// may still be in the socket's buffer when the call has returned.
 class service_handler : public wire::PeerServiceIf {
 public:
-    explicit service_handler(change_server_callbacks source) : source_(std::move(source)) {}
+    service_handler(const change_server_callbacks& source, std::shared_ptr<transfer_slots> slots)
+        : source_(source), slots_(std::move(slots)) {}
+    service_handler(const service_handler&) = delete;
+    service_handler& operator=(const service_handler&) = delete;
+    ~service_handler() override {
+        if (has_slot_) {
+            slots_->release();
+        }
+    }
 
     void changes_since(wire::ChangeSet& out, const std::int64_t version,
-                       const std::int16_t protocol, const bool /*may_refuse*/) override {
+                       const std::int16_t protocol, const bool may_refuse) override {
         check_protocol(protocol);
+        take_slot(may_refuse);
         const auto changes =
             source_.changes(static_cast<std::uint64_t>(std::max<std::int64_t>(0, version)));
         if (!changes) {
@@ -138,8 +153,40 @@
         out.json = source_.status();
     }
 
+private:
+    void take_slot(bool may_refuse) {
+        has_slot_ = has_slot_ || slots_->take(may_refuse);
+        if (has_slot_) {
+            return;
+        }
+        if (source_.on_busy) {
+            source_.on_busy();
+        }
+        auto busy =
+            refusal({error_kind::overloaded, "too many calls are under way", "ask another peer"});
+        busy.__set_busy(true);
+        throw busy;
+    }
+
+    const change_server_callbacks& source_;
+    std::shared_ptr<transfer_slots> slots_;
+    bool has_slot_{false};
+};
+
+// Creates the handler of each connection.
+class handler_factory : public TProcessorFactory {
+public:
+    handler_factory(change_server_callbacks source, std::shared_ptr<transfer_slots> slots)
+        : source_(std::move(source)), slots_(std::move(slots)) {}
+
+    std::shared_ptr<TProcessor> getProcessor(const TConnectionInfo& /*connection*/) override {
+        return std::make_shared<wire::PeerServiceProcessor>(
+            std::make_shared<service_handler>(source_, slots_));
+    }
+
 private:
     change_server_callbacks source_;
+    std::shared_ptr<transfer_slots> slots_;
 };
 
 // Tells the thread that starts the server whether listening succeeded or failed.
@@ -168,6 +215,7 @@
     std::shared_ptr<ThreadManager> workers;
     std::unique_ptr<TThreadPoolServer> server;
     std::shared_ptr<startup_signal> signal;
+    std::shared_ptr<transfer_slots> slots;
     std::string ip;
     std::thread thread;
 };
@@ -187,11 +235,10 @@
     it->workers = ThreadManager::newSimpleThreadManager(limits.threads, limits.connections);
     it->workers->threadFactory(std::make_shared<ThreadFactory>(false));
     it->signal = std::make_shared<startup_signal>();
+    it->slots = std::make_shared<transfer_slots>(limits);
     auto accepts_address = source.accepts_address;
     it->server = std::make_unique<TThreadPoolServer>(
-        std::make_shared<wire::PeerServiceProcessor>(
-            std::make_shared<service_handler>(std::move(source))),
-        it->socket,
+        std::make_shared<handler_factory>(std::move(source), it->slots), it->socket,
         std::make_shared<limiting_transport_factory>(limits.request_bytes,
                                                      std::move(accepts_address)),
         std::make_shared<TCompactProtocolFactory>(), it->workers);
@@ -220,6 +267,7 @@
 }
 
 change_server::~change_server() {
+    state_->slots->close();
     state_->server->stop();
     state_->thread.join();
     state_->workers->stop();
--- a/wigeonrill/src/peers/change_server.h
+++ b/wigeonrill/src/peers/change_server.h
@@ -9,10 +9,21 @@
 
 /// \brief Limits of the TCP service for other nodes.
 struct change_server_limits {
-    std::size_t threads{3};           ///< number of requests that are served concurrently
-    std::size_t connections{16};      ///< open connections; further ones wait in the listen backlog
+    /// Connections that are served concurrently. With one thread for each connection, a call can be
+    /// refused while others are sending over a full link.
+    std::size_t threads{32};
+    std::size_t connections{32};      ///< open connections; further ones wait in the listen backlog
     milliseconds io_timeout{2'000};   ///< a connection without traffic for this long is closed
     std::size_t request_bytes{4'096}; ///< largest accepted size of a request
+    /// Calls for changes at a time. Each further one is refused if its caller allows it, and waits
+    /// otherwise. Few, since the callers whose calls end are sources for the others.
+    std::size_t transfers{2};
+    /// Longest time that one of these waits until the others have ended. One after another over the
+    /// whole link, the first ends in half the time; after this time they share the link, so that a
+    /// client that doesn't read holds up no other.
+    milliseconds turn{500};
+    /// Longest time that a call waits; the time limit of older builds for a call.
+    milliseconds wait{10'000};
 };
 
 /// \brief Callbacks of the TCP service; called concurrently by the threads of the server.
@@ -25,6 +36,8 @@
     std::function<bool(const std::string& ip)> accepts_address;
     /// \brief Called with the number of content bytes in an answer with changes; may be empty.
     std::function<void(std::size_t bytes)> on_answer_sent;
+    /// \brief Called when a call is refused because too many are under way; may be empty.
+    std::function<void()> on_busy{};
 };
 
 /// \brief TCP server of the Thrift service with the calls `changes_since` and `status`.
--- a/wigeonrill/src/peers/transfer_progress.h
+++ b/wigeonrill/src/peers/transfer_progress.h
@@ -7,7 +7,8 @@
 
 namespace wigeonrill::peers {
 
-/// \brief Progress of a call to a peer. Thread-safe, so that other threads can watch the call.
+/// \brief Progress of a call to a peer. Thread-safe, so that other threads can watch the call
+///        and cancel it.
 class transfer_progress {
 public:
     /// \brief Records received bytes.
@@ -18,6 +19,10 @@
         }
     }
 
+    /// \brief Ends the call soon, as failed.
+    void cancel() { cancelled_ = true; }
+
+    [[nodiscard]] bool is_cancelled() const { return cancelled_; }
     /// \returns the number of bytes received so far
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
     /// \returns the time until the first byte; nothing while none was received
@@ -28,6 +33,7 @@
 private:
     std::atomic<std::size_t> bytes_{0};
     std::atomic<milliseconds::rep> wait_ms_{0};
+    std::atomic<bool> cancelled_{false};
 };
 
 } // namespace wigeonrill::peers
