Ask other sources of the configuration while one is busy or hangs

Ruled out: a limit on silence alone. A short one cuts off a slow but sound peer again and again, a long one uses up the 2.5 s. So both: a second call to another source starts once the first has received no byte for 300 ms (or lasts 1.5 s), and a silent call ends after 1.5 s, or after 4 s once all known sources have failed. A call that makes progress may take 30 s. Change: - The source is chosen at random among the known ones of the newest version, up to 32. A busy one is asked again after up to 300 ms; a failed one is left out until all have failed, and only then the delay grows exponentially. - Rejected versions are remembered by number (64). - A node that has put a version in force tells 6 random peers at once, so that they have another source than the announcer. Slope: 6 datagrams per node and change, within the gossip budget. - A change set for another base makes the scheduler ask for all shards, in place of a call that it doesn't know of, and only if the version in force is still the one of the request. - The control thread handles calls every 10 ms in place of every 50 ms, takes their results from the futures (a posted end could be dropped by a full queue, and the peer then stayed in flight), and cancels them when it stops.

--- a/test/peers/fetch_scheduler_test.cpp
+++ b/test/peers/fetch_scheduler_test.cpp
@@ -94,3 +94,93 @@
         fetches.set_version(version);
     }
 }
+
+// Guards against a busy answer that is taken for a failure: other sources are asked at once, and
+// the busy one again after a short delay, however often it was busy.
+TEST(fetch_scheduler, asks_again_soon_after_busy_answers) {
+    fetches.record_peer_version(a, 2, now);
+    for (int i = 0; i < 20; ++i) {
+        const auto request = wait_for_request(second_source_bound);
+        CHECK(request == std::optional(fetch_request{a, 1}));
+        fetches.request_refused(a, now);
+    }
+    fetches.record_peer_version(b, 2, now);
+    const auto start = now;
+    while (true) {
+        const auto request = wait_for_request(second_source_bound);
+        CHECK(request.has_value());
+        if (request->from == b) {
+            break;
+        }
+        fetches.request_refused(a, now);
+    }
+    CHECK(now <= start + second_source_bound);
+}
+
+// Guards against a slow transfer that is started a second time, and against a peer that holds up
+// the node by sending single bytes.
+TEST(fetch_scheduler, leaves_a_call_that_makes_progress_alone_for_a_while) {
+    fetches.record_peer_version(a, 2, now);
+    CHECK(wait_for_request(second_source_bound).has_value());
+    fetches.record_peer_version(b, 2, now);
+    const auto start = now;
+    std::optional<fetch_request> second;
+    while (!second && now < start + seconds(10)) {
+        fetches.request_progressed(a, now);
+        second = wait_for_request(milliseconds(10));
+    }
+    CHECK(second == std::optional(fetch_request{b, 1}));
+    CHECK(now > start + second_source_bound);
+    CHECK(now < start + milliseconds(2'500));
+}
+
+// Guards against more than two calls at a time from one node.
+TEST(fetch_scheduler, asks_at_most_two_sources_at_a_time) {
+    for (const auto& it : {a, b, c}) {
+        fetches.record_peer_version(it, 2, now);
+    }
+    CHECK(wait_for_request(second_source_bound).has_value());
+    CHECK(wait_for_request(second_source_bound).has_value());
+    CHECK_FALSE(wait_for_request(seconds(10)).has_value());
+}
+
+// Guards against a slow source that is given up again and again although there is no other.
+TEST(fetch_scheduler, waits_longer_once_all_sources_have_failed) {
+    fetches.record_peer_version(a, 2, now);
+    CHECK_FALSE(wait_for_request(second_source_bound).value_or(fetch_request{}).patient);
+    fetches.request_finished(a, false, now);
+    CHECK(wait_for_request(second_source_bound) == std::optional(fetch_request{a, 1, true}));
+}
+
+// Guards against changes that are requested again and again since a version whose content differs
+// here, and against a whole configuration that is requested because another version came into force
+// during a call.
+TEST(fetch_scheduler, requests_all_shards_if_the_content_in_force_differs) {
+    fetches.record_peer_version(a, 9, now);
+    const auto early = wait_for_request(second_source_bound);
+    fetches.set_version(2);
+    fetches.request_finished(a, true, now);
+    fetches.handle_base_mismatch(*early, 9);
+    const auto next = wait_for_request(second_source_bound);
+    CHECK(next == std::optional(fetch_request{a, 2}));
+    fetches.request_finished(a, true, now);
+    fetches.handle_base_mismatch(*next, 9);
+    CHECK(wait_for_request(second_source_bound) == std::optional(fetch_request{a, 0}));
+    fetches.set_version(9);
+    fetches.request_finished(a, true, now);
+    fetches.record_peer_version(b, 10, now);
+    CHECK(wait_for_request(second_source_bound) == std::optional(fetch_request{b, 9}));
+}
+
+// Guards against a node that looks late because of a version that it doesn't want, and against one
+// that doesn't look late.
+TEST(fetch_scheduler, tells_how_long_a_wanted_version_is_known) {
+    fetches.reject_version(3);
+    fetches.record_peer_version(a, 3, now);
+    CHECK(fetches.behind_for(now + seconds(1)) == nanoseconds(0));
+    fetches.record_peer_version(a, 2, now);
+    fetches.record_peer_version(b, 2, now + seconds(1));
+    CHECK(fetches.behind_for(now + seconds(2)) == seconds(2));
+    fetches.set_version(2);
+    CHECK(fetches.behind_for(now + seconds(3)) == nanoseconds(0));
+}
--- a/test/peers/slow_links.h
+++ b/test/peers/slow_links.h
@@ -8,15 +8,17 @@
 /// \brief Transfers of whole configurations between the nodes of a fake fleet, over links with a
 ///        limited number of bytes per second in each direction.
 ///
-/// The calls that a node serves at a time share its link equally. A node starts and ends calls in
-/// its control loop, every 50 ms.
+/// A node sends to one other at a time, lets a second call wait and refuses further ones at once.
+/// One that hangs accepts all calls. The calls that a node serves at a time share its link equally.
+/// A node starts and ends calls in its control loop, every 20 ms.
 class slow_links {
 public:
     static constexpr double link_bytes_per_second = 10e6 / 8; // 10 Mbit/s
     static constexpr double configuration_bytes = 300'000;
-    static constexpr milliseconds call_limit{10'000};
+    static constexpr milliseconds silence_limit{1'500}; ///< of a call without any byte
     static constexpr milliseconds latency{20}; ///< of a call until it reaches the other node
-    static constexpr std::size_t serving_threads{3};
+    static constexpr std::size_t transfers = change_server_limits{}.transfers;
+    static constexpr milliseconds longest_turn = change_server_limits{}.turn;
 
     /// \param fleet must outlive this object and run no steps after it
     explicit slow_links(fake_fleet& fleet) : fleet_(fleet) {
@@ -41,23 +43,28 @@
         instant started{};
         bool arrived{false};
         bool sending{false};
+        bool refused{false};
+        bool waiting{false}; ///< for its turn
+        instant wait_end{};
         double bytes_left{configuration_bytes};
         std::uint64_t version{0};
     };
 
     void step() {
         for (std::size_t i = 0; i < fleet_.nodes.size(); ++i) {
-            if (fleet_.nodes[i]->running && fleet_.step % 5 == static_cast<int>(i % 5)) {
+            if (fleet_.nodes[i]->running && fleet_.step % 2 == static_cast<int>(i % 2)) {
                 run_control_loop(i);
             }
         }
         for (auto& it : calls_) {
             if (!it.arrived && fleet_.clock.now() >= it.started + latency) {
-                it.arrived = true;
-                ++calls_at_[it.from];
+                arrive(it);
             }
-            if (it.arrived && !it.sending && !hanging.contains(it.from) &&
-                count_sending(&call::from, it.from) < serving_threads) {
+        }
+        for (auto& it : calls_) {
+            if (it.waiting &&
+                (count_sending(&call::from, it.from) == 0 || fleet_.clock.now() >= it.wait_end)) {
+                it.waiting = false;
                 it.sending = true;
                 it.version = fleet_.nodes[it.from]->version;
             }
@@ -65,22 +72,28 @@
         send_bytes();
     }
 
+    void arrive(call& it) {
+        it.arrived = true;
+        ++calls_at_[it.from];
+        if (hanging.contains(it.from)) {
+            return;
+        }
+        const auto waiting = std::ranges::count_if(
+            calls_, [&](const call& other) { return other.from == it.from && other.waiting; });
+        const auto sending = count_sending(&call::from, it.from);
+        it.refused = sending + static_cast<std::size_t>(waiting) >= transfers;
+        it.waiting = !it.refused;
+        it.wait_end = fleet_.clock.now() + longest_turn;
+    }
+
     void run_control_loop(std::size_t node) {
         auto& asking = *fleet_.nodes[node];
         for (const auto& it : calls_) {
-            const bool ended = it.bytes_left <= 0;
-            if (it.to != node || (!ended && fleet_.clock.now() < it.started + call_limit)) {
-                continue;
-            }
-            asking.node.fetch_finished(fake_fleet::id(it.from), ended);
-            if (ended && it.version > asking.version) {
-                fake_fleet::set_version(asking, it.version);
+            if (it.to == node) {
+                report(it, asking);
             }
         }
-        std::erase_if(calls_, [&](const call& it) {
-            return it.to == node &&
-                   (it.bytes_left <= 0 || fleet_.clock.now() >= it.started + call_limit);
-        });
+        std::erase_if(calls_, [&](const call& it) { return it.to == node && has_ended(it); });
         if (const auto request = asking.node.take_fetch_request()) {
             call started;
             started.to = node;
@@ -88,6 +101,29 @@
             started.started = fleet_.clock.now();
             calls_.push_back(started);
         }
+        asking.link.flush();
+    }
+
+    [[nodiscard]] bool has_ended(const call& it) const {
+        const bool silent = !it.sending && fleet_.clock.now() >= it.started + silence_limit;
+        return it.bytes_left <= 0 || it.refused || silent;
+    }
+
+    // Tells the node that asks how its call goes on.
+    void report(const call& it, fake_node& asking) const {
+        const auto from = fake_fleet::id(it.from);
+        if (!has_ended(it)) {
+            if (it.sending) {
+                asking.node.fetch_progressed(from);
+            }
+        } else if (it.refused) {
+            asking.node.fetch_refused(from);
+        } else {
+            asking.node.fetch_finished(from, it.sending);
+            if (it.sending && it.version > asking.version) {
+                fake_fleet::set_version(asking, it.version);
+            }
+        }
     }
 
     void send_bytes() {
--- a/wigeonrill/src/daemon/control_thread.cpp
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -17,6 +17,29 @@
     return bytes;
 }
 
+// A change has to be in force on all nodes within 2.5 s. A peer that sends nothing for this long is
+// given up, so that two such peers leave time for a third one.
+constexpr milliseconds silence_limit{1'500};
+// The same once all known sources have failed. A control thread that is late answers within 2 s.
+constexpr milliseconds patient_silence_limit{4'000};
+// Longest time of a call that makes progress. A whole configuration of 300 KB needs 80 kbit/s.
+constexpr milliseconds call_limit{30'000};
+
+finished_fetch call_peer(const peers::fetch_request& request,
+                         const std::shared_ptr<peers::transfer_progress>& progress,
+                         const clock_source* clock) {
+    peers::change_client_limits limits;
+    limits.total = call_limit;
+    limits.silence = request.patient ? patient_silence_limit : silence_limit;
+    limits.may_refuse = true;
+    const auto started = clock->now();
+    const auto address = parse_endpoint(request.from.value);
+    auto changes = address ? peers::fetch_changes(*address, request.since, limits, progress.get())
+                           : result<config::change_set>(tl::unexpected<error>(address.error()));
+    const auto duration = std::chrono::duration_cast<milliseconds>(clock->now() - started);
+    return {request, std::move(changes), progress->bytes(), progress->wait(), duration};
+}
+
 } // namespace
 
 control_thread::control_thread(control_loop& loop, peers::peer_link* link,
@@ -32,6 +55,9 @@
     if (thread_.joinable()) {
         thread_.join();
     }
+    for (const auto& it : fetches_) {
+        it.progress->cancel();
+    }
     fetches_.clear(); // the destructors of the futures wait for the calls to peers
 }
 
@@ -61,7 +87,7 @@
                 next_gossip = now + peers::gossip_node::tick_interval;
             }
             link_->flush();
-            fetch_if_due();
+            run_fetches();
         }
         wait_for_datagrams(next_tick);
     }
@@ -79,54 +105,53 @@
         if (link_ == nullptr) {
             std::this_thread::sleep_for(remaining);
         } else {
-            link_->receive(remaining);
+            link_->receive(fetches_.empty() ? remaining : std::min(remaining, datagram_pause));
             loop_.exchange_events();
+            run_fetches();
             link_->flush();
             std::this_thread::sleep_for(std::min(remaining, datagram_pause));
         }
     }
 }
 
-void control_thread::fetch_if_due() {
-    if (const auto request = gossip_->take_fetch_request()) {
-        // Removes finished calls. The fetch scheduler allows at most two at a time.
-        std::erase_if(fetches_, [](const std::future<void>& it) {
-            return it.wait_for(seconds(0)) == std::future_status::ready;
-        });
-        fetches_.push_back(std::async(std::launch::async, [this, it = *request] { fetch(it); }));
+void control_thread::run_fetches() {
+    std::vector<finished_fetch> ended;
+    for (auto& it : fetches_) {
+        if (it.progress->bytes() > std::exchange(it.bytes_seen, it.progress->bytes())) {
+            gossip_->fetch_progressed(it.peer);
+        }
+        if (it.result.wait_for(seconds(0)) == std::future_status::ready) {
+            ended.push_back(it.result.get());
+        }
     }
-}
-
-void control_thread::apply_fetched_changes(const peers::fetch_request& request,
-                                           const config::change_set& changes) {
-    const auto outcome = loop_.apply_changes(changes, request.from.value);
-    if (outcome == config::apply_outcome::base_mismatch && request.since != 0) {
-        // Both nodes have read the platform, so that the peer's changes refer to another base
-        // version than the one in force here. Fetches the whole configuration instead.
-        fetches_.push_back(std::async(std::launch::async, [this, from = request.from] {
-            fetch({from, 0});
-        }));
+    std::erase_if(fetches_, [](const running_fetch& it) { return !it.result.valid(); });
+    for (const auto& it : ended) {
+        end_fetch(it);
+    }
+    if (const auto request = gossip_->take_fetch_request()) {
+        auto progress = std::make_shared<peers::transfer_progress>();
+        auto result = std::async(std::launch::async, call_peer, *request, progress, &clock_);
+        fetches_.push_back({request->from, std::move(progress), 0, std::move(result)});
     }
-}
-
-void control_thread::fetch(const peers::fetch_request& request) {
-    const auto address = parse_endpoint(request.from.value);
-    const auto started = clock_.now();
-    peers::transfer_progress progress;
-    auto changes = address ? peers::fetch_changes(*address, request.since, {}, &progress)
-                           : result<config::change_set>(tl::unexpected<error>(address.error()));
-    const auto duration = std::chrono::duration_cast<milliseconds>(clock_.now() - started);
-    post([this, ended = finished_fetch{request, std::move(changes), progress.bytes(),
-                                       progress.wait(), duration}] { end_fetch(ended); });
 }
 
 void control_thread::end_fetch(const finished_fetch& ended) {
     const auto& answer = ended.answer;
-    gossip_->fetch_finished(ended.request.from, answer.has_value());
+    if (!answer && answer.error().kind == error_kind::overloaded) {
+        gossip_->fetch_refused(ended.request.from);
+    } else {
+        gossip_->fetch_finished(ended.request.from, answer.has_value());
+    }
     gossip_->count_transfer(0, answer ? content_bytes(*answer) : 0);
     loop_.log_fetch(ended);
-    if (answer && answer->version > ended.request.since) {
-        apply_fetched_changes(ended.request, *answer);
+    if (!answer || answer->version <= ended.request.since) {
+        return;
+    }
+    const auto outcome = loop_.apply_changes(*answer, ended.request.from.value);
+    if (outcome == config::apply_outcome::base_mismatch && ended.request.since != 0) {
+        // Both nodes have read the platform, so that the peer's changes refer to another base
+        // version than the one in force here, or that one changed during the call.
+        gossip_->handle_base_mismatch(ended.request, answer->version);
     }
 }
 
--- a/wigeonrill/src/daemon/control_thread.h
+++ b/wigeonrill/src/daemon/control_thread.h
@@ -54,12 +54,17 @@
 
     void run();
     void run_tasks();
-    void fetch_if_due();
-    /// Calls the peer, and posts the end of the call to this thread.
-    void fetch(const peers::fetch_request& request);
+    /// Call to a peer for configuration changes.
+    struct running_fetch {
+        node_id peer;
+        std::shared_ptr<peers::transfer_progress> progress;
+        std::size_t bytes_seen{0};
+        std::future<finished_fetch> result;
+    };
+
+    /// Starts a call that is due, and handles the progress and the end of those in progress.
+    void run_fetches();
     void end_fetch(const finished_fetch& ended);
-    void apply_fetched_changes(const peers::fetch_request& request,
-                               const config::change_set& changes);
     void wait_for_datagrams(instant until);
 
     control_loop& loop_;
@@ -69,7 +74,7 @@
     event_queue<task> tasks_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
-    std::vector<std::future<void>> fetches_; ///< calls to peers in progress
+    std::vector<running_fetch> fetches_;
 };
 
 } // namespace wigeonrill::daemon
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -17,8 +17,8 @@
 // retried. A higher rate is due to a fault, and the excess isn't answered.
 constexpr double replies_per_second = 25;
 constexpr double reply_burst = 50;
-// Number of peers that are informed at once when a node or target leaves, or a request crashed a
-// target.
+// Number of peers that are informed at once when a node or target leaves, a request crashed a
+// target, or a version of the configuration came into force.
 constexpr int immediate_receivers = 6;
 // Changed member records are forwarded to three peers at once, which reaches 94 % of the nodes in a
 // few hops; the gossip rounds reach the rest. In a fleet of the planned size 0.4 changes/s are
@@ -84,6 +84,20 @@
     config_digest_ = stable_hash(digest);
     confirmed_ = {};
     fetches_.set_version(version);
+    announce_config(clock_.now());
+}
+
+void gossip_node::announce_config(instant now) {
+    std::set<node_id> contacted;
+    for (int i = 0; i < immediate_receivers; ++i) {
+        const auto peer = members_.choose(random_, true, contacted);
+        if (!peer) {
+            return;
+        }
+        contacted.insert(*peer);
+        // A reply, since nothing is expected in return.
+        send_gossip(*peer, message_kind::gossip_reply, now);
+    }
 }
 
 void gossip_node::confirm_by_platform(wall_time when) {
@@ -102,6 +116,18 @@
     fetches_.request_finished(peer, answered, clock_.now());
 }
 
+void gossip_node::fetch_refused(const node_id& peer) {
+    fetches_.request_refused(peer, clock_.now());
+}
+
+void gossip_node::fetch_progressed(const node_id& peer) {
+    fetches_.request_progressed(peer, clock_.now());
+}
+
+void gossip_node::handle_base_mismatch(const fetch_request& request, std::uint64_t version) {
+    fetches_.handle_base_mismatch(request, version);
+}
+
 void gossip_node::report(const std::vector<node_id>& aggregators,
                          const health::evidence_report& evidence) {
     for (const auto& it : aggregators) {
--- a/wigeonrill/src/peers/gossip_node.h
+++ b/wigeonrill/src/peers/gossip_node.h
@@ -109,6 +109,13 @@
     /// \brief Records the end of a request that take_fetch_request() returned.
     /// \param answered whether the peer sent a valid answer, with or without changes
     void fetch_finished(const node_id& peer, bool answered);
+    /// \brief Records that a peer refused such a request because it has too many calls.
+    void fetch_refused(const node_id& peer);
+    /// \brief Records that such a request has received bytes.
+    void fetch_progressed(const node_id& peer);
+    /// \brief Records that the changes in an answer refer to other content than that in force.
+    /// \param version version in the answer
+    void handle_base_mismatch(const fetch_request& request, std::uint64_t version);
     ///@}
 
     /// \name Commands
@@ -168,6 +175,8 @@
     [[nodiscard]] wall_time confirmed() const { return confirmed_; }
     /// \returns whether two peers answered a request for configuration, or no more can be asked
     [[nodiscard]] bool start_completed() const { return fetches_.start_completed(); }
+    /// \returns for how long a peer has announced a version to fetch; 0 if none does
+    [[nodiscard]] nanoseconds behind_for() const { return fetches_.behind_for(clock_.now()); }
     /// \returns whether a newer process runs at this node's address, so that this one must stop
     [[nodiscard]] bool superseded() const { return superseded_; }
     /// \returns how often a peer announced the version in force here with another digest
@@ -190,6 +199,8 @@
     void compensate_for_pause(instant now);
     /// Sends gossip to a few peers without waiting for the next round.
     void gossip_immediately(instant now);
+    /// Tells a few peers at once that they can fetch the version in force here.
+    void announce_config(instant now);
     /// Runs a gossip round.
     void gossip(instant now);
     /// Sends a gossip request to a peer and starts a probe if none of this peer is running.
