--- a/test/daemon/fetch_log_test.cpp
+++ b/test/daemon/fetch_log_test.cpp
@@ -23,12 +23,17 @@
                     0,
                     {},
                     milliseconds(10'000)});
+    loop.log_fetch({request, failed(error_kind::overloaded, "too many calls", "ask another peer"),
+                    60, milliseconds(3), milliseconds(4)});
     const auto lines = log.lines();
-    UNSIGNED_LONGS_EQUAL(2, lines.size());
+    UNSIGNED_LONGS_EQUAL(3, lines.size());
     STRCMP_EQUAL("config: Configuration fetched from a peer. peer=10.1.0.2:7 since=3 version=5 "
                  "bytes=300000 wait_ms=40 duration_ms=1900",
                  lines[0].c_str());
     STRCMP_EQUAL("config: Fetching the configuration from a peer failed. peer=10.1.0.2:7 since=3 "
                  "version=0 bytes=0 duration_ms=10000 reason=\"no answer; ask another peer\"",
                  lines[1].c_str());
+    STRCMP_EQUAL("config: A peer is too busy to send the configuration. peer=10.1.0.2:7 since=3 "
+                 "version=0 bytes=60 wait_ms=3 duration_ms=4",
+                 lines[2].c_str());
 }
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -425,6 +425,7 @@
     if (dependencies_.gossip != nullptr) {
         next->peers_by_state = peers_by_state_;
         next->peer_ips = peer_ips_;
+        publish_configuration_delay();
         next->superseded = dependencies_.gossip->superseded();
         next->control_bytes_sent = dependencies_.gossip->counters().bytes_sent;
         next->control_bytes_received = dependencies_.gossip->counters().bytes_received;
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -106,6 +106,7 @@
     void apply_monitor_actions(const health::monitor_actions& actions);
     void activate_configuration();
     void publish_state();
+    void publish_configuration_delay();
     void write_log(observe::log_level level, observe::log_subsystem subsystem,
                    const observe::log_line& line);
 
--- a/wigeonrill/src/daemon/control_loop_fetches.cpp
+++ b/wigeonrill/src/daemon/control_loop_fetches.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+double to_seconds(nanoseconds duration) {
+    return std::chrono::duration<double>(duration).count();
+}
+
 log_line describe(std::string_view sentence, const finished_fetch& ended, std::uint64_t version) {
     log_line line(sentence);
     line.with("peer", ended.request.from.value)
@@ -26,6 +30,12 @@
 } // namespace
 
 void control_loop::log_fetch(const finished_fetch& ended) {
+    if (!ended.answer && ended.answer.error().kind == error_kind::overloaded) {
+        write_log(
+            log_level::debug, log_subsystem::config,
+            describe("A peer is too busy to send the configuration.", ended, store_.version()));
+        return;
+    }
     if (!ended.answer) {
         write_log(
             log_level::warning, log_subsystem::config,
@@ -38,4 +48,11 @@
               describe("Configuration fetched from a peer.", ended, ended.answer->version));
 }
 
+void control_loop::publish_configuration_delay() {
+    dependencies_.metrics.set_gauge(
+        "wigeonrill_configuration_behind_seconds",
+        "Time since a peer announced a newer configuration than the one in force.", {},
+        to_seconds(dependencies_.gossip->behind_for()));
+}
+
 } // namespace wigeonrill::daemon
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -218,6 +218,18 @@
         return control->run_query([since](control_loop& it) { return it.changes_since(since); });
     };
     source.status = [this] { return queries->status_json(); };
+    const auto count = [this](const std::string& answer) {
+        metrics.increment_counter("wigeonrill_configuration_calls_total",
+                                  "Calls of other nodes for configuration changes by answer.",
+                                  {{"answer", answer}});
+    };
+    source.on_answer_sent = [this, count](std::size_t bytes) {
+        count("changes");
+        metrics.increment_counter("wigeonrill_configuration_sent_bytes_total",
+                                  "Bytes of configuration sent to other nodes.", {},
+                                  static_cast<double>(bytes));
+    };
+    source.on_busy = [count] { count("busy"); };
     auto started = peers::change_server::start(*node_settings.peer, std::move(source));
     if (!started) {
         return tl::unexpected<error>(started.error());
