Serve calls for the configuration with 8 threads

Cause: 32 threads a node, most of them idle, are 3,000 for a fleet of 94 nodes on one machine. Two calls send, so 6 threads are left to refuse others. Measured: peers_test (83 tests) and daemon_test (22 tests) pass.

--- a/wigeonrill/src/peers/change_server.h
+++ b/wigeonrill/src/peers/change_server.h
@@ -9,10 +9,10 @@
 
 /// \brief Limits of the TCP service for other nodes.
 struct change_server_limits {
-    /// Connections that are served concurrently. With one thread for each connection, a call can be
-    /// refused while others are sending over a full link.
-    std::size_t threads{32};
-    std::size_t connections{32};      ///< open connections; further ones wait in the listen backlog
+    /// Connections that are served concurrently. More than transfers, so that a call can be refused
+    /// while others are sending over a full link.
+    std::size_t threads{8};
+    std::size_t connections{16};      ///< open connections; further ones wait in the listen backlog
     milliseconds io_timeout{2'000};   ///< a connection without traffic for this long is closed
     std::size_t request_bytes{4'096}; ///< largest accepted size of a request
     /// Calls for changes at a time. Each further one is refused if its caller allows it, and waits
