--- a/test/peers/fetch_scheduler_test.cpp
+++ b/test/peers/fetch_scheduler_test.cpp
@@ -76,8 +76,7 @@
 // Guards against a failed call that keeps a node from asking the other sources that it knows. The
 // failures of several calls come one after another within the time for one.
 TEST(fetch_scheduler, asks_another_source_soon_after_a_failure) {
-    for (int round = 0; round < 20; ++round) {
-        const auto version = static_cast<std::uint64_t>(2 + round);
+    for (std::uint64_t version = 2; version < 22; ++version) {
         for (const auto& it : {a, b, c}) {
             fetches.record_peer_version(it, version, now);
         }
