Log readings of the store that are not used

A node drops its own reading if its number is not above the one in force, whatever the content, and no log line tells so. Change: an info line with both versions.

--- a/wigeonrill/src/daemon/control_loop_readings.cpp
+++ b/wigeonrill/src/daemon/control_loop_readings.cpp
@@ -45,7 +45,13 @@
         next.version = version;
     }
     if (next.version <= store_.version()) {
-        return false; // The version in force is from a later reading, made by a peer.
+        // The version in force is from a later reading, made by a peer, or from one of the same
+        // revision by a node that knows other targets of it.
+        write_log(log_level::info, log_subsystem::config,
+                  log_line("What was read from the store is not newer than the version in force.")
+                      .with("version", static_cast<std::int64_t>(next.version))
+                      .with("in_force", static_cast<std::int64_t>(store_.version())));
+        return false;
     }
     next.published = std::chrono::floor<milliseconds>(dependencies_.clock.wall_now());
     const auto previous = store_.changes_since(0);
