Decide from answers whether a silent target has crashed

Cause: nothing decides whether a target that took no connections for a while, and then ended those that it had, has crashed, or whether a link or this node was at fault. Change: health::silence_evidence keeps the times of answers to this node and of successes that other nodes observed.

--- a/wigeonrill/health.h
+++ b/wigeonrill/health.h
@@ -7,6 +7,8 @@
 
 #define WIGEONRILL_HEALTH_MODULE
 
+#include <deque>
+
 #include "config.h"
 
 #include "src/health/answer.h"
@@ -28,6 +30,7 @@
 #include "src/health/latency_baseline.h"
 #include "src/health/leaving_targets.h"
 #include "src/health/shared_cause_detector.h"
+#include "src/health/silence_evidence.h"
 #include "src/health/target_reachability.h"
 // Needs all of the above.
 #include "src/health/monitor.h"
