Hold back requests whose targets fall silent

Cause: a crash was seen only by a connection that is lost while new ones fail. A machine without power resets nothing. Its requests ended as silent or cancelled, which closed their connections; when the others were reset, the next process accepted connections again, so the request was thought harmless. A repeatable one was even sent to that process again within the same attempt. Change: while a request waits for its first byte, the node tries connections to the target, first after 0.5 s and then at doubled times. After three failed ones in a row the target counts as silent. If the connection then ends without a byte, also after the attempt was given up, the request gets a mark, unless health::silence_evidence speaks against a crash. The mark is dated to the first failed connection, and not made if the request has succeeded since.

--- a/bench/hop/processes.cpp
+++ b/bench/hop/processes.cpp
@@ -38,6 +38,9 @@
                      const traffic::attempt_result& /*attempt*/) override {
         return std::nullopt;
     }
+    void on_abandoned_connection_lost(const traffic::request_info& /*request*/,
+                                      const target_id& /*target*/,
+                                      const traffic::silence& /*silent*/) override {}
     void finish_request(const traffic::request_info& /*request*/, bool /*whole*/,
                         std::shared_ptr<const traffic::stored_answer> /*answer*/) override {}
 
--- a/test/traffic/proxy_fixture.cpp
+++ b/test/traffic/proxy_fixture.cpp
@@ -55,6 +55,20 @@
     steps_.push_back(std::move(next));
 }
 
+void recording_dispatcher::on_abandoned_connection_lost(const traffic::request_info& request,
+                                                        const target_id& /*target*/,
+                                                        const traffic::silence& /*silent*/) {
+    const std::lock_guard lock(mutex_);
+    abandoned_lost_ = request.id;
+    request_finished_.notify_all();
+}
+
+std::optional<std::uint64_t> recording_dispatcher::wait_abandoned_lost(milliseconds limit) {
+    std::unique_lock lock(mutex_);
+    request_finished_.wait_for(lock, limit, [this] { return abandoned_lost_.has_value(); });
+    return abandoned_lost_;
+}
+
 void recording_dispatcher::wait_finished(std::size_t count) {
     std::unique_lock lock(mutex_);
     request_finished_.wait(lock, [&] { return answers_completed.size() >= count; });
--- a/test/traffic/proxy_fixture.h
+++ b/test/traffic/proxy_fixture.h
@@ -17,6 +17,8 @@
     }
     std::optional<traffic::step> on_attempt_ended(const traffic::request_info& request,
                                                   const traffic::attempt_result& attempt) override;
+    void on_abandoned_connection_lost(const traffic::request_info& request, const target_id& target,
+                                      const traffic::silence& silent) override;
     void finish_request(const traffic::request_info& request, bool answer_completed,
                         std::shared_ptr<const traffic::stored_answer> answer) override;
 
@@ -24,6 +26,9 @@
     void add_step(traffic::step next);
     /// Waits until the given number of requests have been finished.
     void wait_finished(std::size_t count);
+    /// Waits until an abandoned connection has been reported as lost, for at most this time.
+    /// Returns the id of its request, or nothing.
+    std::optional<std::uint64_t> wait_abandoned_lost(milliseconds limit);
 
     // Read by tests after wait_finished(), or before any request.
     std::vector<traffic::request_info> started_requests;
@@ -39,6 +44,7 @@
     std::mutex mutex_;
     std::condition_variable request_finished_;
     std::deque<traffic::step> steps_;
+    std::optional<std::uint64_t> abandoned_lost_;
 };
 
 /// Connection of a caller that sends and receives raw bytes.
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -102,6 +102,10 @@
     ///          is to be passed on to the caller
     [[nodiscard]] bool on_attempt_ended(std::uint64_t id, const traffic::attempt_result& attempt,
                                         clock_reading at);
+    /// \brief Marks a request whose target went silent and ended its connection later, after the
+    ///        attempt had been given up. The request may have been finished before.
+    void on_abandoned_connection_lost(const traffic::request_info& info, const target_id& target,
+                                      const traffic::silence& silent, clock_reading at);
     /// \brief Ends a request and releases its target.
     /// \param whole true when the caller was sent a complete answer
     /// \param answer answer to store for its idempotency key, or null
@@ -276,8 +280,9 @@
     void report_attempt(const request_record& record, const traffic::attempt_result& attempt,
                         wall_time wall);
     /// \brief Retries, queues or refuses a request after a failed attempt at a target.
+    /// \param crashed the target seems to have crashed while it ran the request
     void handle_failure(request_record& record, const traffic::attempt_result& attempt,
-                        clock_reading at);
+                        bool crashed, clock_reading at);
     /// \brief Forwards a request again or refuses it after its key's owner sent no answer.
     void handle_forward_failure(request_record& record, const traffic::attempt_result& attempt,
                                 instant now);
@@ -287,9 +292,17 @@
     /// \param runs number of targets that may have run the request
     /// \returns true when the route allows another target to run it
     [[nodiscard]] static bool may_run_again(const request_record& record, std::uint32_t runs);
-    /// \brief Records that a target's connection was lost while it ran a request, and adds an
-    ///        event.
-    void mark_crash(const request_record& record, const target_id& target, clock_reading at);
+    /// \brief Marks a request under which its target crashed.
+    /// \returns whether it did
+    bool detect_crash(const request_record& record, const traffic::attempt_result& attempt,
+                      clock_reading at);
+    /// \brief Takes a mark of this node, and adds an event.
+    void mark_crash(const once::crash_mark& mark, clock_reading at);
+    /// \brief Marks a request whose connection was lost after its target had been silent, unless
+    ///        the target has not crashed or the request has succeeded since.
+    /// \returns whether it recorded a crash
+    bool mark_silent_crash(std::uint64_t fingerprint, const target_id& target,
+                           const traffic::silence& silent, clock_reading at);
     /// \returns the Retry-After value for a refusal by a request's service
     [[nodiscard]] std::optional<seconds> retry_after(const request_record& record);
     /// \returns not_run when it is certain that no target ran the request, otherwise unknown
@@ -315,6 +328,7 @@
     key_admission key_admission_;
     once::crash_containment containment_;
     health::target_reachability reachability_;
+    health::silence_evidence silences_;
     instant next_connection_checks_{instant::min()};
     std::vector<endpoint> relays_;         ///< other nodes that reach targets
     std::vector<event> events_;            ///< not yet taken by take_events()
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -164,6 +164,14 @@
     return std::nullopt;
 }
 
+void request_dispatcher::on_abandoned_connection_lost(const traffic::request_info& request,
+                                                      const target_id& target,
+                                                      const traffic::silence& silent) {
+    std::unique_lock lock(mutex_);
+    core_.on_abandoned_connection_lost(request, target, silent, read_clocks(clock_));
+    unlock_and_notify_sink(lock);
+}
+
 void request_dispatcher::finish_request(const traffic::request_info& request, bool whole,
                                         std::shared_ptr<const traffic::stored_answer> answer) {
     if (asks_for_key(request)) {
--- a/wigeonrill/src/once/crash_containment.cpp
+++ b/wigeonrill/src/once/crash_containment.cpp
@@ -23,9 +23,7 @@
 void crash_containment::add(const crash_mark& mark, wall_time now) {
     auto clipped = mark;
     clipped.observed = std::min(mark.observed, now);
-    const auto& last = successes_[mark.fingerprint % success_slots];
-    if (!is_current(clipped, now) ||
-        (last.fingerprint == mark.fingerprint && last.when >= clipped.observed)) {
+    if (!is_current(clipped, now) || has_succeeded_since(mark.fingerprint, clipped.observed)) {
         return;
     }
     if (!marks_.contains(mark.fingerprint)) {
@@ -65,6 +63,11 @@
     marks_.erase(fingerprint);
 }
 
+bool crash_containment::has_succeeded_since(std::uint64_t fingerprint, wall_time when) const {
+    const auto& last = successes_[fingerprint % success_slots];
+    return last.fingerprint == fingerprint && last.when >= when;
+}
+
 bool crash_containment::is_blocked(std::uint64_t fingerprint, wall_time now) const {
     const auto it = marks_.find(fingerprint);
     return it != marks_.end() && std::ranges::count_if(it->second, [&](const crash_mark& mark) {
--- a/wigeonrill/src/once/crash_containment.h
+++ b/wigeonrill/src/once/crash_containment.h
@@ -20,6 +20,8 @@
     /// \brief Records that a target answered the request completely.
     void on_success(std::uint64_t fingerprint, wall_time now);
 
+    /// \returns whether a success after this time is known
+    [[nodiscard]] bool has_succeeded_since(std::uint64_t fingerprint, wall_time when) const;
     /// \returns whether requests with this fingerprint must be refused now
     [[nodiscard]] bool is_blocked(std::uint64_t fingerprint, wall_time now) const;
     /// \returns number of fingerprints with marks
--- a/wigeonrill/src/traffic/connect.h
+++ b/wigeonrill/src/traffic/connect.h
@@ -18,6 +18,14 @@
 /// \returns its descriptor, or -1 on failure; the receiver closes it
 [[nodiscard]] int connect(const endpoint& address, milliseconds limit);
 
+/// \brief State of a connection that is being opened.
+enum class connecting : std::uint8_t { pending, established, failed };
+/// \brief Starts to open a TCP connection and doesn't wait for it.
+/// \returns its descriptor, or -1 on failure; the receiver closes it
+[[nodiscard]] int start_connecting(const endpoint& address);
+/// \returns the state of a connection from start_connecting()
+[[nodiscard]] connecting connection_state(int fd);
+
 } // namespace detail
 } // namespace wigeonrill::traffic
 
--- a/wigeonrill/src/traffic/dispatcher.h
+++ b/wigeonrill/src/traffic/dispatcher.h
@@ -55,6 +55,12 @@
     std::shared_ptr<const stored_answer> answer; ///< the answer to send; for replay
 };
 
+/// \brief Span in which a target that had a request took no new connection.
+struct silence {
+    instant from{};  ///< when the first connection that failed was tried
+    instant until{}; ///< when the last one was tried
+};
+
 /// \brief Result of one attempt at a target or node, as seen on its connection.
 struct attempt_result {
     health::answer_kind kind{health::answer_kind::ok};
@@ -64,6 +70,8 @@
     /// The target accepted a new connection after the one with the request had been lost, so it
     /// didn't crash. Only for connection_lost.
     bool target_is_up{false};
+    /// The target was silent while it had the request; nothing if a byte of the answer came.
+    std::optional<silence> silent;
     int status{0};                  ///< status code of the answer; 0 without an answer
     bool draining{false};           ///< the target announced that it is draining
     bool misdirected{false};        ///< status 421: another target has the address
@@ -116,6 +124,12 @@
     [[nodiscard]] virtual std::optional<step> on_attempt_ended(const request_info& request,
                                                                const attempt_result& attempt) = 0;
 
+    /// \brief Reports that the connection of an attempt ended without a byte of the answer, after
+    ///        the attempt had been given up while its target was silent. The request may have
+    ///        finished before.
+    virtual void on_abandoned_connection_lost(const request_info& request, const target_id& target,
+                                              const silence& silent) = 0;
+
     /// \brief Ends the request and frees its slot. Called exactly once, after first_step().
     /// \param answer_completed true when the caller was sent a complete answer
     /// \param answer the answer if the step had store_answer set and the body was small enough,
--- a/wigeonrill/src/traffic/server_context.h
+++ b/wigeonrill/src/traffic/server_context.h
@@ -5,6 +5,7 @@
 #error "Include wigeonrill/traffic.h instead of this file."
 #endif
 
+#include "abandoned_connections.h"
 #include "body_memory.h"
 #include "connection_registry.h"
 #include "target_pool.h"
@@ -15,7 +16,8 @@
 struct server_context {
     server_context(server_options settings, dispatcher& server_dispatcher, const clock_source& time)
         : options(std::move(settings)), decisions(&server_dispatcher), clock(&time), pool(time),
-          large_bodies(options.body_memory_bytes), large_answers(options.body_memory_bytes) {}
+          abandoned(server_dispatcher, time), large_bodies(options.body_memory_bytes),
+          large_answers(options.body_memory_bytes) {}
 
     /// \brief Passes a line to the log callback, if there is one.
     void log(const std::string& line) const {
@@ -28,6 +30,7 @@
     dispatcher* decisions;
     const clock_source* clock;
     target_pool pool;                  ///< idle connections to targets and nodes
+    abandoned_connections abandoned;   ///< to targets that went silent
     body_memory large_bodies;          ///< for bodies that take more than each may
     body_memory large_answers;         ///< the same for the bodies of answers
     connection_registry connections;   ///< open caller connections
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -36,20 +36,9 @@
 /// Number of interim answers to one request that are accepted.
 constexpr int max_interim_answers = 16;
 
-/// Longest time for the connection that shows whether a target is up after one was lost.
-constexpr milliseconds max_check_time{250};
-/// Time after which the new connection would have been reset by a process that ends.
-constexpr milliseconds process_end_time{5};
-
 /// Number of late answers to other requests that are skipped before the connection is closed.
 constexpr int max_skipped_answers = 3;
 
-/// Longest idle time of a connection for requests that must not be sent twice. A connection used
-/// more recently is assumed to be open still.
-constexpr milliseconds fresh_connection_max_idle{1'000};
-/// Longest idle time of a connection for all other requests.
-constexpr milliseconds reused_connection_max_idle{5'000};
-
 } // namespace
 
 void target_attempt::run() {
@@ -75,59 +64,6 @@
     check_whether_target_is_up();
 }
 
-void target_attempt::check_whether_target_is_up() {
-    const bool lost = result_.kind == answer_kind::connection_lost && result_.request_bytes_sent;
-    const auto left = std::chrono::floor<milliseconds>(deadline_ - context_->clock->now());
-    const auto limit = std::min({context_->options.connect_time, max_check_time, left});
-    if (answered_ || !lost || plan_->kind != step_kind::send || limit.count() <= 0) {
-        return;
-    }
-    auto connection = context_->pool.connect(plan_->address, limit);
-    if (!connection) {
-        return;
-    }
-    // A process that ends closes its sockets one after the other.
-    const auto end = context_->clock->now() + process_end_time;
-    if (wait_readable(connection->fd(), end, *context_->clock) == io_status::timed_out) {
-        result_.target_is_up = true;
-        context_->pool.put(plan_->address, std::move(connection));
-    }
-}
-
-bool target_attempt::may_retry_on_new_connection() const {
-    return result_.kind == answer_kind::connection_lost && !answer_started_ &&
-           plan_->route.repeat == config::repeat_policy::idempotent &&
-           !plan_->needs_fresh_connection && request_->body_complete && !request_->body_streamed;
-}
-
-connection_ptr target_attempt::take_idle_connection() {
-    const bool fresh =
-        plan_->needs_fresh_connection || plan_->route.repeat == config::repeat_policy::at_most_once;
-    auto taken = context_->pool.take(plan_->address, fresh ? fresh_connection_max_idle
-                                                           : reused_connection_max_idle);
-    const bool carried_it =
-        taken && std::ranges::find(request_->used_connections, taken->serial()) !=
-                     request_->used_connections.end();
-    return carried_it ? nullptr : std::move(taken);
-}
-
-bool target_attempt::open_connection(bool force_new) {
-    connection_.reset();
-    if (!force_new) {
-        connection_ = take_idle_connection();
-    }
-    if (!connection_) {
-        const auto left = std::chrono::ceil<milliseconds>(deadline_ - context_->clock->now());
-        const auto limit = std::min(context_->options.connect_time, left);
-        connection_ = limit.count() > 0 ? context_->pool.connect(plan_->address, limit) : nullptr;
-        new_connection_opened_ = new_connection_opened_ || connection_ != nullptr;
-    }
-    if (connection_) {
-        request_->used_connections.push_back(connection_->serial());
-    }
-    return connection_ != nullptr;
-}
-
 bool target_attempt::perform_exchange() {
     result_ = attempt_result{};
     request_fully_sent_ = false;
@@ -280,6 +216,9 @@
 }
 
 target_attempt::status target_attempt::wait_for_answer() {
+    if (plan_->kind == step_kind::send) {
+        silence_ = std::make_unique<silence_check>(plan_->address, context_->clock->now());
+    }
     const auto first_byte = answer_expected_since_ + plan_->route.limits.first_byte;
     for (;;) {
         // The server may have begun to drain since this attempt began.
@@ -287,8 +226,7 @@
         auto now = context_->clock->now();
         const auto next = now < first_byte ? std::min(first_byte, now + drain_check_period)
                                            : now + silence_check_period;
-        const auto reading =
-            connection_->reader().wait_first_byte(std::min(deadline_, next), caller_->fd());
+        const auto reading = wait_first_byte(std::min(deadline_, next));
         now = context_->clock->now();
         // If no other target can take the request, the silent one may still answer in time.
         if (reading != status::timed_out || now >= deadline_ ||
@@ -298,6 +236,24 @@
     }
 }
 
+target_attempt::status target_attempt::wait_first_byte(instant until) {
+    auto& reader = connection_->reader();
+    for (;;) {
+        const auto next = silence_ ? std::min(until, silence_->next_update()) : until;
+        const auto reading = reader.wait_first_byte(next, caller_->fd());
+        if (reading != status::timed_out) {
+            return reading;
+        }
+        const auto now = context_->clock->now();
+        if (silence_) {
+            silence_->update(now);
+        }
+        if (now >= until) {
+            return reading;
+        }
+    }
+}
+
 bool target_attempt::read_final_head() {
     auto& reader = connection_->reader();
     answer_expected_since_ = context_->clock->now();
@@ -312,6 +268,7 @@
         }
         if (reading == status::ok) {
             answer_started_ = true;
+            silence_.reset();
             const auto limit = std::min(deadline_, context_->clock->now() + max_head_time);
             reading = reader.read_head(limit, caller_->fd());
             if (reading != status::ok) {
@@ -392,7 +349,10 @@
     if (kind == answer_kind::silent) {
         context_->pool.close_idle(plan_->address);
     }
-    connection_.reset();
+    if (silence_) {
+        result_.silent = silence_->found();
+    }
+    give_up_connection();
     return false;
 }
 
@@ -418,12 +378,4 @@
     }
 }
 
-void target_attempt::release() {
-    if (connection_ && may_reuse_connection_ && request_fully_sent_ &&
-        connection_->reader().parser().done() && connection_->reader().parser().keep_alive()) {
-        context_->pool.put(plan_->address, std::move(connection_));
-    }
-    connection_.reset();
-}
-
 } // namespace wigeonrill::traffic::detail
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -6,6 +6,7 @@
 #endif
 
 #include "caller_stream.h"
+#include "silence_check.h"
 
 namespace wigeonrill::traffic::detail {
 
@@ -75,6 +76,11 @@
     [[nodiscard]] bool read_final_head();
     /// \brief Waits for the first byte of an answer.
     [[nodiscard]] status wait_for_answer();
+    /// \brief Waits for the first byte until a time, and updates the check for silence meanwhile.
+    [[nodiscard]] status wait_first_byte(instant until);
+    /// \brief Closes the connection. If the target seems silent, the connection is kept for some
+    ///        seconds, since its end may show that the target has crashed.
+    void give_up_connection();
     /// \returns whether the body of the answer is to be read into memory before anything is sent to
     ///          the caller; then the memory for it is reserved
     [[nodiscard]] bool reserve_body_memory();
@@ -108,6 +114,7 @@
     caller_request* request_;
     const step* plan_;
     connection_ptr connection_;
+    std::unique_ptr<silence_check> silence_; ///< while an answer is awaited and none of it has come
     attempt_result result_;
     message_head head_;                        ///< head of the final answer
     std::optional<std::uint64_t> length_;      ///< Content-Length of the answer
