--- a/test/platform/feed_reader_thread_test.cpp
+++ b/test/platform/feed_reader_thread_test.cpp
@@ -84,10 +84,16 @@
 class slow_feed final : public record_feed {
 public:
     result<feed_page> list() override {
+        if (silence_ > 0) {
+            return silent();
+        }
         const std::lock_guard lock(mutex_);
         return feed_page{revision_, {rules_at(revision_)}, 1};
     }
     result<feed_page> changes_since(std::uint64_t revision, milliseconds) override {
+        if (silence_ > 0) {
+            return silent();
+        }
         const std::lock_guard lock(mutex_);
         if (revision_ > revision + 1) {
             ++late_answers_;
@@ -109,8 +115,14 @@
         const std::lock_guard lock(mutex_);
         return late_answers_;
     }
+    /// Makes later calls take this long and fail.
+    void set_silent_for(milliseconds duration) { silence_ = duration.count(); }
 
 private:
+    result<feed_page> silent() const {
+        std::this_thread::sleep_for(milliseconds(silence_));
+        return failed(error_kind::timed_out, "the store did not answer in time", "wait");
+    }
     static feed_record rules_at(std::uint64_t revision) {
         operator_rules it;
         it.version = revision;
@@ -121,6 +133,7 @@
     std::mutex mutex_;
     std::uint64_t revision_{50};
     int late_answers_{0};
+    std::atomic<milliseconds::rep> silence_{0};
 };
 
 } // namespace
@@ -204,6 +217,30 @@
     LONGS_EQUAL(0, slow_store.late_answers());
 }
 
+// Guards against a node that takes the store to be in an outage, and so keeps targets that are
+// gone, because its own call is slow while its peers read the store.
+TEST(feed_reader_thread, readings_by_peers_during_a_call_show_that_there_is_no_outage) {
+    const inventory_options options{.outage_time = 300ms};
+    std::atomic<int> outages{0};
+    std::atomic<int> failures{0};
+    feed_reader_thread reader({}, options, slow_store, clock, random, [&](const store_reading& it) {
+        for (const auto& note : it.notes) {
+            outages += note.what.rfind("The store answers no node", 0) == 0 ? 1 : 0;
+        }
+        failures += it.failure ? 1 : 0;
+        const std::lock_guard lock(mutex);
+        latest = it;
+    });
+    CHECK_TRUE(waits_for([](const store_reading& it) { return it.as_of == 50; }));
+    slow_store.set_silent_for(400ms);
+    for (int i = 0; i < 500 && failures < 2; ++i) {
+        reader.mark_up_to_date(clock.now());
+        std::this_thread::sleep_for(5ms);
+    }
+    CHECK(failures >= 2);
+    LONGS_EQUAL(0, outages.load());
+}
+
 // Guards against log lines that don't tell how much a call to the store had to bring, and from
 // where.
 TEST(feed_reader_thread, tells_what_a_call_asked_for) {
--- a/wigeonrill/src/platform/feed_reader_thread.cpp
+++ b/wigeonrill/src/platform/feed_reader_thread.cpp
@@ -64,7 +64,12 @@
     return page;
 }
 
-store_reading feed_reader_thread::read_store(instant last_read_at, milliseconds wait) {
+instant feed_reader_thread::last_read_at(instant otherwise) {
+    const std::lock_guard lock(mutex_);
+    return schedule_.up_to_date_at().value_or(otherwise);
+}
+
+store_reading feed_reader_thread::read_store(milliseconds wait) {
     store_reading outcome;
     full_list_due_ = full_list_due_ || ++calls_since_full_list_ > max_calls_between_full_lists;
     outcome.when = clock_->now();
@@ -90,7 +95,8 @@
         full_list_due_ = full_list_due_ || too_large || kind == error_kind::not_found;
         // A store whose answer is still arriving is in no outage.
         if (kind != error_kind::not_found && kind != error_kind::overloaded) {
-            inventory_.record_read_failure(last_read_at, now);
+            // Peers may have read the store during this call.
+            inventory_.record_read_failure(last_read_at(outcome.when), now);
         }
     } else if (full_list_due_) {
         inventory_.replace(*page, now);
@@ -120,7 +126,6 @@
             wake_up_.wait_for(lock, delay);
             continue;
         }
-        const auto last_read_at = schedule_.up_to_date_at().value_or(clock_->now());
         const auto wait = schedule_.max_wait();
         inventory_.set_configuration_in_force(configuration_in_force_);
         if (era_in_force_) {
@@ -132,7 +137,7 @@
             inventory_.record_answer_to_peer(*when);
         }
         lock.unlock();
-        const auto outcome = read_store(last_read_at, wait);
+        const auto outcome = read_store(wait);
         lock.lock();
         if (stopping_) {
             return;
--- a/wigeonrill/src/platform/feed_reader_thread.h
+++ b/wigeonrill/src/platform/feed_reader_thread.h
@@ -67,13 +67,15 @@
     };
 
     void run();
+    /// \returns the latest time at which any node read the store, as far as this node knows, or
+    ///          `otherwise` if none did
+    [[nodiscard]] instant last_read_at(instant otherwise);
     /// \brief Makes one call to the store.
     /// \returns the page; or the error not_found if all records have to be listed
     [[nodiscard]] result<feed_page> read_page(milliseconds wait);
     /// \brief Makes one call to the store and applies its result to the inventory.
-    /// \param last_read_at latest time at which any node read the store, as far as this node knows
     /// \param wait how long the store may hold the call open for a change
-    [[nodiscard]] store_reading read_store(instant last_read_at, milliseconds wait);
+    [[nodiscard]] store_reading read_store(milliseconds wait);
 
     record_feed* feed_;
     const clock_source* clock_;
