Cancel fetches of the configuration that are no longer needed

A fetch went on after its version had come another way, for up to 30 s. Change: a fetch from a peer that no longer has a wanted version is cancelled, which is no failure of the peer. Measured: fetch_scheduler: request_is_not_needed_once_its_version_is_in_force uses new functions, so it had no failing run; peers_test passes (84 tests).

--- a/test/peers/fetch_scheduler_test.cpp
+++ b/test/peers/fetch_scheduler_test.cpp
@@ -183,3 +183,16 @@
     fetches.set_version(2);
     CHECK(fetches.behind_for(now + seconds(3)) == nanoseconds(0));
 }
+
+// Guards against a call that goes on after its version has come another way: it takes up both
+// links, a place at the peer and one of the two that this node has.
+TEST(fetch_scheduler, request_is_not_needed_once_its_version_is_in_force) {
+    fetches.record_peer_version(a, 2, now);
+    CHECK(wait_for_request(second_source_bound).has_value());
+    CHECK(fetches.is_request_needed(a));
+    fetches.set_version(2);
+    CHECK_FALSE(fetches.is_request_needed(a));
+    fetches.request_cancelled(a);
+    fetches.record_peer_version(b, 3, now);
+    CHECK(wait_for_request(second_source_bound) == std::optional(fetch_request{b, 2}));
+}
--- a/wigeonrill/src/daemon/control_thread.cpp
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -120,6 +120,9 @@
         if (it.progress->bytes() > std::exchange(it.bytes_seen, it.progress->bytes())) {
             gossip_->fetch_progressed(it.peer);
         }
+        if (!gossip_->is_fetch_needed(it.peer)) {
+            it.progress->cancel();
+        }
         if (it.result.wait_for(seconds(0)) == std::future_status::ready) {
             ended.push_back(it.result.get());
         }
@@ -137,6 +140,10 @@
 
 void control_thread::end_fetch(const finished_fetch& ended) {
     const auto& answer = ended.answer;
+    if (!answer && !gossip_->is_fetch_needed(ended.request.from)) {
+        gossip_->fetch_cancelled(ended.request.from);
+        return;
+    }
     if (!answer && answer.error().kind == error_kind::overloaded) {
         gossip_->fetch_refused(ended.request.from);
     } else {
--- a/wigeonrill/src/peers/fetch_scheduler.cpp
+++ b/wigeonrill/src/peers/fetch_scheduler.cpp
@@ -99,6 +99,11 @@
            std::ranges::find(rejected_versions_, version) == rejected_versions_.end();
 }
 
+const fetch_scheduler::version_source* fetch_scheduler::find_source(const node_id& peer) const {
+    const auto it = std::ranges::find(version_sources_, peer, &version_source::peer);
+    return it == version_sources_.end() ? nullptr : &*it;
+}
+
 fetch_scheduler::version_source* fetch_scheduler::find_source(const node_id& peer) {
     const auto it = std::ranges::find(version_sources_, peer, &version_source::peer);
     return it == version_sources_.end() ? nullptr : &*it;
@@ -188,6 +193,16 @@
     return peer;
 }
 
+// A peer whose announced version is in force here by now is no source any more. While the node
+// starts, peers are asked that have announced nothing.
+bool fetch_scheduler::is_request_needed(const node_id& peer) const {
+    return !start_completed_ || find_source(peer) != nullptr;
+}
+
+void fetch_scheduler::request_cancelled(const node_id& peer) {
+    in_flight_.erase(peer);
+}
+
 void fetch_scheduler::request_progressed(const node_id& peer, instant now) {
     if (const auto it = in_flight_.find(peer); it != in_flight_.end()) {
         it->second.progressed = now;
--- a/wigeonrill/src/peers/fetch_scheduler.h
+++ b/wigeonrill/src/peers/fetch_scheduler.h
@@ -50,6 +50,10 @@
     /// \returns the request; nothing if none is due
     [[nodiscard]] std::optional<fetch_request> next_request(instant now,
                                                             const peer_selector& choose_peer);
+    /// \returns whether a request in flight may still bring a wanted version
+    [[nodiscard]] bool is_request_needed(const node_id& peer) const;
+    /// \brief Records that a request was given up because it is no longer needed.
+    void request_cancelled(const node_id& peer);
     /// \brief Records that a request in flight has received bytes.
     void request_progressed(const node_id& peer, instant now);
     /// \brief Records the end of a request.
@@ -86,6 +90,7 @@
     /// Adds a source; if there are too many, removes the oldest one of the lowest version.
     void add_source(const node_id& peer, std::uint64_t version);
     [[nodiscard]] version_source* find_source(const node_id& peer);
+    [[nodiscard]] const version_source* find_source(const node_id& peer) const;
     /// \returns whether the number of requests in flight, and their progress, allow another one
     [[nodiscard]] bool may_start_request(instant now) const;
     /// \returns a random source of the newest version among those that can be asked now
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -120,6 +120,14 @@
     fetches_.request_refused(peer, clock_.now());
 }
 
+void gossip_node::fetch_cancelled(const node_id& peer) {
+    fetches_.request_cancelled(peer);
+}
+
+bool gossip_node::is_fetch_needed(const node_id& peer) const {
+    return fetches_.is_request_needed(peer);
+}
+
 void gossip_node::fetch_progressed(const node_id& peer) {
     fetches_.request_progressed(peer, clock_.now());
 }
--- a/wigeonrill/src/peers/gossip_node.h
+++ b/wigeonrill/src/peers/gossip_node.h
@@ -111,6 +111,10 @@
     void fetch_finished(const node_id& peer, bool answered);
     /// \brief Records that a peer refused such a request because it has too many calls.
     void fetch_refused(const node_id& peer);
+    /// \sa fetch_scheduler::request_cancelled
+    void fetch_cancelled(const node_id& peer);
+    /// \sa fetch_scheduler::is_request_needed
+    [[nodiscard]] bool is_fetch_needed(const node_id& peer) const;
     /// \brief Records that such a request has received bytes.
     void fetch_progressed(const node_id& peer);
     /// \brief Records that the changes in an answer refer to other content than that in force.
