--- a/wigeonrill/src/daemon/control_thread.cpp
+++ b/wigeonrill/src/daemon/control_thread.cpp
@@ -37,7 +37,8 @@
     auto changes = address ? peers::fetch_changes(*address, request.since, limits, progress.get())
                            : result<config::change_set>(tl::unexpected<error>(address.error()));
     const auto duration = std::chrono::duration_cast<milliseconds>(clock->now() - started);
-    return {request, std::move(changes), progress->bytes(), progress->wait(), duration};
+    return {request,          std::move(changes), progress->bytes(),
+            progress->wait(), duration,           progress->is_cancelled()};
 }
 
 } // namespace
@@ -140,7 +141,7 @@
 
 void control_thread::end_fetch(const finished_fetch& ended) {
     const auto& answer = ended.answer;
-    if (!answer && !gossip_->is_fetch_needed(ended.request.from)) {
+    if (!answer && ended.cancelled) {
         gossip_->fetch_cancelled(ended.request.from);
         return;
     }
--- a/wigeonrill/src/daemon/finished_fetch.h
+++ b/wigeonrill/src/daemon/finished_fetch.h
@@ -14,6 +14,7 @@
     std::size_t bytes{0};             ///< bytes of the answer that were received
     std::optional<milliseconds> wait; ///< time until the first byte; nothing if none came
     milliseconds duration{0};         ///< time from the start to the end of the call
+    bool cancelled{false};            ///< this node ended the call, as it was no longer needed
 };
 
 } // namespace wigeonrill::daemon
