Wait for the end of uploads in a test of their memory

It sent the third upload as soon as the answers to the first two had arrived, but the server gives their memory back after it has sent the answers, so the third one sometimes found no room and was streamed. Change: the test closes the first connection and waits until the server has ended both. What it checks is the same.

--- a/test/traffic/upload_test.cpp
+++ b/test/traffic/upload_test.cpp
@@ -153,16 +153,18 @@
     traffic::server_options options;
     options.body_memory_bytes = plan_bytes;
     proxy_fixture it(answer_ok, options);
-    auto holder = it.connect();
-    holder.send(upload_head(plan_bytes) + plan.substr(0, plan_bytes / 2));
+    std::optional<raw_caller> holder(it.connect());
+    holder->send(upload_head(plan_bytes) + plan.substr(0, plan_bytes / 2));
     std::this_thread::sleep_for(milliseconds(100)); // until the first one has its memory
     STRCMP_CONTAINS("\r\n\r\nok", it.send_request(upload_head(plan_bytes) + plan).c_str());
     CHECK_FALSE(it.decisions.started_requests.at(0).body_replayable);
     CHECK(body_in(it.target.requests().at(0)) == plan);
-    holder.send(plan.substr(plan_bytes / 2));
-    STRCMP_CONTAINS("\r\n\r\nok", holder.receive_answer().c_str());
+    holder->send(plan.substr(plan_bytes / 2));
+    STRCMP_CONTAINS("\r\n\r\nok", holder->receive_answer().c_str());
     CHECK(it.decisions.started_requests.at(1).body_replayable);
-    // Both ended, so there is room again.
+    // There is room again once the server has ended both, which it does after their answers.
+    holder.reset();
+    CHECK(it.proxy.wait_idle(it.clock.now() + seconds{30}));
     STRCMP_CONTAINS("\r\n\r\nok", it.send_request(upload_head(plan_bytes) + plan).c_str());
     CHECK(it.decisions.started_requests.at(2).body_replayable);
 }
