--- a/wigeonrill/src/quota/seat.h
+++ b/wigeonrill/src/quota/seat.h
@@ -23,9 +23,9 @@
 [[nodiscard]] seat seat_of(const workspace_name& workspace, std::size_t index);
 
 /// \brief Chooses the node that should hold a seat: the one with the highest rendezvous score.
-/// \param nodes live nodes, not empty
+/// \param node_hashes stable hashes of the ids of the live nodes, not empty
 /// \returns the index of the node
-[[nodiscard]] std::size_t choose_granter(seat one, const std::vector<node_id>& nodes);
+[[nodiscard]] std::size_t choose_granter(seat one, const std::vector<std::uint64_t>& node_hashes);
 
 } // namespace wigeonrill::quota
 
--- a/wigeonrill/src/quota/seat_voter.cpp
+++ b/wigeonrill/src/quota/seat_voter.cpp
@@ -38,30 +38,36 @@
     if (first_votes_at_ == instant::max()) {
         first_votes_at_ = now + joining_time;
     }
-    const std::set<node_id> alive(live.begin(), live.end());
+    std::erase_if(silent_until_, [&](const auto& it) { return now >= it.second; });
+    const bool has_changed = live != live_;
+    if (has_changed) {
+        live_ = live;
+        alive_ = {live.begin(), live.end()};
+        hashes_.clear();
+        std::ranges::transform(live, std::back_inserter(hashes_),
+                               [](const node_id& it) { return stable_hash(it.value); });
+    }
     for (seat one = 0; one < seat_count; ++one) {
-        auto& state = seats_[one];
-        const auto& best = live[choose_granter(one, live)];
-        if (best == state.granter) {
-            state.better_since.reset();
-            continue;
-        }
-        if (now < first_votes_at_) {
-            state = {best, now, std::nullopt}; // no vote was sent yet
-            continue;
-        }
-        if (!alive.contains(state.granter)) {
-            change_granter(state, best, now);
-            continue;
-        }
-        if (!state.better_since) {
-            state.better_since = now;
+        if (has_changed || seats_[one].better_since) {
+            update_seat(one, self, live_[choose_granter(one, hashes_)], now);
         }
+    }
+}
+
+void seat_voter::update_seat(seat one, const node_id& self, const node_id& best, instant now) {
+    auto& state = seats_[one];
+    if (best == state.granter) {
+        state.better_since.reset();
+    } else if (now < first_votes_at_) {
+        state = {best, now, std::nullopt}; // no vote was sent yet
+    } else if (!alive_.contains(state.granter)) {
+        change_granter(state, best, now);
+    } else {
+        state.better_since = state.better_since.value_or(now);
         if (now >= change_time(*state.better_since, self, one)) {
             change_granter(state, best, now);
         }
     }
-    std::erase_if(silent_until_, [&](const auto& it) { return now >= it.second; });
 }
 
 void seat_voter::on_silence(const node_id& granter, instant now) {
--- a/wigeonrill/src/quota/seat_voter.h
+++ b/wigeonrill/src/quota/seat_voter.h
@@ -46,8 +46,14 @@
         std::optional<instant> better_since; ///< since when another node is the better choice
     };
 
+    /// \brief Updates one seat after a change of the nodes, or while it waits to change its
+    /// granter.
+    void update_seat(seat one, const node_id& self, const node_id& best, instant now);
     static void change_granter(seat_state& state, const node_id& next, instant now);
 
+    std::vector<node_id> live_;         ///< as of the last change
+    std::set<node_id> alive_;           ///< the same
+    std::vector<std::uint64_t> hashes_; ///< of the ids in live_
     std::array<seat_state, seat_count> seats_;
     std::unordered_map<node_id, instant> silent_until_;
     instant first_votes_at_{instant::max()}; ///< a process that just started may know few nodes
