--- a/test/quota/limited_fleet.h
+++ b/test/quota/limited_fleet.h
@@ -149,7 +149,7 @@
             }
             ++result_.requests;
             const auto id = ++last_request_;
-            const auto decided = it.client.request(id, workspace_name("w"), now_);
+            const auto decided = it.client.request(id, directory_.workspaces()[0], now_);
             if (decided.state == quota::credit_state::waiting) {
                 arrivals_[id] = now_;
             } else {
@@ -201,6 +201,9 @@
             const auto to = static_cast<std::size_t>(found - ids_.begin());
             send(from, to, [this, from, to, content = std::move(ask.content)] {
                 auto grant = nodes_[to]->granter.on_ask(ids_[from], content, directory_, now_);
+                if (grant.answers.empty()) {
+                    return;
+                }
                 send(to, from, [this, from, to, grant = std::move(grant)] {
                     nodes_[from]->client.on_grant(ids_[to], grant, now_);
                     flush(from);
--- a/wigeonrill/src/config/workspace_directory.h
+++ b/wigeonrill/src/config/workspace_directory.h
@@ -20,6 +20,7 @@
     [[nodiscard]] const workspace* find(const key_digest& key) const;
     /// \returns the workspace with a name, or null
     [[nodiscard]] const workspace* find(std::string_view name) const;
+    [[nodiscard]] const shared_list<workspace>& workspaces() const { return workspaces_; }
     /// \returns whether the directory was built from this list
     [[nodiscard]] bool is_of(const shared_list<workspace>& workspaces) const {
         return workspaces_.shares_elements_with(workspaces);
--- a/wigeonrill/src/daemon/control_loop_credit.cpp
+++ b/wigeonrill/src/daemon/control_loop_credit.cpp
@@ -33,6 +33,9 @@
     }
     const auto grant = granter_.on_ask(from, ask, *workspaces_, dependencies_.clock.now());
     log_credit_refusals(from, ask, grant);
+    if (grant.answers.empty()) {
+        return; // The message had votes only.
+    }
     if (from == dependencies_.gossip->id()) {
         dependencies_.dispatcher.on_credit_grant(from, grant);
     } else {
--- a/wigeonrill/src/dispatch/decision_core_workspaces.cpp
+++ b/wigeonrill/src/dispatch/decision_core_workspaces.cpp
@@ -38,7 +38,7 @@
         refuse_credit(record, {quota::credit_state::refused, seconds(1)}, now);
         return false;
     }
-    const auto result = credit_.request(record.info.id, record.workspace->name, now);
+    const auto result = credit_.request(record.info.id, *record.workspace, now);
     record.waits_for_credit = result.state == quota::credit_state::waiting;
     record.has_credit = result.state == quota::credit_state::granted;
     if (result.state == quota::credit_state::refused) {
--- a/wigeonrill/src/quota/credit_client.cpp
+++ b/wigeonrill/src/quota/credit_client.cpp
@@ -9,8 +9,10 @@
 // A granter that hasn't answered by then counts as silent; the usual answer takes one round trip
 // and the time in which two nodes read their messages.
 constexpr milliseconds answer_time{80};
-// Longest time for which new requests are refused without asking again.
-constexpr milliseconds max_refusal_memory{150};
+// Longest time for which granters that have refused aren't asked again.
+constexpr milliseconds max_refusal_memory{500};
+// Requests of a workspace that may wait while it is over its limit.
+constexpr std::size_t max_waiting = 4;
 constexpr milliseconds silence_retry_after{150};
 constexpr seconds account_lifetime{10};
 constexpr seconds removal_interval{2};
@@ -21,27 +23,54 @@
                               instant now) {
     self_ = std::move(self);
     known_nodes_ = static_cast<std::uint32_t>(std::max(known, live.size()));
-    voter_.set_nodes(self_, live, now);
+    voter_.set_nodes(self_, live, known, now);
 }
 
-credit_result credit_client::request(std::uint64_t request, const workspace_name& workspace,
+credit_result credit_client::request(std::uint64_t request, const config::workspace& limited,
                                      instant now) {
+    const auto& workspace = limited.name;
     auto& it = accounts_[workspace];
     it.used = now;
     if (it.waiting.empty() && take_credit(it, now)) {
         return {credit_state::granted, {}};
     }
-    if (now < it.refused_until) {
+    if (const auto nodes = voter_.own_part(workspace, now)) {
+        if (take_own_part(it, limited, nodes, now)) {
+            return {credit_state::granted, {}};
+        }
+        return {credit_state::unknown, spread(silence_retry_after)};
+    }
+    const bool is_refusing = now < it.refused_until;
+    if (is_refusing && (it.waiting.size() >= max_waiting || it.refused_until >= now + max_wait)) {
         const auto rest = std::chrono::ceil<milliseconds>(it.refused_until - now);
         return {credit_state::refused, spread(std::max(rest, it.retry_after.value_or(rest)))};
     }
     it.waiting.push_back({request, now + max_wait});
-    if (it.open_question == 0) {
+    if (is_refusing) {
+        it.ask_at = it.refused_until;
+    } else if (it.open_question == 0) {
         ask_first_seat(workspace, it, now);
     }
     return {};
 }
 
+bool credit_client::take_own_part(account& it, const config::workspace& limited, std::size_t nodes,
+                                  instant now) {
+    const double part = (1.0 + spare_share) / static_cast<double>(nodes);
+    const double depth = part * burst_of(limited);
+    // After a change between the two ways, the node has used its part of the burst.
+    const auto from = it.part_updated.value_or(now);
+    const std::chrono::duration<double> elapsed = now - from;
+    it.part_level += elapsed.count() * part * limited.requests_per_second;
+    it.part_level = std::min(it.part_level, std::max(depth, 0.0));
+    it.part_updated = now;
+    if (it.part_level < 1.0) {
+        return false;
+    }
+    it.part_level -= 1.0;
+    return true;
+}
+
 bool credit_client::take_credit(account& it, instant now) {
     for (auto& one : it.credits) {
         if (one.count > 0 && now < one.expires) {
@@ -131,13 +160,17 @@
     const bool was_answered = it.retry_after.has_value();
     const auto state = was_answered ? credit_state::refused : credit_state::unknown;
     const auto retry_after = it.retry_after.value_or(silence_retry_after);
-    for (const auto& one : it.waiting) {
-        resolved_.push_back({one.request, {state, spread(retry_after)}});
-    }
-    it.waiting.clear();
+    std::erase_if(it.waiting, [&](const waiting_request& one) {
+        const bool may_wait = was_answered && now + retry_after < one.until;
+        if (!may_wait) {
+            resolved_.push_back({one.request, {state, spread(retry_after)}});
+        }
+        return !may_wait;
+    });
     it.open_question = 0;
     if (was_answered) {
         it.refused_until = now + std::min(retry_after, max_refusal_memory);
+        it.ask_at = now + retry_after;
     }
 }
 
@@ -195,6 +228,9 @@
     for (auto& [workspace, it] : accounts_) {
         return_expired_credit(workspace, it, now);
         expire_waiting(it, now);
+        if (it.open_question == 0 && !it.waiting.empty() && now >= it.ask_at) {
+            ask_first_seat(workspace, it, now);
+        }
         const auto open = questions_.find(it.open_question);
         if (it.open_question != 0 && open != questions_.end() &&
             now >= open->second.sent + answer_time) {
--- a/wigeonrill/src/quota/credit_client.h
+++ b/wigeonrill/src/quota/credit_client.h
@@ -32,8 +32,8 @@
 ///
 /// A request waits for the answer of a granter, usually for one round trip. One that refuses or
 /// doesn't answer is followed by the next of the workspace's granters. Credit that comes too late
-/// for its request serves the next one of the workspace, for a short time. While a workspace is
-/// over its limit, its requests are refused at once.
+/// for its request serves the next one of the workspace, for a short time. A request that all
+/// refuse waits if there is probably credit in time, and is refused at once otherwise.
 class credit_client {
 public:
     /// Longest wait of a request.
@@ -54,8 +54,8 @@
     [[nodiscard]] bool has_granters() const { return voter_.has_granters(); }
 
     /// \brief Asks for the credit of a request.
-    /// \param workspace has a rate limit
-    [[nodiscard]] credit_result request(std::uint64_t request, const workspace_name& workspace,
+    /// \param limited has a rate limit
+    [[nodiscard]] credit_result request(std::uint64_t request, const config::workspace& limited,
                                         instant now);
     /// \brief Ends the wait of a request whose caller has left.
     void cancel(std::uint64_t request, const workspace_name& workspace);
@@ -102,7 +102,10 @@
         std::size_t asked_seats{0};              ///< seats asked since then
         std::optional<milliseconds> retry_after; ///< least one of the refusals since then
         instant refused_until{instant::min()};   ///< new requests are refused before
+        instant ask_at{};                        ///< time to ask again for requests that wait
         instant used{};                          ///< last request
+        double part_level{0.0};                  ///< requests that this node may admit by itself
+        std::optional<instant> part_updated;
     };
 
     void ask_first_seat(const workspace_name& workspace, account& it, instant now);
@@ -114,6 +117,11 @@
     void refuse_waiting(account& it, instant now);
     void expire_waiting(account& it, instant now);
     void return_expired_credit(const workspace_name& workspace, account& it, instant now);
+    /// \brief Takes a request from the part of the limit that this node has not lent.
+    /// \param nodes number of equal parts
+    /// \returns false if the part is used up
+    [[nodiscard]] static bool take_own_part(account& it, const config::workspace& limited,
+                                            std::size_t nodes, instant now);
     /// \brief Takes one request's credit.
     /// \returns false if there is none
     [[nodiscard]] static bool take_credit(account& it, instant now);
--- a/wigeonrill/src/quota/credit_granter.cpp
+++ b/wigeonrill/src/quota/credit_granter.cpp
@@ -18,7 +18,6 @@
 
 // A process that has just started may know few nodes of its fleet.
 constexpr seconds joining_time{1};
-constexpr double assumed_nodes = 100.0;
 // Time for which a number of nodes that a voter reported is believed.
 constexpr seconds report_lifetime{10};
 
@@ -32,10 +31,6 @@
     return std::max(std::chrono::duration<double>(to - from).count(), 0.0);
 }
 
-double burst_of(const config::workspace& limited) {
-    return limited.burst > 0.0 ? limited.burst : limited.requests_per_second;
-}
-
 } // namespace
 
 void credit_granter::set_known_nodes(std::size_t known, instant now) {
@@ -56,7 +51,7 @@
         nodes = std::max(nodes, reported_nodes_);
     }
     if (nodes > 1.0 && now < started_ + joining_time) {
-        nodes = std::max(nodes, assumed_nodes);
+        nodes = std::max(nodes, static_cast<double>(assumed_nodes));
     }
     return std::min(static_cast<double>(state.votes.size()) / nodes, 1.0);
 }
--- a/wigeonrill/src/quota/credit_granter.h
+++ b/wigeonrill/src/quota/credit_granter.h
@@ -11,6 +11,14 @@
 /// refused for the delays of messages.
 inline constexpr double spare_share = 0.1;
 
+/// Nodes that a process assumes in its fleet while it has just started and may know few of them.
+inline constexpr std::size_t assumed_nodes = 100;
+
+/// \returns the requests that may come at once within a limit
+[[nodiscard]] inline double burst_of(const config::workspace& limited) {
+    return limited.burst > 0.0 ? limited.burst : limited.requests_per_second;
+}
+
 /// \brief Grants credit for the seats of which nodes hold this node the granter. Not thread-safe.
 ///
 /// Each node votes for one granter of a seat at a time. A granter counts a vote for `vote_lifetime`
@@ -19,14 +27,14 @@
 class credit_granter {
 public:
     /// Time for which a vote counts after it was received.
-    static constexpr milliseconds vote_lifetime{2'500};
+    static constexpr milliseconds vote_lifetime{1'400};
 
     /// \brief Sets the number of nodes that this node knows, with itself and those that don't
     ///        respond, which may still grant credit elsewhere.
     void set_known_nodes(std::size_t known, instant now);
     /// \brief Takes votes and returned credit, and grants what is available.
     /// \param workspaces limits in force at this node
-    /// \returns the answer, to be sent to the asking node even if it answers no request
+    /// \returns the answer to the requests; it needn't be sent if there are none
     [[nodiscard]] credit_grant on_ask(const node_id& from, const credit_ask& ask,
                                       const config::workspace_directory& workspaces, instant now);
 
--- a/wigeonrill/src/quota/seat.h
+++ b/wigeonrill/src/quota/seat.h
@@ -15,7 +15,7 @@
 /// With three granters, the loss of one leaves two thirds of each limit.
 inline constexpr std::size_t seats_per_workspace = 3;
 /// Bounds the number of granters, to each of which every node sends its votes.
-inline constexpr std::size_t seat_groups = 8;
+inline constexpr std::size_t seat_groups = 4;
 inline constexpr std::size_t seat_count = seats_per_workspace * seat_groups;
 
 /// \param index below seats_per_workspace
--- a/wigeonrill/src/quota/seat_voter.cpp
+++ b/wigeonrill/src/quota/seat_voter.cpp
@@ -6,12 +6,14 @@
 
 namespace {
 
-// After the start of a process, most nodes of the fleet are known by then.
-constexpr seconds joining_time{1};
+// A process that has just started votes when it has learned of no further node for this long, or at
+// the latest after the joining time.
+constexpr milliseconds quiet_time{750};
+constexpr seconds joining_time{3};
 // A node must have been the better choice for this long, and the nodes that change to it do so over
 // the spread that follows.
-constexpr seconds settling_time{2};
-constexpr milliseconds change_spread{10'000};
+constexpr seconds settling_time{1};
+constexpr milliseconds change_spread{6'000};
 // Time for which a granter that sent no answer is asked only if the others refuse.
 constexpr seconds silence_memory{1};
 
@@ -30,18 +32,25 @@
     state.better_since.reset();
 }
 
-void seat_voter::set_nodes(const node_id& self, const std::vector<node_id>& live, instant now) {
+bool seat_voter::has_joined(instant now) const {
+    return has_joined_ || now >= changed_at_ + quiet_time || now >= started_ + joining_time;
+}
+
+void seat_voter::set_nodes(const node_id& self, const std::vector<node_id>& live, std::size_t known,
+                           instant now) {
     if (live.empty()) {
         return;
     }
-    has_granters_ = true;
-    if (first_votes_at_ == instant::max()) {
-        first_votes_at_ = now + joining_time;
+    if (!has_granters_) {
+        started_ = now;
     }
+    has_granters_ = true;
+    known_nodes_ = std::max(known, live.size());
     std::erase_if(silent_until_, [&](const auto& it) { return now >= it.second; });
     const bool has_changed = live != live_;
     if (has_changed) {
         live_ = live;
+        changed_at_ = now;
         alive_ = {live.begin(), live.end()};
         hashes_.clear();
         std::ranges::transform(live, std::back_inserter(hashes_),
@@ -58,8 +67,8 @@
     auto& state = seats_[one];
     if (best == state.granter) {
         state.better_since.reset();
-    } else if (now < first_votes_at_) {
-        state = {best, now, std::nullopt}; // no vote was sent yet
+    } else if (!has_joined_) {
+        state.granter = best; // no vote was sent yet
     } else if (!alive_.contains(state.granter)) {
         change_granter(state, best, now);
     } else {
@@ -79,14 +88,30 @@
     return it != silent_until_.end() && now < it->second;
 }
 
-void seat_voter::add_votes(const node_id& granter, credit_ask& into, instant now) const {
+std::size_t seat_voter::own_part(const workspace_name& workspace, instant now) const {
+    for (std::size_t i = 0; i < seats_per_workspace; ++i) {
+        if (now < seats_.at(seat_of(workspace, i)).lent_until) {
+            return 0;
+        }
+    }
+    return has_joined_ ? known_nodes_ : std::max(known_nodes_, assumed_nodes);
+}
+
+void seat_voter::add_votes(const node_id& granter, credit_ask& into, instant now) {
+    // A node that reaches no other one uses its part itself.
+    const bool is_alone = live_.size() == 1 && known_nodes_ > 1;
+    has_joined_ = has_joined(now);
     for (seat one = 0; one < seat_count; ++one) {
-        const auto& state = seats_[one];
+        auto& state = seats_[one];
         if (state.granter != granter) {
             continue;
         }
-        const bool counts = now >= std::max(state.votes_from, first_votes_at_);
-        (counts ? into.votes : into.withheld).push_back(one);
+        if (has_joined_ && !is_alone && now >= state.votes_from) {
+            state.lent_until = now + withheld_time;
+            into.votes.push_back(one);
+        } else {
+            into.withheld.push_back(one);
+        }
     }
 }
 
--- a/wigeonrill/src/quota/seat_voter.h
+++ b/wigeonrill/src/quota/seat_voter.h
@@ -9,20 +9,24 @@
 
 /// \brief Chooses the granter of each seat that this node asks and votes for. Not thread-safe.
 ///
-/// When the granter changes, the vote is withheld until the granter before it no longer counts it.
-/// So no vote counts twice. A node that becomes the better choice for a seat is taken over by one
-/// node after the other, so that the seat's grants go on meanwhile.
+/// Each node has an equal part of each limit. Its vote lends the part to the granter; while it
+/// doesn't vote, it may use the part itself. When the granter changes, the vote is withheld until
+/// the granter before it no longer counts it. So no part is used twice. A node that becomes the
+/// better choice for a seat is taken over by one node after the other, so that the seat's grants go
+/// on meanwhile.
 class seat_voter {
 public:
     /// Time between two messages with votes to a granter.
-    static constexpr milliseconds vote_interval{1'000};
+    static constexpr milliseconds vote_interval{500};
     /// Time after a change of the granter in which the vote is withheld: longer than it counts,
     /// with room for the delay of the last message.
-    static constexpr milliseconds withheld_time{3'000};
+    static constexpr milliseconds withheld_time{1'800};
 
     /// \brief Sets the nodes that may hold seats.
     /// \param live nodes that respond, with this one
-    void set_nodes(const node_id& self, const std::vector<node_id>& live, instant now);
+    /// \param known number of nodes, with those that don't respond
+    void set_nodes(const node_id& self, const std::vector<node_id>& live, std::size_t known,
+                   instant now);
     /// \brief Records that a granter sent no answer in time; its seats are avoided for a while.
     void on_silence(const node_id& granter, instant now);
     /// \brief Records an answer of a granter.
@@ -34,8 +38,11 @@
     [[nodiscard]] const node_id& granter_of(seat one) const { return seats_.at(one).granter; }
     /// \returns whether a seat's granter has recently sent no answer
     [[nodiscard]] bool is_silent(seat one, instant now) const;
-    /// \brief Adds the votes for all seats of a granter to a message.
-    void add_votes(const node_id& granter, credit_ask& into, instant now) const;
+    /// \returns the number of nodes, one of whose parts of a limit this node may use itself because
+    ///          it has lent it to none of the workspace's granters; 0: it may not
+    [[nodiscard]] std::size_t own_part(const workspace_name& workspace, instant now) const;
+    /// \brief Adds the votes for all seats of a granter to a message that is sent now.
+    void add_votes(const node_id& granter, credit_ask& into, instant now);
     /// \returns all granters
     [[nodiscard]] std::set<node_id> granters() const;
 
@@ -43,6 +50,7 @@
     struct seat_state {
         node_id granter;                     ///< empty: none chosen yet
         instant votes_from{instant::min()};  ///< the vote is withheld before
+        instant lent_until{instant::min()};  ///< a granter may count the vote until then
         std::optional<instant> better_since; ///< since when another node is the better choice
     };
 
@@ -56,7 +64,13 @@
     std::vector<std::uint64_t> hashes_; ///< of the ids in live_
     std::array<seat_state, seat_count> seats_;
     std::unordered_map<node_id, instant> silent_until_;
-    instant first_votes_at_{instant::max()}; ///< a process that just started may know few nodes
+    /// \returns whether this node knows its fleet well enough to vote
+    [[nodiscard]] bool has_joined(instant now) const;
+
+    std::size_t known_nodes_{1};
+    instant started_{};      ///< first call of set_nodes()
+    instant changed_at_{};   ///< last change of the nodes
+    bool has_joined_{false}; ///< a vote was sent
     bool has_granters_{false};
 };
 
