Decide what waits and what is refused by priority, deadline and work

Cause: waiting requests were served in order of arrival, and one was refused when its estimated wait was over half of its remaining time. So in a burst requests of all kinds came late alike, urgent ones waited behind others, and requests without a chance were held until their deadlines. A node sees few requests, so its queue didn't show that the service was overloaded. Retry-After was at least 1 s, more than many callers can wait. A caller that left kept its place until its request's turn came.

Ruled out: earliest deadline first (prefers requests that are about to fail), strict priority (starves), fixed weighted shares (favour rare kinds), CoDel and adaptive LIFO (hold the oldest until the deadline), credits as in Breakwater (callers don't speak them).

Change: admission::waiting_room orders by priority, target latency, time left and expected work, gives one place in five to less urgent kinds, refuses what can't be answered in time at once, and displaces less urgent requests from a full queue. admission::priority_gate turns away the least urgent priorities while the nodes together have more requests outstanding than slots (existing counts, no new message). Retry-After has milliseconds. A waiting thread looks each 100 ms whether its caller has left. Decision lines have `priority`, refusals the time waited; new counter wigeonrill_refusals_total.

Tests replaced: wait_queue_test stated the order by arrival; it now states the same for equal requests, the bound, and the new order. budget_test's checks of wait_estimator::retry_after(), which rounded to whole seconds, are now the same checks, and two more, of return_time() in milliseconds.

--- a/test/traffic/cancellation_test.cpp
+++ b/test/traffic/cancellation_test.cpp
@@ -79,6 +79,28 @@
     CHECK(answer_kind::cancelled == it.decisions.attempts.at(0).kind);
 }
 
+// Guards against a request that keeps its place in the queue after its caller has left.
+TEST(cancellation, a_waiting_request_shows_that_its_caller_left) {
+    proxy_fixture it(answer_ok);
+    gate queue;
+    std::atomic<bool> left_before{true};
+    std::atomic<bool> left_after{false};
+    it.decisions.on_waiting = [&](const traffic::request_info& request) {
+        left_before = request.watch->has_left();
+        queue.pass();
+        left_after = request.watch->has_left();
+    };
+    {
+        auto caller = it.connect();
+        caller.send(plain_get);
+        queue.wait_entered();
+    }
+    queue.open();
+    it.decisions.wait_finished(1);
+    CHECK_FALSE(left_before);
+    CHECK_TRUE(left_after);
+}
+
 // Guards against callers that stop reading and thereby occupy the connection of a target.
 TEST(cancellation, gives_up_on_callers_that_stop_reading) {
     std::string body;
--- a/test/traffic/proxy_fixture.cpp
+++ b/test/traffic/proxy_fixture.cpp
@@ -16,6 +16,9 @@
     if (on_first_step) {
         on_first_step();
     }
+    if (on_waiting) {
+        on_waiting(request);
+    }
     const std::lock_guard lock(mutex_);
     started_requests.push_back(request);
     if (steps_.empty()) {
--- a/test/traffic/proxy_fixture.h
+++ b/test/traffic/proxy_fixture.h
@@ -37,8 +37,9 @@
     std::vector<std::shared_ptr<const traffic::stored_answer>> stored_answers;
     std::atomic<bool> sending_allowed{true};
     std::atomic<bool> retry_elsewhere_allowed{true};
-    std::function<void()> on_first_step; ///< called in first_step()
-    traffic::step default_step;          ///< first step when the list is empty
+    std::function<void()> on_first_step;                          ///< called in first_step()
+    std::function<void(const traffic::request_info&)> on_waiting; ///< called in first_step()
+    traffic::step default_step; ///< first step when the list is empty
 
 private:
     std::mutex mutex_;
--- a/wigeonrill/routing.h
+++ b/wigeonrill/routing.h
@@ -6,6 +6,7 @@
 
 #define WIGEONRILL_ROUTING_MODULE
 
+#include <cmath>
 #include <map>
 #include <span>
 
--- a/wigeonrill/src/admission/wait_estimator.cpp
+++ b/wigeonrill/src/admission/wait_estimator.cpp
@@ -1,7 +1,6 @@
 #include "wigeonrill/admission.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace wigeonrill::admission {
 
@@ -14,6 +13,7 @@
 
 void wait_estimator::on_dequeue(instant now, bool others_wait) {
     if (last_dequeue_) {
+        ++count_;
         const auto interval = std::chrono::duration<double>(now - *last_dequeue_).count();
         mean_interval_s_ =
             mean_interval_s_ == 0.0
@@ -28,10 +28,4 @@
     return std::chrono::duration_cast<nanoseconds>(std::min(estimate, decltype(estimate)(3600.0)));
 }
 
-seconds wait_estimator::retry_after(std::size_t ahead, double jitter) const {
-    const auto estimate = std::chrono::duration<double>(estimated_wait(ahead)).count();
-    const auto base = std::clamp(std::ceil(estimate), 1.0, 30.0);
-    return seconds(static_cast<std::int64_t>(std::floor(base + jitter * (base + 1.0))));
-}
-
 } // namespace wigeonrill::admission
--- a/wigeonrill/src/admission/wait_estimator.h
+++ b/wigeonrill/src/admission/wait_estimator.h
@@ -23,20 +23,21 @@
     void on_queue_empty() {
         last_dequeue_.reset();
         mean_interval_s_ = 0.0;
+        count_ = 0;
     }
 
     /// \param ahead number of requests that are already waiting
     /// \returns the estimated wait, at most 1 h; 0 before the first interval is measured
     [[nodiscard]] nanoseconds estimated_wait(std::size_t ahead) const;
-    /// \param ahead number of requests that are already waiting
-    /// \param jitter random number in [0, 1)
-    /// \returns the value of Retry-After: the estimated wait in whole seconds, from 1 to 30, plus
-    ///          up to the same again at random, so that refused callers don't all return at once
-    [[nodiscard]] seconds retry_after(std::size_t ahead, double jitter) const;
+    /// \returns true when enough intervals were measured to refuse a request because of its wait
+    [[nodiscard]] bool is_measured() const { return count_ >= min_count; }
 
 private:
+    static constexpr std::uint64_t min_count = 3; ///< for is_measured()
+
     std::optional<instant> last_dequeue_; ///< start of the current interval; nothing: none runs
     double mean_interval_s_{0.0};         ///< exponentially weighted mean; 0: not measured
+    std::uint64_t count_{0};              ///< measured intervals
 };
 
 } // namespace wigeonrill::admission
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -262,6 +262,13 @@
     dependencies_.metrics.increment_counter(
         "wigeonrill_decisions_total", "Decisions on requests.",
         {{"service", decision.service.value}, {"refusal", refused ? decision.refusal : ""}});
+    if (refused && !decision.route.value.empty()) {
+        dependencies_.metrics.increment_counter("wigeonrill_refusals_total",
+                                                "Refused requests by priority.",
+                                                {{"service", decision.service.value},
+                                                 {"refusal", decision.refusal},
+                                                 {"priority", std::to_string(decision.priority)}});
+    }
     dependencies_.metrics.observe_summary("wigeonrill_queue_seconds",
                                           "Time that requests waited for a slot.",
                                           {{"service", decision.service.value}},
--- a/wigeonrill/src/daemon/traffic_event_sink.cpp
+++ b/wigeonrill/src/daemon/traffic_event_sink.cpp
@@ -31,7 +31,9 @@
         line.with("version", static_cast<std::int64_t>(decision.configuration_version));
     }
     if (!decision.route.value.empty()) {
-        line.with("route", decision.route.value).with("service", decision.service.value);
+        line.with("route", decision.route.value)
+            .with("service", decision.service.value)
+            .with("priority", static_cast<std::int64_t>(decision.priority));
     } else {
         line.with("host", decision.host).with("path", decision.path);
     }
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -6,17 +6,6 @@
 
 namespace {
 
-// Callers whose node has no share of a limit may reach another node, so they may return soon.
-milliseconds rate_limit_retry_after(nanoseconds wait) {
-    constexpr seconds longest{30};
-    return wait == nanoseconds::max()
-               ? seconds(1)
-               : std::clamp<milliseconds>(std::chrono::ceil<seconds>(wait), seconds(1), longest);
-}
-
-// Number of queued requests without a usable target after which serve_queue() stops. It is above 1,
-// because the oldest request may have failed at the only free target, which a later one can use.
-constexpr std::size_t max_failed_placements = 8;
 // Callers choose host and path; longer ones are cut in log lines.
 constexpr std::size_t max_logged_name = 200;
 
@@ -57,7 +46,7 @@
     // Other services take over the view when they are next used. Those with draining targets must
     // not miss a view without these.
     for (auto& [name, service] : services_) {
-        if (service->queue.size() > 0 || service->has_draining_targets()) {
+        if (service->waiting.size() > 0 || service->has_draining_targets()) {
             sync_service(name, *service);
             serve_queue(*service, now);
         }
@@ -80,14 +69,14 @@
 void decision_core::refuse_queued(service_state& service, std::uint64_t id, refusal_kind kind,
                                   instant now, std::optional<milliseconds> retry_after) {
     auto& record = record_of(id);
-    service.queue.remove(id);
-    record.queued_since.reset();
+    service.waiting.remove(id);
     refuse(record, kind, outcome_of(record), now, retry_after);
+    record.queued_since.reset();
     ready_ids_.push_back(id);
 }
 
 void decision_core::refuse_all_queued(service_state& service, refusal_kind kind, instant now) {
-    for (const auto id : service.queue.oldest(service.queue.size())) {
+    for (const auto id : service.waiting.in_order(now)) {
         refuse_queued(service, id, kind, now, seconds(1));
     }
 }
@@ -101,6 +90,9 @@
                 publish_outstanding_count(name, *it, now);
             }
         }
+        if (service->waiting.is_restricted()) {
+            update_level(*service, now);
+        }
         serve_queue(*service, now);
     }
     for (const auto id : key_admission_.waiters()) {
@@ -143,7 +135,9 @@
         !refuse_when_stopping(record, at.now) && check_key(record, at) &&
         find_service(record, at) && !handle_while_cut_off(record, at.now)) {
         record.service->on_request(at.now);
-        place_or_queue(record, at);
+        if (!turn_away(record, at.now)) {
+            place_or_queue(record, at);
+        }
     }
 }
 
@@ -221,7 +215,7 @@
     }
     // Requests that are already waiting take precedence.
     serve_queue(*record.service, at.now);
-    if (record.service->queue.size() == 0) {
+    if (record.service->waiting.size() == 0) {
         auto placed =
             record.service->place(record.tried_targets, record.route->repeat, at.now, random_);
         if (placed.chosen_target) {
@@ -261,32 +255,14 @@
     return true;
 }
 
-void decision_core::enqueue(request_record& record, instant now) {
-    auto& service = *record.service;
-    if (!takes_requests(now)) {
-        refuse(record, refusal_kind::stopping, outcome_of(record), now, return_elsewhere);
-        return;
-    }
-    const auto limited = service.announced_wait(now);
-    // Half of the remaining time is reserved for the answer and for errors of the estimate.
-    if (limited && *limited > (record.deadline - now) / 2) {
-        refuse(record, refusal_kind::rate_limited, outcome_of(record), now,
-               rate_limit_retry_after(*limited));
-    } else if (service.estimator.estimated_wait(service.queue.size()) >
-               (record.deadline - now) / 2) {
-        refuse(record, refusal_kind::overloaded, outcome_of(record), now, retry_after(record));
-    } else if (!service.queue.push(record.info.id, record.info.arrived, record.deadline)) {
-        refuse(record, refusal_kind::queue_full, outcome_of(record), now, retry_after(record));
-    } else {
-        record.queued_since = now;
-    }
-}
-
 void decision_core::assign_target(request_record& record, placement placed, instant now,
                                   instant waited_since) {
     record.assigned_target = std::move(placed.chosen_target);
     publish_outstanding_count(record.chosen_service, *record.assigned_target, now);
     ++record.attempts;
+    if (record.attempts == 1) {
+        record.service->waiting.count_served(priority_of(record), now);
+    }
     traffic::step step;
     step.kind = traffic::step_kind::send;
     step.address = record.assigned_target->address;
@@ -307,10 +283,14 @@
                                                        : once::key_state::unknown,
                    nullptr, now);
     }
+    if (record.service != nullptr && is_for_lack_of_room(kind)) {
+        record.service->waiting.count_refused(priority_of(record), now);
+    }
     traffic::step step;
     step.kind = traffic::step_kind::refuse;
     step.reason = make_refusal(kind, result, retry_after);
     decision_record decision;
+    decision.waited = record.queued_since ? now - *record.queued_since : nanoseconds(0);
     if (kind == refusal_kind::contained) {
         decision.contained_fingerprint = record.fingerprint;
     }
@@ -330,6 +310,7 @@
     decision.attempt = record.attempts;
     if (record.route != nullptr) {
         decision.route = record.route->name;
+        decision.priority = priority_of(record);
         decision.service = record.chosen_service;
         step.route = *record.route;
     } else {
@@ -349,54 +330,6 @@
     events_.emplace_back(std::move(decision));
 }
 
-void decision_core::serve_queue(service_state& service, instant now) {
-    expire_queued(service, now);
-    if (!service.any_eligible(now)) {
-        refuse_all_queued(service, refusal_kind::no_target, now);
-    }
-    std::size_t failed_placements = 0;
-    for (const auto id : service.queue.oldest(service.queue.size())) {
-        auto& record = record_of(id);
-        if (!takes_requests(now) || !can_finish_before_stop(record, now)) {
-            refuse_queued(service, id, refusal_kind::stopping, now, return_elsewhere);
-            continue;
-        }
-        if (now < record.not_before) {
-            continue;
-        }
-        if (handle_while_cut_off(record, now)) {
-            service.queue.remove(id);
-            record.queued_since.reset();
-            ready_ids_.push_back(id);
-            continue;
-        }
-        auto placed = service.place(record.tried_targets, record.route->repeat, now, random_);
-        if (!placed.chosen_target) {
-            if (++failed_placements == max_failed_placements) {
-                return;
-            }
-            continue;
-        }
-        service.queue.remove(id);
-        service.estimator.on_dequeue(now, service.queue.size() > 0);
-        assign_target(record, std::move(placed), now, *record.queued_since);
-        record.queued_since.reset();
-        ready_ids_.push_back(id);
-    }
-}
-
-void decision_core::expire_queued(service_state& service, instant now) {
-    for (const auto id : service.queue.expire(now)) {
-        auto& record = record_of(id);
-        record.queued_since.reset();
-        refuse(record, refusal_kind::deadline_passed, outcome_of(record), now);
-        ready_ids_.push_back(id);
-    }
-    if (service.queue.size() == 0) {
-        service.estimator.on_queue_empty();
-    }
-}
-
 std::optional<traffic::step> decision_core::poll(std::uint64_t id, clock_reading at) {
     auto& record = record_of(id);
     if (!record.ready_step && record.queued_since) {
@@ -438,7 +371,7 @@
 std::size_t decision_core::waiting() const {
     std::size_t n = 0;
     for (const auto& [name, service] : services_) {
-        n += service->queue.size();
+        n += service->waiting.size();
     }
     return n;
 }
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -91,6 +91,8 @@
     void begin_request(const traffic::request_info& info, clock_reading at);
     /// \returns the next step of a request, or nothing while it waits
     [[nodiscard]] std::optional<traffic::step> poll(std::uint64_t id, clock_reading at);
+    /// \brief Frees the place of a waiting request whose caller has left. Other requests stay.
+    void abandon(std::uint64_t id, instant now);
     /// \returns the latest time at which a waiting request should be polled again
     [[nodiscard]] instant wake_at(std::uint64_t id, instant now) const;
     /// \brief Called directly before the first byte of an attempt is written.
@@ -212,6 +214,13 @@
     [[nodiscard]] bool try_as_probe(request_record& record, instant now);
     /// \brief Adds a request to the queue, or refuses it when its wait would be too long.
     void enqueue(request_record& record, instant now);
+    /// \brief Refuses a new request while the nodes have room only for more urgent ones.
+    /// \returns false when the request may be placed
+    [[nodiscard]] bool turn_away(request_record& record, instant now);
+    /// \brief Tells a service its load level if it needs it.
+    static void update_level(service_state& service, instant now);
+    /// \returns what decides the place of a request in its service's queue
+    [[nodiscard]] static admission::urgency urgency_of(const request_record& record);
     /// \brief Makes sending to the chosen target the next step of a request.
     /// \param waited_since start of the time in the queue; `now` when the request did not wait
     void assign_target(request_record& record, placement placed, instant now, instant waited_since);
@@ -248,8 +257,14 @@
     void set_next_step(request_record& record, traffic::step step, decision_record decision);
     /// \brief Refuses expired requests of a queue and assigns free targets to the others.
     void serve_queue(service_state& service, instant now);
-    /// \brief Refuses the queued requests whose deadline has passed.
-    void expire_queued(service_state& service, instant now);
+    /// \brief Assigns a free target to the first queued request that can use one.
+    /// \returns false when none can
+    [[nodiscard]] bool serve_next(service_state& service, instant now);
+    /// \brief Passes queued requests to other nodes while this node reaches no target, and refuses
+    ///        those that can't end before a planned stop.
+    void release_queued(service_state& service, instant now);
+    /// \brief Refuses the queued requests whose work doesn't fit before their deadlines any more.
+    void refuse_hopeless(service_state& service, instant now);
     /// \brief Takes a request out of the queue and refuses it.
     void refuse_queued(service_state& service, std::uint64_t id, refusal_kind kind, instant now,
                        std::optional<milliseconds> retry_after = std::nullopt);
@@ -309,7 +324,7 @@
     bool mark_silent_crash(std::uint64_t fingerprint, const target_id& target,
                            const traffic::silence& silent, clock_reading at);
     /// \returns the Retry-After value for a refusal by a request's service
-    [[nodiscard]] std::optional<milliseconds> retry_after(const request_record& record);
+    [[nodiscard]] milliseconds retry_after(const request_record& record, instant now);
     /// \returns not_run when it is certain that no target ran the request, otherwise unknown
     [[nodiscard]] traffic::outcome outcome_of(const request_record& record) const;
 
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -221,7 +221,8 @@
         refuse(record, refusal_kind::contained, outcome_of(record), at.now);
     } else {
         refuse(record, refusal_of(attempt), outcome_of(record), at.now,
-               not_run ? retry_after(record) : std::optional<milliseconds>{});
+               not_run ? std::optional(retry_after(record, at.now))
+                       : std::optional<milliseconds>{});
     }
     serve_queue(*record.service, at.now);
 }
@@ -282,17 +283,12 @@
     return repeatable && sendable && wanted && allowed && record.service->any_eligible(at.now);
 }
 
-std::optional<milliseconds> decision_core::retry_after(const request_record& record) {
-    const auto& service = *record.service;
-    return service.estimator.retry_after(service.queue.size(), random_.uniform());
-}
-
 void decision_core::finish_request(std::uint64_t id, bool whole,
                                    std::shared_ptr<const traffic::stored_answer> answer,
                                    clock_reading at) {
     auto& record = record_of(id);
     if (record.queued_since) {
-        record.service->queue.remove(id);
+        record.service->waiting.remove(id);
     }
     if (record.waits_for_key) {
         key_admission_.remove_waiter(*record.key, id);
--- a/wigeonrill/src/dispatch/decision_core_crashes.cpp
+++ b/wigeonrill/src/dispatch/decision_core_crashes.cpp
@@ -51,7 +51,7 @@
 
 void decision_core::refuse_queued_copies(service_state& service, std::uint64_t fingerprint,
                                          instant now) {
-    for (const auto id : service.queue.oldest(service.queue.size())) {
+    for (const auto id : service.waiting.in_order(now)) {
         if (record_of(id).fingerprint == fingerprint) {
             refuse_queued(service, id, refusal_kind::contained, now);
         }
--- a/wigeonrill/src/dispatch/decision_record.h
+++ b/wigeonrill/src/dispatch/decision_record.h
@@ -24,6 +24,7 @@
         traffic::outcome::not_run}; ///< whether a target may have run it; for refuse
     /// Fingerprint of a request that is refused because of its crash marks; 0: another decision.
     std::uint64_t contained_fingerprint{0};
+    std::uint32_t priority{0};   ///< of the request; 0 is the most urgent
     std::string reason;          ///< reason for the decision, such as "first" or "retry after shed"
     std::uint32_t candidates{0}; ///< targets below their concurrency limit that were compared
     std::uint32_t attempt{0};    ///< number of sends of this request, including this one
--- a/wigeonrill/src/dispatch/refusals.cpp
+++ b/wigeonrill/src/dispatch/refusals.cpp
@@ -42,6 +42,12 @@
     refusal_text{refusal_kind::overloaded, 503, "overloaded", "Too busy for the deadline",
                  "The expected wait is longer than the request's deadline. Send the request again "
                  "after the time in Retry-After."},
+    refusal_text{refusal_kind::low_priority, 503, "low-priority", "More urgent requests go first",
+                 "The targets have too little room for requests of this priority. Send the request "
+                 "again after the time in Retry-After."},
+    refusal_text{refusal_kind::caller_left, 503, "caller-left", "The caller left",
+                 "The caller closed its connection while the request waited. Keep the connection "
+                 "open until the answer has arrived."},
     refusal_text{refusal_kind::deadline_passed, 504, "deadline-passed", "The deadline passed",
                  "The deadline passed before the request was sent to a target. Send the request "
                  "again with a later deadline."},
@@ -123,6 +129,20 @@
 
 } // namespace
 
+bool is_for_lack_of_room(refusal_kind kind) {
+    switch (kind) {
+    case refusal_kind::queue_full:
+    case refusal_kind::rate_limited:
+    case refusal_kind::overloaded:
+    case refusal_kind::low_priority:
+    case refusal_kind::deadline_passed:
+    case refusal_kind::shed:
+        return true;
+    default:
+        return false;
+    }
+}
+
 traffic::refusal make_refusal(refusal_kind kind, traffic::outcome result,
                               std::optional<milliseconds> retry_after) {
     for (const auto& it : refusal_texts) {
--- a/wigeonrill/src/dispatch/refusals.h
+++ b/wigeonrill/src/dispatch/refusals.h
@@ -20,6 +20,8 @@
     queue_full,            ///< the service's queue is full
     rate_limited,          ///< all targets are at the rate limits that they have named
     overloaded,            ///< the estimated queue time is too long for the deadline
+    low_priority,          ///< more urgent requests need the room
+    caller_left,           ///< the caller closed its connection while the request waited
     deadline_passed,       ///< the deadline passed before any byte went to a target
     shed,                  ///< targets refused the request for lack of capacity
     unreachable,           ///< the connection to the target could not be made
@@ -50,6 +52,9 @@
 /// \returns the reason to refuse a request after a failed attempt
 [[nodiscard]] refusal_kind refusal_of(const traffic::attempt_result& attempt);
 
+/// \returns true for refusals of requests that a service with more room would have served
+[[nodiscard]] bool is_for_lack_of_room(refusal_kind kind);
+
 /// \brief Builds the refusal sent to the caller: HTTP status, type, title and advice.
 /// \param kind reason for the refusal
 /// \param result whether a target may have run the request
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -6,6 +6,9 @@
 
 constexpr std::string_view key_path = "/.wigeonrill/keys";
 
+// Time between two checks whether the caller of a waiting request has left.
+constexpr milliseconds caller_check_interval{100};
+
 bool asks_for_key(const traffic::request_info& request) {
     return request.method == "POST" && request.path == key_path;
 }
@@ -136,7 +139,7 @@
     }
     std::unique_lock lock(mutex_);
     core_.begin_request(request, read_clocks(clock_));
-    return wait_for_step(request.id, lock);
+    return wait_for_step(request, lock);
 }
 
 traffic::step request_dispatcher::make_key_answer() {
@@ -166,7 +169,7 @@
                                      const traffic::attempt_result& attempt) {
     std::unique_lock lock(mutex_);
     if (core_.on_attempt_ended(request.id, attempt, read_clocks(clock_))) {
-        return wait_for_step(request.id, lock);
+        return wait_for_step(request, lock);
     }
     unlock_and_notify_sink(lock);
     return std::nullopt;
@@ -205,8 +208,9 @@
     return core_.waiting();
 }
 
-traffic::step request_dispatcher::wait_for_step(std::uint64_t id,
+traffic::step request_dispatcher::wait_for_step(const traffic::request_info& request,
                                                 std::unique_lock<std::mutex>& lock) {
+    const auto id = request.id;
     std::condition_variable condition;
     for (;;) {
         const auto at = read_clocks(clock_);
@@ -218,7 +222,14 @@
         waiters_[id] = &condition;
         notify_waiters();
 
-        condition.wait_for(lock, core_.wake_at(id, at.now) - at.now + milliseconds(1));
+        const nanoseconds wait = core_.wake_at(id, at.now) - at.now + milliseconds(1);
+        if (request.watch == nullptr) {
+            condition.wait_for(lock, wait);
+        } else if (condition.wait_for(lock, std::min<nanoseconds>(wait, caller_check_interval)) ==
+                       std::cv_status::timeout &&
+                   request.watch->has_left()) {
+            core_.abandon(id, clock_.now());
+        }
     }
 }
 
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -96,7 +96,8 @@
     [[nodiscard]] traffic::step make_key_answer();
     /// \brief Blocks until a request has a step, and unlocks.
     /// \param lock held lock on mutex_
-    [[nodiscard]] traffic::step wait_for_step(std::uint64_t id, std::unique_lock<std::mutex>& lock);
+    [[nodiscard]] traffic::step wait_for_step(const traffic::request_info& request,
+                                              std::unique_lock<std::mutex>& lock);
     /// \brief Wakes the threads whose waiting requests now have a step. Needs the lock.
     void notify_waiters();
     /// \brief Wakes waiting threads, unlocks, and passes the collected events to the sink.
--- a/wigeonrill/src/dispatch/request_record.h
+++ b/wigeonrill/src/dispatch/request_record.h
@@ -51,6 +51,12 @@
     return record.route != nullptr && record.route->repeat == config::repeat_policy::at_most_once;
 }
 
+/// \returns the priority of a request, 0 for the most urgent: its workspace's or else its route's
+[[nodiscard]] inline std::uint32_t priority_of(const request_record& record) {
+    const auto of_route = record.route != nullptr ? record.route->priority : 0;
+    return record.workspace != nullptr ? record.workspace->priority.value_or(of_route) : of_route;
+}
+
 /// \brief Computes a hash over a request's method, path, query, workspace, key and body.
 /// \param key idempotency key to include; empty when the key itself is compared separately
 /// \returns a value that is equal for repetitions of the same request
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -62,7 +62,7 @@
         return;
     }
     generation_ = generation;
-    queue.set_limit(view.service->queue_limit);
+    waiting.set_limit(view.service->queue_limit);
     eligible_.clear();
     const auto slice = routing::choose_target_slice(view.service->targets, group_);
     for (const auto& it : view.eligible) {
@@ -361,7 +361,7 @@
     if (is_any_unlimited) {
         return wait;
     }
-    const std::chrono::duration<double> behind_queue(static_cast<double>(queue.size()) / rate);
+    const std::chrono::duration<double> behind_queue(static_cast<double>(waiting.size()) / rate);
     return wait + std::chrono::duration_cast<nanoseconds>(behind_queue);
 }
 
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -13,7 +13,7 @@
     std::uint32_t candidates{0};     ///< targets below their limits that were compared
 };
 
-/// \brief Targets, queue, wait estimate and retry budget of one service. Not thread-safe.
+/// \brief Targets, queue, estimates and budgets of one service. Not thread-safe.
 class service_state {
 public:
     /// \param policy chooses among the targets that are below their concurrency limits
@@ -74,6 +74,12 @@
     ///          measured, the route's total limit
     [[nodiscard]] nanoseconds longest_usual_latency(const config::route& route) const;
 
+    /// \returns the work of a route's requests; 0 before enough answers were measured
+    [[nodiscard]] admission::expected_work expected_work(const config::route& route) const;
+    /// \returns the requests of all nodes of the group per slot in the targets that this node uses
+    ///          and that probably work; 0 when no other node told a valid count
+    [[nodiscard]] double load_level(instant now) const;
+
     /// \returns true when a known target announced that it is draining
     [[nodiscard]] bool has_draining_targets() const;
     /// \returns true when at least one eligible target is not draining; it may be at its limit
@@ -87,9 +93,7 @@
     [[nodiscard]] std::optional<nanoseconds> announced_wait(instant now) const;
 
     /// Requests that wait for a target. The bound is set by sync().
-    admission::wait_queue queue{0};
-    /// Estimates the time in the queue.
-    admission::wait_estimator estimator;
+    admission::waiting_room waiting;
     /// Limits the retries to a share of the requests.
     admission::retry_budget retries{admission::make_retry_budget()};
 
--- a/wigeonrill/src/routing/latency_mean.h
+++ b/wigeonrill/src/routing/latency_mean.h
@@ -7,7 +7,8 @@
 
 namespace wigeonrill::routing {
 
-/// \brief Exponentially weighted mean of latencies, and their recent maximum. The first ones have
+/// \brief Exponentially weighted mean of latencies, their mean deviation, and their recent maximum.
+/// The first ones have
 ///        equal weights in the mean.
 class latency_mean {
 public:
@@ -15,7 +16,9 @@
     void add(nanoseconds latency) {
         ++count_;
         const double weight = std::max(1.0 / static_cast<double>(count_), min_weight);
-        mean_ += weight * (static_cast<double>(latency.count()) - mean_);
+        const double error = static_cast<double>(latency.count()) - mean_;
+        deviation_ += weight * ((count_ == 1 ? 0.0 : std::abs(error)) - deviation_);
+        mean_ += weight * error;
         longest_ = std::max(static_cast<double>(latency.count()), longest_ * fading);
     }
     /// \returns true when enough latencies were added for a meaningful mean
@@ -24,6 +27,10 @@
     [[nodiscard]] nanoseconds mean() const {
         return nanoseconds(static_cast<nanoseconds::rep>(mean_));
     }
+    /// \returns the mean absolute deviation, computed as in RFC 6298 with the weights of the mean
+    [[nodiscard]] nanoseconds spread() const {
+        return nanoseconds(static_cast<nanoseconds::rep>(deviation_));
+    }
 
     /// \returns the longest latency, which fades with each later one; 0 before the first latency
     [[nodiscard]] nanoseconds longest() const {
@@ -37,6 +44,7 @@
     static constexpr std::uint64_t min_count = 5; ///< for has_enough_samples()
 
     double mean_{0.0};       ///< nanoseconds
+    double deviation_{0.0};  ///< nanoseconds
     double longest_{0.0};    ///< nanoseconds
     std::uint64_t count_{0}; ///< latencies added
 };
--- a/wigeonrill/src/traffic/caller_stream.cpp
+++ b/wigeonrill/src/traffic/caller_stream.cpp
@@ -136,6 +136,10 @@
     }
 }
 
+bool caller_stream::has_left() const {
+    return closed_by_peer(fd_);
+}
+
 bool caller_stream::send(std::string_view bytes, milliseconds idle) {
     std::size_t sent = 0;
     return send_all(fd_, bytes, idle, *context_->clock, sent) == io_status::ok;
--- a/wigeonrill/src/traffic/caller_stream.h
+++ b/wigeonrill/src/traffic/caller_stream.h
@@ -10,12 +10,13 @@
 namespace wigeonrill::traffic::detail {
 
 /// \brief Reads request bodies from the connection of one caller and writes answers to it.
-class caller_stream {
+class caller_stream final : public caller_watch {
 public:
     caller_stream(int fd, server_context& context)
         : fd_(fd), context_(&context), reader_(fd, *context.clock) {}
 
     [[nodiscard]] int fd() const { return fd_; }
+    [[nodiscard]] bool has_left() const override;
     [[nodiscard]] message_reader& reader() { return reader_; }
 
     /// \brief Reads a body that is small enough into memory, and sets the size, the digest and
--- a/wigeonrill/src/traffic/dispatcher.h
+++ b/wigeonrill/src/traffic/dispatcher.h
@@ -26,6 +26,8 @@
     bool from_node{false};        ///< forwarded by another node of the fleet
     instant arrived{};            ///< when the head had been read
     instant deadline{};           ///< the caller's; once the route is known, the earlier of both
+    /// Valid until finish_request(); null: it can't be seen whether the caller has left.
+    const caller_watch* watch{nullptr};
 };
 
 /// \brief Kinds of steps for a request.
@@ -104,7 +106,8 @@
     dispatcher& operator=(const dispatcher&) = delete;
     virtual ~dispatcher() = default;
 
-    /// \brief Decides the first step. May block until the deadline while the request is queued.
+    /// \brief Decides the first step. May block until the deadline while the request is queued, but
+    ///        not for long after its caller has left.
     [[nodiscard]] virtual step first_step(const request_info& request) = 0;
 
     /// \brief Called directly before the first byte of an attempt is sent.
--- a/wigeonrill/src/traffic/exchange.cpp
+++ b/wigeonrill/src/traffic/exchange.cpp
@@ -37,6 +37,7 @@
 }
 
 bool exchange::run() {
+    request_->info.watch = caller_;
     std::optional<step> next = context_->decisions->first_step(request_->info);
     try {
         while (next) {
--- a/wigeonrill/traffic.h
+++ b/wigeonrill/traffic.h
@@ -15,6 +15,7 @@
 
 #include "health.h"
 
+#include "src/traffic/caller_watch.h"
 #include "src/traffic/connect.h"
 #include "src/traffic/header_names.h"
 #include "src/traffic/http_get_client.h"
