--- a/wigeonrill/src/dispatch/decision_core_workspaces.cpp
+++ b/wigeonrill/src/dispatch/decision_core_workspaces.cpp
@@ -58,7 +58,9 @@
     if (check_key(record, at) && find_service(record, at) &&
         !handle_while_cut_off(record, at.now)) {
         record.service->on_request(at.now);
-        place_or_queue(record, at);
+        if (!turn_away(record, at.now)) {
+            place_or_queue(record, at);
+        }
     }
 }
 
