Skip interim answers where this node itself is the client

Cause: users saw, on other systems, an answer with status 000 passed on to a caller. Played on sockets here: 19 status lines without a status from 100 to 599, each with a length, chunked and without either, with and without the target's signature, on a new and on a kept connection, on idempotent and at-most-once routes, from a target and from another node; status 000 behind an interim answer; and interim answers without end.

Ruled out: the answers of targets and nodes. The parser rejects such a status line, the caller gets 502 with the outcome unknown or the answer of another target, the attempt counts as malformed, and the connection is closed.

Found at the sides: - http_get_client, which reads the store, took an interim answer for the answer. The final one stayed on the kept connection and could be taken for that to the next call. - The tool took each page whose status is below 400 for an answer, so also one with status 000, 099 or 304. - http_value_source skipped interim answers without a limit, because POCO does, so a server that sends nothing else held the call. - An interim answer was passed to the caller with the Content-Length, Transfer-Encoding or Wigeonrill-Outcome that the target had written.

Change: both clients skip at most 16 interim answers, as target_attempt does, and 101 is no answer; the tool accepts 2xx only and reports others as no answer; interim answers lose the three fields.

--- a/test/platform/http_value_source_test.cpp
+++ b/test/platform/http_value_source_test.cpp
@@ -168,3 +168,30 @@
     }
     source.stopped.get_future().wait();
 }
+
+// Guards against taking an answer without a valid status for a value, or for the statement that the
+// value is unchanged or missing.
+TEST(http_value_source, rejects_an_answer_without_a_valid_status) {
+    const std::string fields = "ETag: \"1\"\r\nContent-Length: 2\r\n";
+    for (const std::string status :
+         {"000 Zero", "000 ", "099 Low", "600 High", "999 High", "2 OK", "20 OK", "2000 OK",
+          "0200 OK", "+20 OK", "2e2 OK", "-01 OK", " OK", "OK", "", "103 Early Hints"}) {
+        for (const std::string interim : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+            const auto value = get_from(interim + http(status, fields, "ok"));
+            CHECK_TEXT(!value && value.error().kind == error_kind::unavailable, status.c_str());
+        }
+    }
+}
+
+// Guards against a call that never ends, because POCO skips any number of interim answers.
+TEST(http_value_source, limits_the_interim_answers) {
+    const auto value = http("200 OK", "ETag: \"1\"\r\nContent-Length: 2\r\n", "ok");
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    CHECK(get_from(interim + value).has_value());
+    std::string many;
+    for (int i = 0; i < 20; ++i) {
+        many += interim;
+    }
+    const auto refused = get_from(many + value);
+    CHECK(!refused && refused.error().kind == error_kind::unavailable);
+}
--- a/wigeonrill/src/platform/http_value_source.cpp
+++ b/wigeonrill/src/platform/http_value_source.cpp
@@ -14,6 +14,9 @@
 
 namespace net = Poco::Net;
 
+/// Number of interim answers to one call that are skipped. POCO by itself skips any number.
+constexpr int max_interim_answers = 16;
+
 Poco::Timespan to_timespan(milliseconds duration) {
     return Poco::Timespan(duration.count() * 1'000);
 }
@@ -55,9 +58,25 @@
     return value;
 }
 
+// Reads heads up to that of the final answer. Returns false if there are too many interim answers.
+bool read_final_head(net::HTTPClientSession& session, net::HTTPResponse& head) {
+    for (int skipped = 0; skipped <= max_interim_answers; ++skipped) {
+        const bool is_interim = session.peekResponse(head);
+        if (!is_interim) {
+            return true;
+        }
+    }
+    return false;
+}
+
 result<std::optional<stored_value>>
 read_answer(const std::string& server, const std::string& target, net::HTTPClientSession& session) {
     net::HTTPResponse head;
+    if (!read_final_head(session, head)) {
+        return failed(error_kind::unavailable,
+                      "platform: " + server + " sent interim answers without end",
+                      "no action needed; the call is retried");
+    }
     auto& body = session.receiveResponse(head);
     const int status = head.getStatus();
     if (status == net::HTTPResponse::HTTP_NOT_MODIFIED) {
--- a/wigeonrill/src/tool/admin_client.cpp
+++ b/wigeonrill/src/tool/admin_client.cpp
@@ -11,7 +11,18 @@
 
 namespace {
 
+constexpr int first_success_status = 200;
+constexpr int last_success_status = 299;
 constexpr int first_error_status = 400;
+constexpr int last_error_status = 599;
+
+bool is_success(int status) {
+    return status >= first_success_status && status <= last_success_status;
+}
+
+bool is_error(int status) {
+    return status >= first_error_status && status <= last_error_status;
+}
 
 } // namespace
 
@@ -37,11 +48,18 @@
         Poco::Net::HTTPResponse response;
         std::string body;
         Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
-        if (response.getStatus() >= first_error_status) {
+        const int status = response.getStatus();
+        if (is_error(status)) {
             return failed(error_kind::conflict,
                           to_string(address_) + " refused " + path + ": " + body,
                           "see docs/operations for the meaning of the message");
         }
+        if (!is_success(status)) {
+            return failed(error_kind::unavailable,
+                          to_string(address_) + " answered " + path + " with status " +
+                              std::to_string(status),
+                          "check that --admin is the administration address of a wigeonrilld");
+        }
         return body;
     } catch (const Poco::Exception& failure) {
         return failed(
--- a/wigeonrill/src/traffic/caller_stream.cpp
+++ b/wigeonrill/src/traffic/caller_stream.cpp
@@ -185,6 +185,10 @@
 bool caller_stream::send_interim(const message_head& head) {
     message_head interim = head;
     interim.remove_hop_by_hop();
+    // An interim answer has no body (RFC 9110 section 15.2), and only nodes may state an outcome.
+    for (const char* field : {"Content-Length", "Transfer-Encoding", "Wigeonrill-Outcome"}) {
+        interim.remove(field);
+    }
     return send(serialize_answer(interim), context_->options.body_idle);
 }
 
--- a/wigeonrill/src/traffic/http_get_client.cpp
+++ b/wigeonrill/src/traffic/http_get_client.cpp
@@ -16,6 +16,10 @@
 // A value of the platform has up to 1 MiB before base64 encoding, and a page of a list is of about
 // the same size.
 constexpr std::uint64_t max_answer_body_bytes = std::uint64_t{8} << 20U;
+/// Number of interim answers to one call that are skipped.
+constexpr int max_interim_answers = 16;
+constexpr int status_switching_protocols = 101;
+constexpr int first_final_status = 200;
 
 tl::unexpected<error> unavailable(const std::string& server, const std::string& what) {
     return failed(error_kind::unavailable, server + " " + what,
@@ -63,6 +67,8 @@
     [[nodiscard]] result<http_response> perform_call(const std::string& target,
                                                      const call_deadline& deadline);
     [[nodiscard]] result<http_response> read_answer(const call_deadline& deadline);
+    /// Reads heads up to that of the final answer.
+    [[nodiscard]] message_reader::status read_final_head(const call_deadline& deadline);
     [[nodiscard]] tl::unexpected<error> to_error(message_reader::status ended) const;
 
     endpoint server;
@@ -88,12 +94,30 @@
     }
 }
 
+// The final answer follows the interim ones on the connection. If one of these were taken for the
+// answer, the final one would be taken for that to the next call.
+message_reader::status http_get_client::state::read_final_head(const call_deadline& deadline) {
+    using status = message_reader::status;
+    auto& reader = connection->reader();
+    for (int skipped = 0; skipped <= max_interim_answers; ++skipped) {
+        reader.begin(
+            detail::make_answer_parser({max_answer_head_bytes, max_answer_body_bytes}, false));
+        const auto ended = reader.read_head(deadline.next(), interruption.close_signal());
+        const int code = reader.parser().head().status;
+        if (ended != status::ok || code >= first_final_status) {
+            return ended;
+        }
+        if (code == status_switching_protocols) {
+            break; // No other protocol was asked for.
+        }
+    }
+    return status::faulty;
+}
+
 result<http_response> http_get_client::state::read_answer(const call_deadline& deadline) {
     using status = message_reader::status;
     auto& reader = connection->reader();
-    reader.begin(detail::make_answer_parser({max_answer_head_bytes, max_answer_body_bytes}, false));
-    if (const auto ended = reader.read_head(deadline.next(), interruption.close_signal());
-        ended != status::ok) {
+    if (const auto ended = read_final_head(deadline); ended != status::ok) {
         return to_error(ended);
     }
     const auto& head = reader.parser().head();
