Explain where a request would go, its workspace, split and choice

Cause: `wigeonrill explain` showed the route and the state of its service's targets as the control thread knows it. What a placement also looks at was missing: the shares of a split, the workspace, this node's load and limits, pauses, backoffs, rate limits, expected cost, pending probes and the choice. The service of a route with a split was the first one only.

Ruled out: asking the control thread for it, since loads, limits and costs belong to the dispatcher; and placing a request and taking it back, since that draws random numbers and uses up probes and rate limits.

Change: decision_core::explain() follows the stages of a new request, is const and draws nothing. A service that no request has used yet is explained from the view and a copy of the rate limits. Whether a waiting request is refused, the key, the use of a workspace's limit and crash marks aren't answered.

The page's key `service` is now in the rows of `services`.

--- a/test/dispatch/retry_test.cpp
+++ b/test/dispatch/retry_test.cpp
@@ -90,6 +90,23 @@
     CHECK(lose(streamed)->kind == step_kind::refuse);
 }
 
+// Guards against a broken answer, such as one with status 000, that is no evidence against its
+// target, or whose request is said not to have run.
+TEST(retry, malformed_answer_counts_against_its_target) {
+    const auto request = node.request("POST", "/runs", "k");
+    const auto first = d.first_step(request);
+    CHECK_TRUE(d.may_send(request));
+    const auto next = d.on_attempt_ended(request, node.attempt(answer_kind::malformed));
+    CHECK(next->kind == step_kind::refuse);
+    CHECK(next->reason.result == outcome::unknown);
+    CHECK_FALSE(traffic::implies_not_run(
+        traffic::status_for_outcome(next->reason.status, next->reason.result)));
+    d.finish_request(request, true, nullptr);
+    CHECK_EQUAL(1U, node.sink.answers.size());
+    CHECK(node.sink.answers.front().kind == answer_kind::malformed);
+    CHECK(node.sink.answers.front().target == first.target);
+}
+
 // Guards against retries that overload a service in which every request fails.
 TEST(retry, retries_stop_when_the_budget_is_used_up) {
     int retries = 0;
--- a/wigeonrill/dispatch.h
+++ b/wigeonrill/dispatch.h
@@ -23,8 +23,11 @@
 #include "src/dispatch/decision_record.h"
 #include "src/dispatch/outstanding_request.h"
 #include "src/dispatch/refusals.h"
+#include "src/dispatch/target_explanation.h"
 #include "src/dispatch/target_record.h"
-// Needs target_record.h.
+// Needs refusals.h and target_explanation.h.
+#include "src/dispatch/explanation.h"
+// Needs target_record.h and target_explanation.h.
 #include "src/dispatch/service_state.h"
 // Needs refusals.h and clock_reading.h.
 #include "src/dispatch/key_admission.h"
--- a/wigeonrill/src/daemon/admin_server.cpp
+++ b/wigeonrill/src/daemon/admin_server.cpp
@@ -12,6 +12,8 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/URI.h>
+#include <algorithm>
+#include <charconv>
 
 namespace wigeonrill::daemon {
 
@@ -37,9 +39,26 @@
     return {};
 }
 
+// Returns nothing unless the whole text is a decimal number.
+std::optional<std::uint64_t> parse_number(const std::string& text) {
+    std::uint64_t number = 0;
+    const auto* end = text.data() + text.size();
+    const auto [last, ec] = std::from_chars(text.data(), end, number);
+    return ec == std::errc{} && last == end ? std::optional(number) : std::nullopt;
+}
+
 reply explain(const admin_queries& queries, const Poco::URI& uri) {
-    const auto text = queries.explain_json(query_value(uri, "method"), query_value(uri, "host"),
-                                           query_value(uri, "path"));
+    constexpr std::uint64_t max_time_left_ms = 86'400'000;
+    dispatch::explained_request request;
+    request.method = query_value(uri, "method");
+    request.host = query_value(uri, "host");
+    request.path = query_value(uri, "path");
+    request.workspace = query_value(uri, "workspace");
+    request.body_bytes = parse_number(query_value(uri, "size")).value_or(0);
+    if (const auto ms = parse_number(query_value(uri, "deadline_ms"))) {
+        request.time_left = milliseconds(std::min(*ms, max_time_left_ms));
+    }
+    const auto text = queries.explain_json(request);
     if (!text) {
         return {HTTPResponse::HTTP_NOT_FOUND, "text/plain", to_string(text.error()) + "\n"};
     }
--- a/wigeonrill/src/daemon/admin_server.h
+++ b/wigeonrill/src/daemon/admin_server.h
@@ -25,13 +25,12 @@
     [[nodiscard]] virtual std::string targets_json() const = 0;
     /// \returns the configuration in force as a JSON object
     [[nodiscard]] virtual std::string config_json() const = 0;
-    /// \brief Shows the route that a request would take now, and the state of each target of its
-    ///        service with the reason.
+    /// \brief Explains where a request would go now: its route, workspace and services, and the
+    ///        state of each target with the reason. The request is not sent or counted.
     /// \returns a JSON object; not_found when no route matches, unavailable when the node has no
     ///          configuration yet
-    [[nodiscard]] virtual result<std::string> explain_json(const std::string& method,
-                                                           const std::string& host,
-                                                           const std::string& path) const = 0;
+    [[nodiscard]] virtual result<std::string>
+    explain_json(const dispatch::explained_request& request) const = 0;
 };
 
 /// \brief Commands of the administration port. Implementations are thread-safe.
--- a/wigeonrill/src/daemon/node_admin_queries.cpp
+++ b/wigeonrill/src/daemon/node_admin_queries.cpp
@@ -1,6 +1,6 @@
 #include "wigeonrill/daemon.h"
 
-#include <nlohmann/json.hpp>
+#include "wigeonrill/src/daemon/admin_json.h"
 
 namespace wigeonrill::daemon {
 
@@ -8,22 +8,6 @@
 
 using nlohmann::ordered_json;
 
-ordered_json target_row_json(const target_row& row) {
-    ordered_json it;
-    it["service"] = row.service.value;
-    it["target"] = row.target.id.value;
-    it["address"] = to_string(row.target.address);
-    it["domain"] = row.target.domain.value;
-    it["slots"] = row.target.slots;
-    it["state"] = enum_name(health::target_state_names, row.status.state);
-    it["gets_work"] = row.eligible;
-    it["weight"] = row.weight;
-    it["severity"] = row.status.severity;
-    it["reason"] =
-        row.kept_for_floor ? row.status.reason + "; kept in use for the floor" : row.status.reason;
-    return it;
-}
-
 // Returns all targets, or an empty list when the control thread does not answer in time.
 std::vector<target_row> query_target_rows(control_thread& control) {
     auto rows = control.run_query([](control_loop& loop) { return loop.targets(); });
@@ -84,32 +68,22 @@
     return it.dump();
 }
 
-result<std::string> node_admin_queries::explain_json(const std::string& method,
-                                                     const std::string& host,
-                                                     const std::string& path) const {
-    const auto state = loop_.state();
-    if (!state->configuration) {
+result<std::string>
+node_admin_queries::explain_json(const dispatch::explained_request& request) const {
+    if (!loop_.state()->configuration) {
         return failed(error_kind::unavailable, "this node has no configuration yet",
                       "see the log lines that begin with \"config:\"");
     }
-    const auto match = state->routes->find(host, method, path);
-    if (match.route == nullptr) {
+    const auto found = dispatcher_.explain(request);
+    if (!found.route) {
+        const bool other_method = found.refusal == dispatch::refusal_kind::method_not_allowed;
         return failed(error_kind::not_found,
-                      match.path_matched ? "no route for " + path + " allows the method " + method
-                                         : "no route matches " + path,
+                      other_method
+                          ? "no route for " + request.path + " allows the method " + request.method
+                          : "no route matches " + request.path,
                       "compare host, method and path with the routes of the configuration");
     }
-    ordered_json it;
-    it["route"] = match.route->name.value;
-    it["service"] = match.route->service.value;
-    it["repeat"] = enum_name(config::repeat_policy_names, match.route->repeat);
-    it["targets"] = ordered_json::array();
-    for (const auto& row : query_target_rows(control_)) {
-        if (row.service == match.route->service) {
-            it["targets"].push_back(target_row_json(row));
-        }
-    }
-    return it.dump();
+    return explanation_json(request, found, query_target_rows(control_));
 }
 
 } // namespace wigeonrill::daemon
--- a/wigeonrill/src/daemon/node_admin_queries.h
+++ b/wigeonrill/src/daemon/node_admin_queries.h
@@ -35,9 +35,8 @@
     [[nodiscard]] std::string status_json() const override;
     [[nodiscard]] std::string targets_json() const override;
     [[nodiscard]] std::string config_json() const override;
-    [[nodiscard]] result<std::string> explain_json(const std::string& method,
-                                                   const std::string& host,
-                                                   const std::string& path) const override;
+    [[nodiscard]] result<std::string>
+    explain_json(const dispatch::explained_request& request) const override;
 
 private:
     node_identity identity_;
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -161,6 +161,8 @@
     [[nodiscard]] std::size_t waiting() const;
     /// \returns the number of keys in the deduplication table
     [[nodiscard]] std::size_t keys() const { return key_admission_.keys(); }
+    /// \brief Explains where a request would go now, and why. It is not sent or counted.
+    [[nodiscard]] explanation explain(const explained_request& request, instant now) const;
 
 private:
     /// \returns the state of a service, synchronized with the current view; null when the view does
@@ -169,6 +171,11 @@
     /// \brief Brings the state of a service up to date with the current view. To be called before a
     ///        request that started with an older view is placed again.
     void sync_service(const service_name& name, service_state& service);
+    /// \returns why a request that matches a route is refused whatever its service
+    [[nodiscard]] std::optional<refusal_kind> refusal_before_service(const explanation& found,
+                                                                     instant now) const;
+    /// \brief Fills the explanation of a service, whose name is set.
+    void explain_service(service_explanation& shown, const config::route& route, instant now) const;
     /// \returns the state of a request between begin_request() and finish_request()
     request_record& record_of(std::uint64_t id);
 
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -130,6 +130,11 @@
     return core_.keys();
 }
 
+explanation request_dispatcher::explain(const explained_request& request) const {
+    const std::lock_guard guard(mutex_);
+    return core_.explain(request, clock_.now());
+}
+
 traffic::step request_dispatcher::first_step(const traffic::request_info& request) {
     if (asks_for_key(request)) {
         return make_key_answer();
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -90,6 +90,8 @@
     [[nodiscard]] std::size_t waiting() const;
     /// \returns the number of keys in the deduplication table
     [[nodiscard]] std::size_t keys() const;
+    /// \brief Explains where a request would go now, and why. It is not sent or counted.
+    [[nodiscard]] explanation explain(const explained_request& request) const;
 
 private:
     /// \returns a step that answers with a newly issued idempotency key
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// A weight of 0 would make a target's relative load infinite.
-constexpr double min_weight = 0.001;
-
 // Failure probabilities below this value are treated as equal. Otherwise, at low load, the targets
 // that answered most recently would get all requests, and healthy capacity would stay unused.
 constexpr double failure_probability_floor = 0.25;
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -86,6 +86,11 @@
     ///          of any limit; nothing when a target takes requests without a limit
     [[nodiscard]] std::optional<nanoseconds> announced_wait(instant now) const;
 
+    /// \brief Shows the targets of a view as the next placement would see them. Where a placement
+    ///        depends on a random draw, it is one that prefers the failure domain of this node.
+    [[nodiscard]] std::vector<target_explanation>
+    explain(const routing::service_view& view, config::repeat_policy repeat, instant now) const;
+
     /// Requests that wait for a target. The bound is set by sync().
     admission::wait_queue queue{0};
     /// Estimates the time in the queue.
@@ -94,6 +99,9 @@
     admission::retry_budget retries{admission::make_retry_budget()};
 
 private:
+    // A weight of 0 would make a target's relative load infinite.
+    static constexpr double min_weight = 0.001;
+
     struct weighted_target {
         target_record_ptr record;
         double weight{1.0}; ///< of the view, above 0
@@ -111,6 +119,12 @@
     [[nodiscard]] bool is_eligible(const target_record_ptr& record) const;
     /// \returns true when a target is not draining, and below its concurrency and rate limits
     [[nodiscard]] bool has_room(const target_record& record, instant now) const;
+    /// \returns why an eligible target can't take a request now
+    [[nodiscard]] target_obstacle obstacle_of(const target_record& record, instant now) const;
+    /// \returns true when a probe of a target is pending and can start now
+    [[nodiscard]] bool awaits_probe(const target_id& target, instant now) const;
+    /// \returns the record of a target, or a new one if none is known of this process of it
+    [[nodiscard]] target_record_ptr record_for_explanation(const config::target& target) const;
     /// \returns true when a target has room and is not in `avoid`
     [[nodiscard]] bool can_take_request(const weighted_target& it, std::span<const target_id> avoid,
                                         instant now) const;
--- a/wigeonrill/src/tool/command_line.cpp
+++ b/wigeonrill/src/tool/command_line.cpp
@@ -31,13 +31,11 @@
     std::vector<std::string> logs{"-"};
     std::vector<std::string> admin{default_admin_address};
     bool json{false};
-    std::string method{"GET"};
-    std::string host;
-    std::string path{"/"};
+    explain_query explained;
 };
 
 void add_remote_options(CLI::App& command, arguments& args) {
-    command.add_option("--admin", args.admin, "Administration address of a daemon, ip:port")
+    command.add_option("--admin,--node", args.admin, "Administration address of a daemon, ip:port")
         ->capture_default_str();
     command.add_flag("--json", args.json, "Print JSON instead of a table");
 }
@@ -62,11 +60,15 @@
                        args);
     add_remote_options(*app.add_subcommand("drain", "Start the graceful shutdown of a daemon"),
                        args);
-    auto* explain =
-        app.add_subcommand("explain", "Show the targets a request could be sent to now, and why");
-    explain->add_option("--method", args.method, "HTTP method")->capture_default_str();
-    explain->add_option("--host", args.host, "Host header");
-    explain->add_option("--path", args.path, "Path without the query")->required();
+    auto* explain = app.add_subcommand(
+        "explain", "Show where a request would go now, and why, without sending it");
+    auto& query = args.explained;
+    explain->add_option("--method,method", query.method, "HTTP method")->capture_default_str();
+    explain->add_option("--host", query.host, "Host header");
+    explain->add_option("--path,path", query.path, "Path without the query")->required();
+    explain->add_option("--workspace", query.workspace, "Workspace of the caller");
+    explain->add_option("--size", query.body_bytes, "Bytes of the body")->capture_default_str();
+    explain->add_option("--deadline", query.deadline_ms, "Time the caller waits, in milliseconds");
     add_remote_options(*explain, args);
 }
 
@@ -101,7 +103,7 @@
         return drain_nodes(*addresses, args.json);
     }
     if (command == "explain") {
-        return explain_request(*addresses, args.method, args.host, args.path, args.json);
+        return explain_request(*addresses, args.explained, args.json);
     }
     return show_page(command, *addresses, args.json);
 }
--- a/wigeonrill/src/tool/commands.h
+++ b/wigeonrill/src/tool/commands.h
@@ -38,14 +38,22 @@
 [[nodiscard]] exit_code show_page(const std::string& page, const std::vector<endpoint>& nodes,
                                   bool json);
 
-/// \brief Prints the targets that a request could be sent to now, and why the others are not
-/// eligible.
+/// \brief Request whose handling is to be explained.
+struct explain_query {
+    std::string method{"GET"};
+    std::string host;
+    std::string path{"/"};
+    std::string workspace;
+    std::uint64_t body_bytes{0};
+    std::optional<std::uint64_t> deadline_ms; ///< time until the caller's deadline
+};
+
+/// \brief Prints where a request would go now, and why, without sending it.
 /// \param nodes administration addresses of daemons
 /// \param json print JSON instead of text
 /// \returns the same as show_page(); a daemon rejects the request if no route matches
 [[nodiscard]] exit_code explain_request(const std::vector<endpoint>& nodes,
-                                        const std::string& method, const std::string& host,
-                                        const std::string& path, bool json);
+                                        const explain_query& query, bool json);
 
 /// \brief Starts the graceful shutdown of daemons.
 /// \param nodes administration addresses of the daemons
--- a/wigeonrill/src/tool/remote_commands.cpp
+++ b/wigeonrill/src/tool/remote_commands.cpp
@@ -132,11 +132,38 @@
     return code;
 }
 
+// Formats an object on one line: "name w1, known true".
+std::string format_object(const json& object) {
+    std::string text;
+    for (const auto& [key, value] : object.items()) {
+        text += (text.empty() ? "" : ", ") + key + " " + format_cell(value);
+    }
+    return text;
+}
+
 void print_explanation(const json& page) {
-    std::cout << "route: " << format_cell(page.value("route", json()))
-              << "\nservice: " << format_cell(page.value("service", json()))
-              << "\nrepeat: " << format_cell(page.value("repeat", json())) << "\n\n"
-              << format_rows(to_rows(page.value("targets", json::array())));
+    for (const auto& [key, value] : page.items()) {
+        if (!value.is_array()) {
+            std::cout << key << ": "
+                      << (value.is_object() ? format_object(value) : format_cell(value)) << '\n';
+        }
+    }
+    for (const char* table : {"services", "targets"}) {
+        std::cout << '\n' << format_rows(to_rows(page.value(table, json::array())));
+    }
+}
+
+std::string explain_path(const explain_query& query) {
+    Poco::URI uri("/explain");
+    uri.addQueryParameter("method", query.method);
+    uri.addQueryParameter("host", query.host);
+    uri.addQueryParameter("path", query.path);
+    uri.addQueryParameter("workspace", query.workspace);
+    uri.addQueryParameter("size", std::to_string(query.body_bytes));
+    if (query.deadline_ms) {
+        uri.addQueryParameter("deadline_ms", std::to_string(*query.deadline_ms));
+    }
+    return uri.toString();
 }
 
 } // namespace
@@ -151,15 +178,12 @@
         nodes, [](const admin_client& client) { return client.post("/drain"); }, json);
 }
 
-exit_code explain_request(const std::vector<endpoint>& nodes, const std::string& method,
-                          const std::string& host, const std::string& path, bool json) {
-    Poco::URI uri("/explain");
-    uri.addQueryParameter("method", method);
-    uri.addQueryParameter("host", host);
-    uri.addQueryParameter("path", path);
+exit_code explain_request(const std::vector<endpoint>& nodes, const explain_query& query,
+                          bool json) {
+    const auto path = explain_path(query);
     std::vector<fetched_page> pages;
     const auto code = fetch_pages(
-        nodes, [&](const admin_client& client) { return client.get(uri.toString()); }, pages);
+        nodes, [&](const admin_client& client) { return client.get(path); }, pages);
     if (json) {
         print_json(pages);
         return code;
