--- a/wigeonrill/src/admission/waiting_room.h
+++ b/wigeonrill/src/admission/waiting_room.h
@@ -57,6 +57,11 @@
     /// \returns the number of waiting requests
     [[nodiscard]] std::size_t size() const { return queue_.size(); }
 
+    /// \returns the wait of a request behind all others, if no more urgent ones come; 0 when it
+    /// isn't
+    ///          known
+    [[nodiscard]] nanoseconds estimated_wait() const { return expected_wait(queue_.size(), 1.0); }
+
     /// \brief Counts a request that got its first target.
     void count_served(std::uint32_t priority, instant now) { shares_.on_served(priority, now); }
     /// \brief Counts a request that was refused for lack of room.
--- a/wigeonrill/src/dispatch/decision_core_explain.cpp
+++ b/wigeonrill/src/dispatch/decision_core_explain.cpp
@@ -110,8 +110,8 @@
     if (const auto it = services_.find(shown.name); it != services_.end()) {
         const auto& service = *it->second;
         shown.targets = service.explain(*view, route.repeat, now);
-        shown.waiting = service.queue.size();
-        shown.estimated_wait = service.estimator.estimated_wait(shown.waiting);
+        shown.waiting = service.waiting.size();
+        shown.estimated_wait = service.waiting.estimated_wait();
     } else {
         // No request has used the service, so nothing is known beyond the view and the limits.
         auto limits = rate_limits_;
