Try suspected targets of a cohort before all of them have rested

Cause: when a fleet without any knowledge takes up a service of which a third of the targets is failing, it learns of these within half a second. From then on they rest together. routing::choose_trial_age bounded the resting targets by a mean recovery time per target, which is 0 for the first 2 s and says nothing about targets that failed together, and it counted as sound every target that wasn't suspected, also those with a failure in the last 2 s.

Targets in use count as sound only without a bad answer for 2 s. A target that already has a request is not tried a second time.

--- a/test/dispatch/fleet_simulation.h
+++ b/test/dispatch/fleet_simulation.h
@@ -40,6 +40,7 @@
     double rate_limit{1.0};         ///< requests per second from all nodes together
     seconds rate_limit_start{5};    ///< from the start of the simulation
     dispatch::core_options::policy_factory policy;
+    std::uint64_t seed{1}; ///< of arrivals, service times and bursts
 };
 
 /// Time after which a node that passed on an answer with a limit must keep to it.
@@ -58,6 +59,11 @@
     double mean_used_share{0.0}; ///< mean of the same
     int windows{0};              ///< number of spans of 2 s that were examined
     int windows_below_floor{0};  ///< those with a share below 0.7
+    /// Least share of the targets without a failed answer for 2 s that got a request in these 2 s,
+    /// over all spans of 2 s. Unlike min_used_share it counts targets whose burst goes on unseen.
+    double min_share_without_failures{1.0};
+    int shed{0};                     ///< requests that a full target turned away
+    std::uint32_t most_in_target{0}; ///< most requests at one time in a target, waiting or running
 };
 
 /// Discrete-event simulation of the decision cores of a fleet, and of targets that queue and shed
@@ -93,6 +99,9 @@
         for (auto window = now_ + plan_.recovery_time; window < end; window += usage_window) {
             schedule(window, [this] { record_usage(); });
         }
+        for (auto span_end = now_ + usage_window; span_end < end; span_end += usage_step) {
+            schedule(span_end, [this] { record_usage_without_failures(); });
+        }
         for (auto tick = now_; tick < end; tick += milliseconds(50)) {
             schedule(tick, [this] { tick_all_nodes(); });
         }
@@ -111,6 +120,8 @@
 private:
     /// Interval of record_usage().
     static constexpr seconds usage_window{2};
+    /// Interval of record_usage_without_failures().
+    static constexpr milliseconds usage_step{50};
     static constexpr double floor_share = 0.7;
 
     using task = std::function<void()>;
@@ -128,6 +139,8 @@
         std::queue<task> waiting;
         bool was_used{false};
         instant last_failing{};
+        instant last_arrival{};
+        instant last_failed_answer{};
     };
 
     static node_id name_of(std::size_t node) { return node_id("node-" + std::to_string(node)); }
@@ -231,6 +244,21 @@
         }
     }
 
+    void record_usage_without_failures() {
+        int without_failures = 0;
+        int used = 0;
+        for (const auto& it : targets_) {
+            const bool is_sound = now_ - it.last_failed_answer > usage_window;
+            without_failures += is_sound ? 1 : 0;
+            used += is_sound && now_ - it.last_arrival <= usage_window ? 1 : 0;
+        }
+        if (without_failures > 0) {
+            result_.min_share_without_failures =
+                std::min(result_.min_share_without_failures,
+                         static_cast<double>(used) / static_cast<double>(without_failures));
+        }
+    }
+
     void add_arrival(instant end) {
         const auto next = now_ + exponential(1.0 / plan_.requests_per_second);
         if (next < end) {
@@ -285,13 +313,17 @@
     void receive_request(std::size_t index, const reply_function& reply) {
         auto& target = targets_[index];
         target.was_used = true;
+        target.last_arrival = now_;
         if (target.running < plan_.slots) {
             run_request(index, reply);
         } else if (target.waiting.size() < plan_.queue_limit) {
             target.waiting.push([this, index, reply] { run_request(index, reply); });
         } else {
+            ++result_.shed;
             reply(health::answer_kind::shed);
         }
+        const auto waiting = static_cast<std::uint32_t>(target.waiting.size());
+        result_.most_in_target = std::max(result_.most_in_target, target.running + waiting);
     }
     void run_request(std::size_t index, const reply_function& reply) {
         const bool fails = draw_failure(index);
@@ -300,6 +332,7 @@
         schedule(now_ + time, [this, index, reply, fails] {
             auto& target = targets_[index];
             --target.running;
+            target.last_failed_answer = fails ? now_ : target.last_failed_answer;
             if (!target.waiting.empty()) {
                 const auto next = target.waiting.front();
                 target.waiting.pop();
@@ -377,8 +410,8 @@
 
     simulation_plan plan_;
     std::shared_ptr<config::snapshot> snapshot_;
-    seeded_random_source random_{1};
-    seeded_random_source bursts_{2};
+    seeded_random_source random_{plan_.seed};
+    seeded_random_source bursts_{plan_.seed + 1};
     std::vector<std::unique_ptr<seeded_random_source>> randoms_;
     std::vector<std::unique_ptr<dispatch::decision_core>> cores_;
     std::vector<std::size_t> groups_; ///< by node; the nodes of a group tell each other
--- a/test/dispatch/near_full_load_test.cpp
+++ b/test/dispatch/near_full_load_test.cpp
@@ -36,10 +36,10 @@
 test::simulation_result simulate(const char* name, const simulation_plan& plan) {
     auto result = fleet_simulation(plan).run();
     std::printf("%s: %d requests, %d late, %d failed, %d refused, least used %.2f, mean %.2f, "
-                "%d of %d windows below the floor\n",
+                "%d of %d windows below the floor, least used without failures %.2f, %d shed\n",
                 name, result.requests, result.late, result.failed, result.refused,
                 result.min_used_share, result.mean_used_share, result.windows_below_floor,
-                result.windows);
+                result.windows, result.min_share_without_failures, result.shed);
     return result;
 }
 
@@ -205,3 +205,25 @@
     const auto after = simulate("142 nodes, slices", orders_of_fleet(142));
     CHECK(after.failed * 3 <= before.failed * 2);
 }
+
+// Guards against sound targets that all rest at once because their first failures came together.
+// When a fleet without any knowledge takes up a service of which a third of the targets is failing,
+// it learns of these within half a second; two seconds later a third of those without further
+// failures had got nothing since.
+TEST(near_full_load, targets_that_fail_together_do_not_rest_together) {
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        auto start = near_full_plan();
+        start.nodes = 37;
+        start.targets = 95;
+        start.requests_per_second = 400.0;
+        start.mean_service_s = 0.28;
+        start.burst_length = seconds(3);
+        start.mean_burst_gap = seconds(6);
+        start.failed_share_in_bursts = 0.9;
+        start.failed_share_else = 0.012;
+        start.duration = seconds(10);
+        start.seed = seed;
+        const auto result = simulate("start among failing targets", start);
+        CHECK(result.min_share_without_failures >= 0.7);
+    }
+}
--- a/test/routing/trial_age_test.cpp
+++ b/test/routing/trial_age_test.cpp
@@ -38,6 +38,28 @@
     }
 }
 
+// Guards against a cohort of targets whose first failures came together and that all rest until the
+// mean recovery time has passed. At most 0.3 of the targets without a bad answer for settling_time
+// may be out of use.
+TEST(trial_age, a_cohort_is_tried_before_it_has_settled) {
+    constexpr std::size_t cohort = 40;
+    for (const std::size_t in_use : {0, 10, 55}) {
+        std::vector<nanoseconds> rests;
+        for (std::size_t i = 0; i < cohort; ++i) {
+            rests.push_back(routing::settling_time - milliseconds(10) * static_cast<int>(i));
+        }
+        const auto age = choose_trial_age(rests, in_use);
+        const auto untried =
+            std::ranges::count_if(rests, [&](const nanoseconds it) { return it < age; });
+        CHECK(static_cast<double>(untried) <= 0.3 * static_cast<double>(in_use + cohort));
+    }
+}
+
+// Guards against trials of each target that failed while most others are in use.
+TEST(trial_age, few_suspected_targets_rest_on) {
+    CHECK(choose_trial_age(rests_of(5, milliseconds(2'100)), 60) > milliseconds(2'100));
+}
+
 // Guards against healthy capacity out of use while many targets are suspected: the more of them,
 // the sooner the first are tried.
 TEST(trial_age, many_suspected_targets_rest_shorter) {
--- a/wigeonrill/src/dispatch/service_state.cpp
+++ b/wigeonrill/src/dispatch/service_state.cpp
@@ -178,7 +178,7 @@
     for (const auto& it : eligible_) {
         if (it.is_own && is_suspected(it, now)) {
             rests.push_back(rest_of(*it.record, now));
-        } else if (it.is_own) {
+        } else if (it.is_own && rest_of(*it.record, now) >= routing::settling_time) {
             ++in_use;
         }
     }
@@ -191,8 +191,12 @@
 
 bool service_state::is_trial_due(const target_record& record,
                                  const placement_conditions& conditions) {
-    return conditions.tries && rest_of(record, conditions.now) >= conditions.trial_age &&
-           conditions.now >= record.next_trial_at;
+    const auto now = conditions.now;
+    // A second trial at the same time would tell nothing more, and cost another caller its answer.
+    const bool is_being_tried =
+        record.limiter.outstanding() > 0 || record.peer_outstanding.at(now) > 0;
+    return conditions.tries && rest_of(record, now) >= conditions.trial_age &&
+           now >= record.next_trial_at && !is_being_tried;
 }
 
 routing::placement_candidate
