--- a/test/dispatch/fleet_simulation.h
+++ b/test/dispatch/fleet_simulation.h
@@ -1,7 +1,7 @@
 #ifndef WIGEONRILL_TEST_DISPATCH_FLEET_SIMULATION_H
 #define WIGEONRILL_TEST_DISPATCH_FLEET_SIMULATION_H
 
-#include "fixture.h"
+#include "simulation_plan.h"
 
 #include <cmath>
 #include <functional>
@@ -9,57 +9,6 @@
 
 namespace wigeonrill::test {
 
-/// Parameters of a simulated fleet that serves requests of one service.
-struct simulation_plan {
-    std::size_t nodes{36};
-    int targets{13};
-    std::uint32_t slots{2};           ///< concurrent requests per target
-    std::uint32_t queue_limit{8};     ///< requests that wait in a target; further ones are shed
-    bool repeatable{false};           ///< the requests are idempotent
-    double requests_per_second{90.0}; ///< mean rate of Poisson arrivals at random nodes
-    double mean_service_s{0.22};      ///< service times are uniform within 50% of it
-    std::size_t failing_at_once{0};   ///< number of failing targets; they change in turn
-    seconds burst_length{6};          ///< time for which the same targets fail
-    /// Time from the start of a target's burst of failures to that of its next one. The bursts of
-    /// the targets are independent, and replace those by turns. 0: no such bursts.
-    seconds burst_period{0};
-    /// Mean time between two bursts of a target, of exponential distribution. The length of each
-    /// burst is uniform within 50% of burst_length. 0: no such bursts.
-    seconds mean_burst_gap{0};
-    double failed_share_in_bursts{1.0}; ///< share of the requests that a failing target fails
-    double failed_share_else{0.0};      ///< share of the requests that other targets fail
-    /// Time after a failure in which a target doesn't count as healthy.
-    seconds recovery_time{2};
-    milliseconds latency_objective{800}; ///< slower answers count as late
-    milliseconds observation_delay{2};   ///< delay of an observation between nodes
-    bool shares_observations{true};      ///< nodes send each other their observations
-    bool slices{true};          ///< groups of nodes use slices of the targets, as in the product
-    std::size_t told_groups{1}; ///< without slices: groups whose nodes tell each other
-    seconds duration{60};       ///< simulated time in which requests arrive
-    std::size_t limited_targets{0}; ///< the first targets name a rate limit after rate_limit_start
-    double rate_limit{1.0};         ///< requests per second from all nodes together
-    seconds rate_limit_start{5};    ///< from the start of the simulation
-    dispatch::core_options::policy_factory policy;
-};
-
-/// Time after which a node that passed on an answer with a limit must keep to it.
-inline constexpr milliseconds telling_time{500};
-
-struct simulation_result {
-    int requests{0};
-    int late{0};
-    int failed{0};
-    int refused{0};
-    /// Times of the requests that reached each limited target from nodes that it had told its limit
-    /// at least `telling_time` before.
-    std::vector<std::vector<instant>> told_arrivals;
-    nanoseconds longest_refusal{0}; ///< longest time from arrival until a refusal
-    double min_used_share{1.0};  ///< least share of healthy targets that got a request within 2 s
-    double mean_used_share{0.0}; ///< mean of the same
-    int windows{0};              ///< number of spans of 2 s that were examined
-    int windows_below_floor{0};  ///< those with a share below 0.7
-};
-
 /// Discrete-event simulation of the decision cores of a fleet, and of targets that queue and shed
 /// requests and fail in bursts.
 class fleet_simulation {
@@ -93,6 +42,9 @@
         for (auto window = now_ + plan_.recovery_time; window < end; window += usage_window) {
             schedule(window, [this] { record_usage(); });
         }
+        for (auto span_end = now_ + usage_window; span_end < end; span_end += usage_step) {
+            schedule(span_end, [this] { record_usage_without_failures(); });
+        }
         for (auto tick = now_; tick < end; tick += milliseconds(50)) {
             schedule(tick, [this] { tick_all_nodes(); });
         }
@@ -111,6 +63,8 @@
 private:
     /// Interval of record_usage().
     static constexpr seconds usage_window{2};
+    /// Interval of record_usage_without_failures().
+    static constexpr milliseconds usage_step{50};
     static constexpr double floor_share = 0.7;
 
     using task = std::function<void()>;
@@ -128,6 +82,8 @@
         std::queue<task> waiting;
         bool was_used{false};
         instant last_failing{};
+        instant last_arrival{};
+        instant last_failed_answer{};
     };
 
     static node_id name_of(std::size_t node) { return node_id("node-" + std::to_string(node)); }
@@ -231,6 +187,21 @@
         }
     }
 
+    void record_usage_without_failures() {
+        int without_failures = 0;
+        int used = 0;
+        for (const auto& it : targets_) {
+            const bool is_sound = now_ - it.last_failed_answer > usage_window;
+            without_failures += is_sound ? 1 : 0;
+            used += is_sound && now_ - it.last_arrival <= usage_window ? 1 : 0;
+        }
+        if (without_failures > 0) {
+            result_.min_share_without_failures =
+                std::min(result_.min_share_without_failures,
+                         static_cast<double>(used) / static_cast<double>(without_failures));
+        }
+    }
+
     void add_arrival(instant end) {
         const auto next = now_ + exponential(1.0 / plan_.requests_per_second);
         if (next < end) {
@@ -285,13 +256,17 @@
     void receive_request(std::size_t index, const reply_function& reply) {
         auto& target = targets_[index];
         target.was_used = true;
+        target.last_arrival = now_;
         if (target.running < plan_.slots) {
             run_request(index, reply);
         } else if (target.waiting.size() < plan_.queue_limit) {
             target.waiting.push([this, index, reply] { run_request(index, reply); });
         } else {
+            ++result_.shed;
             reply(health::answer_kind::shed);
         }
+        const auto waiting = static_cast<std::uint32_t>(target.waiting.size());
+        result_.most_in_target = std::max(result_.most_in_target, target.running + waiting);
     }
     void run_request(std::size_t index, const reply_function& reply) {
         const bool fails = draw_failure(index);
@@ -300,6 +275,7 @@
         schedule(now_ + time, [this, index, reply, fails] {
             auto& target = targets_[index];
             --target.running;
+            target.last_failed_answer = fails ? now_ : target.last_failed_answer;
             if (!target.waiting.empty()) {
                 const auto next = target.waiting.front();
                 target.waiting.pop();
@@ -377,8 +353,8 @@
 
     simulation_plan plan_;
     std::shared_ptr<config::snapshot> snapshot_;
-    seeded_random_source random_{1};
-    seeded_random_source bursts_{2};
+    seeded_random_source random_{plan_.seed};
+    seeded_random_source bursts_{plan_.seed + 1};
     std::vector<std::unique_ptr<seeded_random_source>> randoms_;
     std::vector<std::unique_ptr<dispatch::decision_core>> cores_;
     std::vector<std::size_t> groups_; ///< by node; the nodes of a group tell each other
