Test authentication, credit of requests and the fields that reach targets

The test of refusals before the key check sets its view again, since limits are now found by a directory that belongs to the view; the check itself is unchanged.

--- a/test/dispatch/at_most_once_test.cpp
+++ b/test/dispatch/at_most_once_test.cpp
@@ -212,6 +212,7 @@
     limited.name = workspace_name("w1");
     limited.requests_per_second = 1.0;
     node.snapshot->workspaces = {limited};
+    d.set_view(test::make_view(node.snapshot));
     run_whole("k");
     check_refused(d.first_step(node.request("POST", "/runs", "k")), "workspace-limit",
                   outcome::unknown);
--- a/test/dispatch/fixture.h
+++ b/test/dispatch/fixture.h
@@ -27,7 +27,15 @@
         const std::lock_guard guard(mutex_);
         rate_limits.push_back(notice);
     }
-    void on_credit_ask(const quota::outgoing_ask& ask) override { credit_asks.push_back(ask); }
+    void on_credit_ask(const quota::outgoing_ask& ask) override {
+        const std::lock_guard guard(mutex_);
+        credit_asks.push_back(ask);
+    }
+    /// Returns the number of messages to granters that were not taken yet.
+    std::size_t asks() {
+        const std::lock_guard guard(mutex_);
+        return credit_asks.size();
+    }
     void on_crash_mark(const once::crash_mark& mark) override {
         const std::lock_guard guard(mutex_);
         marks.push_back(mark);
--- a/test/traffic/named_headers_test.cpp
+++ b/test/traffic/named_headers_test.cpp
@@ -284,3 +284,21 @@
         }
     }
 }
+
+// Guards against an API key or a made-up workspace that reaches a target, under any spelling of the
+// fields.
+TEST(named_headers, replace_the_credentials_of_an_authenticated_caller) {
+    auto options = custom_header_options();
+    options.names.workspace = "Customer";
+    proxy_fixture it(signed_answer, options);
+    it.decisions.default_step = it.send_step();
+    it.decisions.default_step.verified_workspace = "w1";
+    const std::string head = "GET / HTTP/1.1\r\nHost: a.example\r\nRequest-Name: r1\r\n";
+    static_cast<void>(it.send_request(
+        head + "authorization: bearer secret\r\nCUSTOMER: other\r\nCustomer: w9\r\n\r\n"));
+    const auto sent = it.target.requests().back();
+    CHECK(sent.find("secret") == std::string::npos);
+    CHECK(sent.find("other") == std::string::npos && sent.find("w9") == std::string::npos);
+    STRCMP_CONTAINS("\r\nCustomer: w1\r\n", sent.c_str());
+    CHECK(it.decisions.started_requests.back().api_key == config::digest_of_key("secret"));
+}
--- a/test/users_platform/records_test.cpp
+++ b/test/users_platform/records_test.cpp
@@ -45,6 +45,30 @@
 
 TEST_GROUP(records){};
 
+// Guards against API keys that are kept as text, and against a workspace, limit or priority that is
+// read wrongly.
+TEST(records, decodes_workspaces) {
+    const std::string written =
+        R"({"version":8,"routes":{"r-1":{"host":"h.example","prefix":"/a/","kind":"safe",)"
+        R"("service":"s1","no_auth":true}},"services":{"s1":{}},"tenants":{)"
+        R"("w2":{"api_keys":["k2","k3"],"priority":1,"rate_per_s":2.5,"burst":4},)"
+        R"("w1":{"api_keys":[]}}})";
+    const auto decoded = users_platform::decode_page(page(item("op/config", written)));
+    const auto& it = std::get<platform::operator_rules>(only_record(decoded).content);
+    CHECK(it.authentication == config::caller_authentication::api_key);
+    CHECK_FALSE(it.routes.front().needs_api_key);
+    LONGS_EQUAL(2, it.workspaces.size());
+    STRCMP_EQUAL("w1", it.workspaces[0].name.value.c_str());
+    CHECK(it.workspaces[0].keys.empty() && !it.workspaces[0].priority);
+    const auto& limited = it.workspaces[1];
+    std::vector<config::key_digest> keys{config::digest_of_key("k2"), config::digest_of_key("k3")};
+    std::ranges::sort(keys);
+    CHECK(limited.keys == keys);
+    CHECK(limited.priority == 1U);
+    DOUBLES_EQUAL(2.5, limited.requests_per_second, 0.0);
+    DOUBLES_EQUAL(4.0, limited.burst, 0.0);
+}
+
 // Guards against reading a field from the wrong part of a record, or in the wrong unit.
 TEST(records, decodes_a_target) {
     const auto decoded = users_platform::decode_page(page(item("servers/i-1", target)));
