Refuse requests that wait for credit at their deadline

Ruled out: the queue and the check for callers that leave. Change: the request is refused when its deadline passes. Test: workspace, a_request_does_not_wait_for_credit_beyond_its_deadline.

--- a/test/dispatch/workspace_test.cpp
+++ b/test/dispatch/workspace_test.cpp
@@ -142,3 +142,21 @@
     CHECK(first_step("/stock", "key-1").kind == step_kind::send); // no limit, no question
     LONGS_EQUAL(0, node.sink.asks());
 }
+
+// Guards against a request that waits on for credit after its deadline, and whose thread then asks
+// for its step without a pause.
+TEST(workspace, a_request_does_not_wait_for_credit_beyond_its_deadline) {
+    join_fleet();
+    auto info = request_with_key("/stock", "key-2");
+    info.deadline = node.clock.now() + milliseconds(30);
+    std::optional<traffic::step> step;
+    std::thread caller([&] { step = d.first_step(info); });
+    while (node.sink.asks() == 0) {
+        std::this_thread::yield();
+    }
+    node.clock.advance(milliseconds(30));
+    caller.join();
+    CHECK(step->kind == step_kind::refuse);
+    STRCMP_EQUAL("deadline-passed", step->reason.type.c_str());
+    d.finish_request(info, false, nullptr);
+}
--- a/wigeonrill/src/dispatch/decision_core.cpp
+++ b/wigeonrill/src/dispatch/decision_core.cpp
@@ -311,6 +311,9 @@
     if (!record.ready_step && record.queued_since) {
         serve_queue(*record.service, at.now);
     }
+    if (!record.ready_step && record.waits_for_credit && at.now >= record.deadline) {
+        abandon_credit(record, refusal_kind::deadline_passed, at.now);
+    }
     if (!record.ready_step && record.waits_for_key) {
         expire_key_waiter(record, at.now);
     }
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -225,6 +225,8 @@
     bool take_credit(request_record& record, instant now);
     /// \brief Runs the stages after take_credit().
     void continue_request(request_record& record, clock_reading at);
+    /// \brief Refuses a request that waits for credit.
+    void abandon_credit(request_record& record, refusal_kind kind, instant now);
     /// \brief Adds events with the messages to granters of credit.
     void add_credit_asks(instant now);
     /// \brief Continues or refuses the requests whose credit has been decided.
--- a/wigeonrill/src/dispatch/decision_core_admission.cpp
+++ b/wigeonrill/src/dispatch/decision_core_admission.cpp
@@ -155,9 +155,7 @@
     if (record.queued_since) {
         refuse_queued(*record.service, id, refusal_kind::caller_left, now);
     } else if (record.waits_for_credit) {
-        credit_.cancel(id, record.workspace->name);
-        record.waits_for_credit = false;
-        refuse(record, refusal_kind::caller_left, outcome_of(record), now);
+        abandon_credit(record, refusal_kind::caller_left, now);
     }
 }
 
--- a/wigeonrill/src/dispatch/decision_core_workspaces.cpp
+++ b/wigeonrill/src/dispatch/decision_core_workspaces.cpp
@@ -54,6 +54,12 @@
            outcome_of(record), now, result.retry_after);
 }
 
+void decision_core::abandon_credit(request_record& record, refusal_kind kind, instant now) {
+    credit_.cancel(record.info.id, record.workspace->name);
+    record.waits_for_credit = false;
+    refuse(record, kind, outcome_of(record), now);
+}
+
 void decision_core::continue_request(request_record& record, clock_reading at) {
     if (check_key(record, at) && find_service(record, at) &&
         !handle_while_cut_off(record, at.now)) {
