Mend what the review of the limits of workspaces found

Found by reading (reviewer): a request that its node's own part of a limit refuses got no step, and its thread spun after the deadline; nodes that were never heard or that leave were left out of the number of nodes, so that a part of a split could grant more than its share; votes from before a pause counted; large bursts were granted anew by each new granter; a part that had been lent was used again at once; a granter without the limit in force granted everything; credit of cancelled requests was lost. Ruled out: lost wake-ups and unsafe lifetimes. Changed: each of them. Tests: workspace, the_own_part_of_a_limit_is_used_before_the_node_has_joined; fleet_limit with bursts of 20 times the rate.

--- a/test/dispatch/workspace_test.cpp
+++ b/test/dispatch/workspace_test.cpp
@@ -143,6 +143,18 @@
     LONGS_EQUAL(0, node.sink.asks());
 }
 
+// Guards against a request without a step, whose thread never ends, when the node uses its own part
+// of a limit and the part is used up.
+TEST(workspace, the_own_part_of_a_limit_is_used_before_the_node_has_joined) {
+    const node_id self("10.1.0.1:70");
+    d.set_credit_nodes(self, {self, node_id("10.1.0.2:70")}, 2);
+    const auto refused = first_step("/stock", "key-2"); // 10 requests/s of 100 assumed nodes
+    CHECK(refused.kind == step_kind::refuse);
+    LONGS_EQUAL(503, refused.reason.status);
+    STRCMP_EQUAL("limit-unknown", refused.reason.type.c_str());
+    CHECK(first_step("/stock", "key-1").kind == step_kind::send);
+}
+
 // Guards against a request that waits on for credit after its deadline, and whose thread then asks
 // for its step without a pause.
 TEST(workspace, a_request_does_not_wait_for_credit_beyond_its_deadline) {
--- a/test/quota/fleet_limit_test.cpp
+++ b/test/quota/fleet_limit_test.cpp
@@ -48,6 +48,7 @@
         fleet_plan plan;
         plan.nodes = 24;
         plan.rate = plan.burst = seed % 2 == 0 ? 3.0 : 60.0;
+        plan.burst = seed % 5 == 0 ? 20.0 * plan.rate : plan.rate;
         plan.demand = 6.0 * plan.rate;
         plan.loss = 0.05;
         plan.max_delay = milliseconds(60);
--- a/test/quota/limited_fleet.h
+++ b/test/quota/limited_fleet.h
@@ -48,7 +48,6 @@
         for (std::size_t i = 0; i < plan.nodes; ++i) {
             ids_.emplace_back("10.0.0." + std::to_string(i) + ":70");
             nodes_.push_back(std::make_unique<node>(random_));
-            nodes_.back()->up_since = at(0.0);
         }
         for (std::size_t i = 0; i < plan.nodes; ++i) {
             weights_.push_back(std::pow(static_cast<double>(i + 1), -plan.skew));
@@ -76,7 +75,6 @@
         explicit node(random_source& random) : client(random) {}
         quota::credit_client client;
         quota::credit_granter granter;
-        instant up_since{};
         bool is_up{true};
         instant frozen_until{instant::min()};
         instant next_tick{instant::min()};
@@ -238,8 +236,9 @@
     }
 
     void disturb() {
-        if (plan_.disturbances == disturbance_kind::kill_third && now_ >= at(15.0) && !is_done_) {
-            is_done_ = true;
+        if (plan_.disturbances == disturbance_kind::kill_third && now_ >= at(15.0) &&
+            !has_killed_) {
+            has_killed_ = true;
             changed_at_ = now_;
             for (std::size_t i = 0; i < nodes_.size(); i += 3) {
                 nodes_[i]->is_up = false;
@@ -263,7 +262,6 @@
             const auto side = nodes_[i]->side;
             nodes_[i] = std::make_unique<node>(random_);
             nodes_[i]->side = side;
-            nodes_[i]->up_since = now_;
             break;
         }
         default:
@@ -288,7 +286,7 @@
     instant changed_at_{instant::min()};
     instant next_disturbance_{instant::min()};
     bool split_{false};
-    bool is_done_{false};
+    bool has_killed_{false};
     fleet_result result_;
 };
 
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -130,6 +130,7 @@
 
 void control_loop::run_once() {
     const auto now = dependencies_.clock.now();
+    detect_pause(now);
     if (dependencies_.gossip != nullptr && ticks_ % ticks_per_member_update == 0) {
         update_members();
     }
@@ -363,7 +364,8 @@
     }
     peer_ips_ = std::move(ips);
     dependencies_.dispatcher.set_nodes(dependencies_.gossip->id(), possible_senders);
-    const auto known = possible_senders.size() + 1;
+    // Any node that this one has heard or been told of may grant credit elsewhere.
+    const auto known = dependencies_.gossip->status().size() + 1;
     granter_.set_known_nodes(known, dependencies_.clock.now());
     dependencies_.dispatcher.set_credit_nodes(self, ids, known);
 }
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -82,6 +82,8 @@
     void handle(const quota::outgoing_ask& ask);
     /// \brief Grants credit to a node, which may be this one, and answers it.
     void answer_credit_ask(const node_id& from, const quota::credit_ask& ask);
+    /// \brief Tells granter_ when this process was paused.
+    void detect_pause(instant now);
     void log_credit_refusals(const node_id& from, const quota::credit_ask& ask,
                              const quota::credit_grant& grant);
     void announce_observations();
@@ -125,6 +127,7 @@
     platform::read_sharing_group readers_;
     routing::node_group group_;
     quota::credit_granter granter_;
+    std::uint64_t pauses_{0}; ///< of this process, of which granter_ has been told
     std::shared_ptr<const config::workspace_directory> workspaces_; ///< of the version in force
     std::map<workspace_name, instant> limited_workspaces_; ///< last log line about each limit
     std::optional<peers::peer_store_reading>
--- a/wigeonrill/src/daemon/control_loop_credit.cpp
+++ b/wigeonrill/src/daemon/control_loop_credit.cpp
@@ -22,6 +22,14 @@
     }
 }
 
+void control_loop::detect_pause(instant now) {
+    if (dependencies_.gossip != nullptr &&
+        dependencies_.gossip->pause_count() >
+            std::exchange(pauses_, dependencies_.gossip->pause_count())) {
+        granter_.on_pause(now);
+    }
+}
+
 void control_loop::answer_credit_ask(const node_id& from, const quota::credit_ask& ask) {
     const auto configuration = store_.current();
     if (!configuration) {
@@ -48,9 +56,11 @@
     const auto now = dependencies_.clock.now();
     for (const auto& it : grant.answers) {
         const bool is_refused = it.retry_after.count() > 0;
-        dependencies_.metrics.increment_counter("wigeonrill_credit_answers_total",
-                                                "Answers to questions about credit.",
-                                                {{"answer", is_refused ? "refused" : "granted"}});
+        dependencies_.metrics.increment_counter(
+            "wigeonrill_credit_answers_total",
+            "Answers to questions about credit; refused: at least one "
+            "request got none.",
+            {{"answer", is_refused ? "refused" : "granted"}});
         const auto asked =
             std::ranges::find(ask.requests, it.number, &quota::credit_request::number);
         if (!is_refused || asked == ask.requests.end()) {
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -291,7 +291,7 @@
         record.service->waiting.remove(id);
     }
     if (record.waits_for_credit) {
-        credit_.cancel(id, record.workspace->name);
+        credit_.cancel(id, record.workspace->name, at.now);
     }
     if (record.waits_for_key) {
         key_admission_.remove_waiter(*record.key, id);
--- a/wigeonrill/src/dispatch/decision_core_workspaces.cpp
+++ b/wigeonrill/src/dispatch/decision_core_workspaces.cpp
@@ -41,7 +41,7 @@
     const auto result = credit_.request(record.info.id, *record.workspace, now);
     record.waits_for_credit = result.state == quota::credit_state::waiting;
     record.has_credit = result.state == quota::credit_state::granted;
-    if (result.state == quota::credit_state::refused) {
+    if (!record.waits_for_credit && !record.has_credit) {
         refuse_credit(record, result, now);
     }
     return record.has_credit;
@@ -55,7 +55,7 @@
 }
 
 void decision_core::abandon_credit(request_record& record, refusal_kind kind, instant now) {
-    credit_.cancel(record.info.id, record.workspace->name);
+    credit_.cancel(record.info.id, record.workspace->name, now);
     record.waits_for_credit = false;
     refuse(record, kind, outcome_of(record), now);
 }
@@ -86,7 +86,7 @@
 void decision_core::resolve_credit(clock_reading at) {
     for (const auto& it : credit_.take_resolved()) {
         const auto found = records_.find(it.request);
-        if (found == records_.end()) {
+        if (found == records_.end() || !found->second.waits_for_credit) {
             continue;
         }
         auto& record = found->second;
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -243,7 +243,9 @@
         if (pass_events_to_sink(lock)) {
             continue;
         }
-        const nanoseconds wait = core_.wake_at(id, at.now) - at.now + milliseconds(1);
+        const nanoseconds wait =
+            std::max<nanoseconds>(core_.wake_at(id, at.now) - at.now, nanoseconds(0)) +
+            milliseconds(1);
         if (request.watch == nullptr) {
             condition.wait_for(lock, wait);
         } else if (condition.wait_for(lock, std::min<nanoseconds>(wait, caller_check_interval)) ==
--- a/wigeonrill/src/quota/credit_client.cpp
+++ b/wigeonrill/src/quota/credit_client.cpp
@@ -34,8 +34,8 @@
     if (it.waiting.empty() && take_credit(it, now)) {
         return {credit_state::granted, {}};
     }
-    if (const auto nodes = voter_.own_part(workspace, now)) {
-        if (take_own_part(it, limited, nodes, now)) {
+    if (now >= voter_.lent_until(workspace)) {
+        if (take_own_part(it, limited, now)) {
             return {credit_state::granted, {}};
         }
         return {credit_state::unknown, spread(silence_retry_after)};
@@ -54,15 +54,23 @@
     return {};
 }
 
-bool credit_client::take_own_part(account& it, const config::workspace& limited, std::size_t nodes,
-                                  instant now) {
-    const double part = (1.0 + spare_share) / static_cast<double>(nodes);
+bool credit_client::take_own_part(account& it, const config::workspace& limited,
+                                  instant now) const {
+    // A process that has just started doesn't know what the one before it has used.
+    constexpr double initial_share = 0.5;
+    const double part = (1.0 + spare_share) / static_cast<double>(voter_.parts());
     const double depth = part * burst_of(limited);
-    // After a change between the two ways, the node has used its part of the burst.
-    const auto from = it.part_updated.value_or(now);
-    const std::chrono::duration<double> elapsed = now - from;
+    const auto unlent_since = voter_.lent_until(limited.name);
+    if (!it.part_updated && unlent_since == instant::min()) {
+        it.part_level = initial_share * depth;
+        it.part_updated = now;
+    } else if (!it.part_updated || *it.part_updated < unlent_since) {
+        it.part_level = 0.0; // A granter may have granted the part.
+        it.part_updated = unlent_since;
+    }
+    const std::chrono::duration<double> elapsed = now - *it.part_updated;
     it.part_level += elapsed.count() * part * limited.requests_per_second;
-    it.part_level = std::min(it.part_level, std::max(depth, 0.0));
+    it.part_level = std::min(it.part_level, depth);
     it.part_updated = now;
     if (it.part_level < 1.0) {
         return false;
@@ -179,11 +187,19 @@
     return least + milliseconds(random_->next_below(range));
 }
 
-void credit_client::cancel(std::uint64_t request, const workspace_name& workspace) {
+void credit_client::cancel(std::uint64_t request, const workspace_name& workspace, instant now) {
     if (const auto it = accounts_.find(workspace); it != accounts_.end()) {
         std::erase_if(it->second.waiting,
                       [&](const waiting_request& one) { return one.request == request; });
     }
+    const auto resolved = std::ranges::find(resolved_, request, &resolved_request::request);
+    if (resolved != resolved_.end()) {
+        const bool was_granted = resolved->result.state == credit_state::granted;
+        resolved_.erase(resolved);
+        if (was_granted) {
+            refund(workspace, now);
+        }
+    }
 }
 
 void credit_client::refund(const workspace_name& workspace, instant now) {
@@ -229,7 +245,9 @@
         return_expired_credit(workspace, it, now);
         expire_waiting(it, now);
         if (it.open_question == 0 && !it.waiting.empty() && now >= it.ask_at) {
+            const auto refused_before = it.retry_after;
             ask_first_seat(workspace, it, now);
+            it.retry_after = refused_before;
         }
         const auto open = questions_.find(it.open_question);
         if (it.open_question != 0 && open != questions_.end() &&
--- a/wigeonrill/src/quota/credit_client.h
+++ b/wigeonrill/src/quota/credit_client.h
@@ -58,7 +58,7 @@
     [[nodiscard]] credit_result request(std::uint64_t request, const config::workspace& limited,
                                         instant now);
     /// \brief Ends the wait of a request whose caller has left.
-    void cancel(std::uint64_t request, const workspace_name& workspace);
+    void cancel(std::uint64_t request, const workspace_name& workspace, instant now);
     /// \brief Takes back the credit of a request that was refused for another reason.
     void refund(const workspace_name& workspace, instant now);
     /// \brief Takes an answer of a granter.
@@ -118,10 +118,9 @@
     void expire_waiting(account& it, instant now);
     void return_expired_credit(const workspace_name& workspace, account& it, instant now);
     /// \brief Takes a request from the part of the limit that this node has not lent.
-    /// \param nodes number of equal parts
     /// \returns false if the part is used up
-    [[nodiscard]] static bool take_own_part(account& it, const config::workspace& limited,
-                                            std::size_t nodes, instant now);
+    [[nodiscard]] bool take_own_part(account& it, const config::workspace& limited,
+                                     instant now) const;
     /// \brief Takes one request's credit.
     /// \returns false if there is none
     [[nodiscard]] static bool take_credit(account& it, instant now);
--- a/wigeonrill/src/quota/credit_granter.cpp
+++ b/wigeonrill/src/quota/credit_granter.cpp
@@ -13,6 +13,8 @@
 // Share of the burst that a granter may grant when it begins. The granter before it may just have
 // granted all.
 constexpr double initial_share = 0.4;
+// Largest time whose requests it may grant at once then, for bursts well above the rate.
+constexpr seconds max_initial_time{2};
 // Sums of fractions are rounded.
 constexpr double rounding = 1e-9;
 
@@ -40,6 +42,15 @@
     known_nodes_ = static_cast<double>(std::max<std::size_t>(known, 1));
 }
 
+void credit_granter::on_pause(instant now) {
+    constexpr milliseconds drain_time{500}; // in which messages from before the pause are read
+    counts_votes_from_ = now + drain_time;
+    for (auto& it : seats_) {
+        it.votes.clear();
+        it.votes_at_since = 0;
+    }
+}
+
 double credit_granter::share_of(seat one, instant now) {
     auto& state = seats_.at(one);
     if (now != state.counted_at) {
@@ -62,6 +73,9 @@
         reported_nodes_ = reported;
         reported_at_ = now;
     }
+    if (now < counts_votes_from_) {
+        return;
+    }
     for (const auto it : ask.withheld) {
         if (it < seat_count) {
             seats_[it].votes.erase(from);
@@ -73,10 +87,11 @@
         }
         auto& state = seats_[it];
         std::erase_if(state.votes, [&](const auto& vote) { return now >= vote.second; });
-        if (state.votes.empty()) {
+        state.votes[from] = now + vote_lifetime;
+        if (state.votes.size() == 1 || state.votes.size() > 2 * state.votes_at_since) {
             state.since = now;
+            state.votes_at_since = state.votes.size();
         }
-        state.votes[from] = now + vote_lifetime;
     }
 }
 
@@ -90,13 +105,16 @@
     const auto [it, is_new] = accounts_.try_emplace({one, limited.name.value});
     auto& known = it->second;
     if (is_new) {
-        known.level = initial_share * depth + rate * seconds_between(seats_[one].since, now);
+        const auto initial_time = std::chrono::duration<double>(max_initial_time).count();
+        known.level = std::min(initial_share * depth, std::max(rate * initial_time, 1.0)) +
+                      rate * seconds_between(seats_[one].since, now);
     } else {
         const auto elapsed = seconds_between(known.updated, now);
         known.level += elapsed * std::min(known.rate, rate);
         known.promised = std::max(known.promised - elapsed * rate, 0.0);
     }
     known.level = std::min(known.level, depth);
+    known.depth = depth;
     known.rate = rate;
     known.updated = now;
     return known;
@@ -108,8 +126,8 @@
     found.number = asked.number;
     const auto* limited = workspaces.find(asked.workspace.value);
     if (limited == nullptr || limited->requests_per_second <= 0.0) {
-        // A version without the limit came into force here first.
-        found.granted = asked.wanted;
+        // Another version is in force at the node that asks; it goes on to the next granter.
+        found.retry_after = min_retry_after;
         return found;
     }
     auto& known = refill(asked.of, *limited, now);
@@ -136,8 +154,12 @@
 void credit_granter::remove_idle_accounts(instant now) {
     if (now >= next_removal_) {
         next_removal_ = now + removal_interval;
-        std::erase_if(accounts_,
-                      [&](const auto& it) { return now >= it.second.updated + account_lifetime; });
+        std::erase_if(accounts_, [&](const auto& it) {
+            const auto& known = it.second;
+            const double idle = seconds_between(known.updated, now);
+            return now >= known.updated + account_lifetime &&
+                   known.level + idle * known.rate >= known.depth;
+        });
     }
 }
 
@@ -147,8 +169,12 @@
     remove_idle_accounts(now);
     credit_grant grant;
     for (const auto& it : ask.requests) {
-        if (it.of < seat_count) {
-            grant.answers.push_back(answer(it, workspaces, now));
+        if (it.of >= seat_count) {
+            continue;
+        }
+        const auto found = answer(it, workspaces, now);
+        if (it.wanted > 0) { // otherwise it only returned credit
+            grant.answers.push_back(found);
         }
     }
     return grant;
--- a/wigeonrill/src/quota/credit_granter.h
+++ b/wigeonrill/src/quota/credit_granter.h
@@ -32,6 +32,9 @@
     /// \brief Sets the number of nodes that this node knows, with itself and those that don't
     ///        respond, which may still grant credit elsewhere.
     void set_known_nodes(std::size_t known, instant now);
+    /// \brief Forgets the votes, because this process was paused: nodes may have changed their
+    ///        granters, and old messages may still come.
+    void on_pause(instant now);
     /// \brief Takes votes and returned credit, and grants what is available.
     /// \param workspaces limits in force at this node
     /// \returns the answer to the requests; it needn't be sent if there are none
@@ -48,11 +51,13 @@
     struct seat_state {
         std::unordered_map<node_id, instant> votes; ///< time until which each counts
         instant counted_at{instant::min()};         ///< last removal of votes that ended
-        instant since{}; ///< since when this node has had votes without interruption
+        instant since{};               ///< since when it has had at least half of its votes
+        std::size_t votes_at_since{0}; ///< votes at that time
     };
     struct account {
         double level{0.0};    ///< requests that may be granted now; may have a fraction
-        double rate{0.0};     ///< requests per second, at the time `updated`
+        double depth{0.0};    ///< largest level, at the time `updated`
+        double rate{0.0};     ///< requests per second, at the same time
         double promised{0.0}; ///< refused requests that were told to come back
         instant updated{};
     };
@@ -68,9 +73,10 @@
     std::array<seat_state, seat_count> seats_;
     std::map<account_key, account> accounts_;
     double known_nodes_{1.0};
-    double reported_nodes_{0.0};      ///< largest number that voters have reported lately
-    instant reported_at_{};           ///< when it was reported
-    instant started_{instant::min()}; ///< first call with a time
+    double reported_nodes_{0.0};                ///< largest number that voters have reported lately
+    instant reported_at_{};                     ///< when it was reported
+    instant started_{instant::min()};           ///< first call of set_known_nodes()
+    instant counts_votes_from_{instant::min()}; ///< votes before are ignored
     instant next_removal_{};
 };
 
--- a/wigeonrill/src/quota/seat_voter.cpp
+++ b/wigeonrill/src/quota/seat_voter.cpp
@@ -32,8 +32,8 @@
     state.better_since.reset();
 }
 
-bool seat_voter::has_joined(instant now) const {
-    return has_joined_ || now >= changed_at_ + quiet_time || now >= started_ + joining_time;
+bool seat_voter::knows_fleet(instant now) const {
+    return has_voted_ || now >= changed_at_ + quiet_time || now >= started_ + joining_time;
 }
 
 void seat_voter::set_nodes(const node_id& self, const std::vector<node_id>& live, std::size_t known,
@@ -67,7 +67,7 @@
     auto& state = seats_[one];
     if (best == state.granter) {
         state.better_since.reset();
-    } else if (!has_joined_) {
+    } else if (!has_voted_) {
         state.granter = best; // no vote was sent yet
     } else if (!alive_.contains(state.granter)) {
         change_granter(state, best, now);
@@ -88,25 +88,28 @@
     return it != silent_until_.end() && now < it->second;
 }
 
-std::size_t seat_voter::own_part(const workspace_name& workspace, instant now) const {
+instant seat_voter::lent_until(const workspace_name& workspace) const {
+    auto latest = instant::min();
     for (std::size_t i = 0; i < seats_per_workspace; ++i) {
-        if (now < seats_.at(seat_of(workspace, i)).lent_until) {
-            return 0;
-        }
+        latest = std::max(latest, seats_.at(seat_of(workspace, i)).lent_until);
     }
-    return has_joined_ ? known_nodes_ : std::max(known_nodes_, assumed_nodes);
+    return latest;
+}
+
+std::size_t seat_voter::parts() const {
+    return has_voted_ ? known_nodes_ : std::max(known_nodes_, assumed_nodes);
 }
 
 void seat_voter::add_votes(const node_id& granter, credit_ask& into, instant now) {
     // A node that reaches no other one uses its part itself.
     const bool is_alone = live_.size() == 1 && known_nodes_ > 1;
-    has_joined_ = has_joined(now);
+    has_voted_ = knows_fleet(now);
     for (seat one = 0; one < seat_count; ++one) {
         auto& state = seats_[one];
         if (state.granter != granter) {
             continue;
         }
-        if (has_joined_ && !is_alone && now >= state.votes_from) {
+        if (has_voted_ && !is_alone && now >= state.votes_from) {
             state.lent_until = now + withheld_time;
             into.votes.push_back(one);
         } else {
--- a/wigeonrill/src/quota/seat_voter.h
+++ b/wigeonrill/src/quota/seat_voter.h
@@ -38,9 +38,11 @@
     [[nodiscard]] const node_id& granter_of(seat one) const { return seats_.at(one).granter; }
     /// \returns whether a seat's granter has recently sent no answer
     [[nodiscard]] bool is_silent(seat one, instant now) const;
-    /// \returns the number of nodes, one of whose parts of a limit this node may use itself because
-    ///          it has lent it to none of the workspace's granters; 0: it may not
-    [[nodiscard]] std::size_t own_part(const workspace_name& workspace, instant now) const;
+    /// \returns the time until which a granter of a workspace may count this node's vote;
+    ///          instant::min() if it has never voted
+    [[nodiscard]] instant lent_until(const workspace_name& workspace) const;
+    /// \returns the number of equal parts of a limit, one of which is this node's
+    [[nodiscard]] std::size_t parts() const;
     /// \brief Adds the votes for all seats of a granter to a message that is sent now.
     void add_votes(const node_id& granter, credit_ask& into, instant now);
     /// \returns all granters
@@ -57,6 +59,8 @@
     /// \brief Updates one seat after a change of the nodes, or while it waits to change its
     /// granter.
     void update_seat(seat one, const node_id& self, const node_id& best, instant now);
+    /// \returns whether this node knows its fleet well enough to vote
+    [[nodiscard]] bool knows_fleet(instant now) const;
     static void change_granter(seat_state& state, const node_id& next, instant now);
 
     std::vector<node_id> live_;         ///< as of the last change
@@ -64,13 +68,11 @@
     std::vector<std::uint64_t> hashes_; ///< of the ids in live_
     std::array<seat_state, seat_count> seats_;
     std::unordered_map<node_id, instant> silent_until_;
-    /// \returns whether this node knows its fleet well enough to vote
-    [[nodiscard]] bool has_joined(instant now) const;
 
     std::size_t known_nodes_{1};
-    instant started_{};      ///< first call of set_nodes()
-    instant changed_at_{};   ///< last change of the nodes
-    bool has_joined_{false}; ///< a vote was sent
+    instant started_{};     ///< first call of set_nodes()
+    instant changed_at_{};  ///< last change of the nodes
+    bool has_voted_{false}; ///< a vote was sent
     bool has_granters_{false};
 };
 
--- a/wigeonrill/src/traffic/forwarded_head.cpp
+++ b/wigeonrill/src/traffic/forwarded_head.cpp
@@ -40,7 +40,7 @@
     if (plan.verified_workspace) {
         head.remove("Authorization");
         head.remove(names.workspace);
-        if (!plan.verified_workspace->empty()) {
+        if (!plan.verified_workspace->empty() && !names.workspace.empty()) {
             head.add(names.workspace, *plan.verified_workspace);
         }
     }
