--- a/test/peers/codec_test.cpp
+++ b/test/peers/codec_test.cpp
@@ -117,6 +117,29 @@
     }
 }
 
+// Guards against credit that is asked or granted for another workspace, number or amount, and
+// against values from another build that no seat has.
+TEST(codec, sends_questions_about_credit_and_answers) {
+    auto sent = full_message();
+    sent.kind = message_kind::credit;
+    quota::credit_ask ask{93, {0, 5}, {11}, {}};
+    ask.requests = {{5, workspace_name("w1"), 7, 3, 0}, {0, workspace_name("w2"), 8, 0, 2}};
+    sent.credit_ask = ask;
+    sent.credit_grant = quota::credit_grant{{{7, 2, milliseconds(150)}, {8, 0, milliseconds(0)}}};
+    const auto datagram = plain.encode(sent, alice, bob);
+    CHECK(datagram.has_value());
+    const auto received = plain.decode(*datagram, alice, bob);
+    CHECK(received.has_value());
+    CHECK(received->credit_ask == sent.credit_ask);
+    CHECK(received->credit_grant == sent.credit_grant);
+
+    sent.credit_ask->votes = {static_cast<quota::seat>(quota::seat_count)};
+    sent.credit_ask->requests.front().of = static_cast<quota::seat>(quota::seat_count);
+    const auto invalid = plain.decode(*plain.encode(sent, alice, bob), alice, bob);
+    CHECK(invalid.has_value() && invalid->credit_ask->votes.empty());
+    LONGS_EQUAL(1, invalid->credit_ask->requests.size());
+}
+
 // Guards against losing the process and the registration that a verdict is about.
 TEST(codec, sends_what_a_verdict_is_about) {
     message content = full_message();
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -341,47 +341,6 @@
     }
 }
 
-void control_loop::update_members() {
-    std::vector<health::fleet_node> live;
-    std::vector<node_id> ids;
-    for (auto& it : dependencies_.gossip->live_nodes()) {
-        ids.push_back(it.id);
-        live.push_back({it.id, it.domain});
-    }
-    monitor_.set_nodes(std::move(live));
-    const auto& self = dependencies_.gossip->id();
-    set_read_sharing_group(platform::choose_read_sharing_group(self, ids));
-    set_node_group(routing::choose_node_group(self, ids));
-    auto ips = std::make_shared<std::set<std::string>>();
-    std::vector<node_id> possible_senders;
-    peers_by_state_.clear();
-    for (const auto& it : dependencies_.gossip->status()) {
-        if (it.state != peers::member_state::leaving && it.process != peers::incarnation{}) {
-            possible_senders.push_back(it.id);
-        }
-        ++peers_by_state_[std::string(enum_name(peers::member_state_names, it.state))];
-        ips->insert(it.id.value.substr(0, it.id.value.rfind(':')));
-    }
-    peer_ips_ = std::move(ips);
-    dependencies_.dispatcher.set_nodes(dependencies_.gossip->id(), possible_senders);
-    // Any node that this one has heard or been told of may grant credit elsewhere.
-    const auto known = dependencies_.gossip->status().size() + 1;
-    granter_.set_known_nodes(known, dependencies_.clock.now());
-    dependencies_.dispatcher.set_credit_nodes(self, ids, known);
-}
-
-void control_loop::set_node_group(routing::node_group next) {
-    if (next.position != group_.position) {
-        write_log(log_level::info, log_subsystem::peers,
-                  log_line("The group that uses the same targets changed.")
-                      .with("index", static_cast<std::int64_t>(next.position.index))
-                      .with("groups", static_cast<std::int64_t>(next.position.count))
-                      .with("nodes", static_cast<std::int64_t>(next.position.nodes)));
-        dependencies_.dispatcher.set_group(next.position);
-    }
-    group_ = std::move(next);
-}
-
 void control_loop::announce_observations() {
     if (dependencies_.gossip != nullptr) {
         dependencies_.gossip->announce(pending_observations_, group_.others);
--- a/wigeonrill/src/peers/gossip_node.cpp
+++ b/wigeonrill/src/peers/gossip_node.cpp
@@ -234,20 +234,6 @@
     }
 }
 
-void gossip_node::send(const node_id& to, quota::credit_ask ask) {
-    message content;
-    content.kind = message_kind::credit;
-    content.credit_ask = std::move(ask);
-    send(to, std::move(content), clock_.now());
-}
-
-void gossip_node::send(const node_id& to, quota::credit_grant grant) {
-    message content;
-    content.kind = message_kind::credit;
-    content.credit_grant = std::move(grant);
-    send(to, std::move(content), clock_.now());
-}
-
 void gossip_node::announce_leaving() {
     if (self_.state == member_state::leaving) {
         return;
--- a/wigeonrill/src/peers/wire_conversion.cpp
+++ b/wigeonrill/src/peers/wire_conversion.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t max_name_bytes = 255;
+using detail::valid_name;
 
 std::int32_t to_milli(double value) {
     constexpr double limit = std::numeric_limits<std::int32_t>::max();
@@ -36,10 +36,6 @@
                std::chrono::duration_cast<milliseconds>(latest.time_since_epoch()).count();
 }
 
-bool valid_name(const std::string& name) {
-    return !name.empty() && name.size() <= max_name_bytes;
-}
-
 // Sets the optional fields that a member's record and the header of its messages share.
 template <typename Wire, typename Item>
 void fill_reachability(Wire& out, const Item& item) {
@@ -173,7 +169,7 @@
     const bool known_state = item.state >= 0 &&
                              item.state <= static_cast<int>(member_state::dead) &&
                              item.state != static_cast<int>(member_state::one_way);
-    if (!valid_name(item.id) || item.domain.size() > max_name_bytes || !known_state ||
+    if (!valid_name(item.id) || item.domain.size() > detail::max_name_bytes || !known_state ||
         !valid_process(item.started_ms, item.nonce, item.epoch, wall_now)) {
         return std::nullopt;
     }
@@ -263,91 +259,6 @@
         static_cast<std::uint64_t>(item.sequence), now + milliseconds(item.remaining_ms)};
 }
 
-std::int32_t to_count(std::uint32_t value) {
-    constexpr std::uint32_t limit = std::numeric_limits<std::int32_t>::max();
-    return static_cast<std::int32_t>(std::min(value, limit));
-}
-
-std::uint32_t count_from_wire(std::int32_t value) {
-    return static_cast<std::uint32_t>(std::max(value, 0));
-}
-
-std::vector<std::int16_t> to_wire(const std::vector<quota::seat>& seats) {
-    return {seats.begin(), seats.end()};
-}
-
-std::vector<quota::seat> seats_from_wire(const std::vector<std::int16_t>& seats) {
-    std::vector<quota::seat> valid;
-    for (const auto it : seats) {
-        if (it >= 0 && it < static_cast<std::int16_t>(quota::seat_count)) {
-            valid.push_back(static_cast<quota::seat>(it));
-        }
-    }
-    return valid;
-}
-
-wire::CreditAsk to_wire(const quota::credit_ask& item) {
-    wire::CreditAsk out;
-    out.known_nodes = to_count(item.known_nodes);
-    out.votes = to_wire(item.votes);
-    if (!item.withheld.empty()) {
-        out.__set_withheld(to_wire(item.withheld));
-    }
-    for (const auto& it : item.requests) {
-        wire::CreditRequest one;
-        one.seat = static_cast<std::int16_t>(it.of);
-        one.workspace = it.workspace.value;
-        one.number = static_cast<std::int32_t>(it.number);
-        one.wanted = to_count(it.wanted);
-        if (it.returned > 0) {
-            one.__set_returned(to_count(it.returned));
-        }
-        out.requests.push_back(std::move(one));
-    }
-    out.__isset.requests = !out.requests.empty();
-    return out;
-}
-
-wire::CreditGrant to_wire(const quota::credit_grant& item) {
-    wire::CreditGrant out;
-    for (const auto& it : item.answers) {
-        wire::CreditAnswer one;
-        one.number = static_cast<std::int32_t>(it.number);
-        one.granted = to_count(it.granted);
-        if (it.retry_after.count() > 0) {
-            one.__set_retry_ms(to_milliseconds(it.retry_after));
-        }
-        out.answers.push_back(std::move(one));
-    }
-    out.__isset.answers = !out.answers.empty();
-    return out;
-}
-
-quota::credit_ask credit_ask_from_wire(const wire::CreditAsk& item) {
-    quota::credit_ask out;
-    out.known_nodes = count_from_wire(item.known_nodes);
-    out.votes = seats_from_wire(item.votes);
-    out.withheld = seats_from_wire(item.withheld);
-    for (const auto& it : item.requests) {
-        const bool is_seat = it.seat >= 0 && it.seat < static_cast<int>(quota::seat_count);
-        if (valid_name(it.workspace) && is_seat) {
-            out.requests.push_back({static_cast<quota::seat>(it.seat), workspace_name(it.workspace),
-                                    static_cast<std::uint32_t>(it.number),
-                                    count_from_wire(it.wanted), count_from_wire(it.returned)});
-        }
-    }
-    return out;
-}
-
-quota::credit_grant credit_grant_from_wire(const wire::CreditGrant& item) {
-    quota::credit_grant out;
-    for (const auto& it : item.answers) {
-        out.answers.push_back({static_cast<std::uint32_t>(it.number), count_from_wire(it.granted),
-                               milliseconds(std::max(it.retry_ms, 0))});
-    }
-    return out;
-}
-
 // Converts the items of a message and leaves out those with values that this build doesn't know.
 template <typename WireItems, typename Items, typename Convert>
 void convert_valid(const WireItems& items, Items& out, const Convert& convert) {
@@ -380,10 +291,10 @@
         out.__set_reading_age_ms(to_milliseconds(now - *content.reading));
     }
     if (content.credit_ask) {
-        out.__set_credit_ask(peers::to_wire(*content.credit_ask));
+        out.__set_credit_ask(to_wire(*content.credit_ask));
     }
     if (content.credit_grant) {
-        out.__set_credit_grant(peers::to_wire(*content.credit_grant));
+        out.__set_credit_grant(to_wire(*content.credit_grant));
     }
     return out;
 }
@@ -391,7 +302,7 @@
 bool detail::valid_header(const wire::Message& in, wall_time wall_now) {
     return in.kind >= 0 && in.kind <= static_cast<int>(message_kind::credit) && in.started_ms > 0 &&
            valid_process(in.started_ms, in.nonce, in.epoch, wall_now) && in.config_version >= 0 &&
-           in.sequence > 0 && in.echo >= 0 && in.domain.size() <= max_name_bytes &&
+           in.sequence > 0 && in.echo >= 0 && in.domain.size() <= detail::max_name_bytes &&
            in.confirmed_ms >= 0 && in.reading_age_ms >= 0;
 }
 
--- a/wigeonrill/src/peers/wire_conversion.h
+++ b/wigeonrill/src/peers/wire_conversion.h
@@ -9,6 +9,19 @@
 
 namespace wigeonrill::peers::detail {
 
+/// \brief Longest name of a node, service, target or workspace.
+inline constexpr std::size_t max_name_bytes = 255;
+/// \returns whether a text that was received can be a name
+[[nodiscard]] inline bool valid_name(const std::string& name) {
+    return !name.empty() && name.size() <= max_name_bytes;
+}
+
+[[nodiscard]] wire::CreditAsk to_wire(const quota::credit_ask& item);
+[[nodiscard]] wire::CreditGrant to_wire(const quota::credit_grant& item);
+/// \returns the question without requests and votes whose values are not possible
+[[nodiscard]] quota::credit_ask credit_ask_from_wire(const wire::CreditAsk& item);
+[[nodiscard]] quota::credit_grant credit_grant_from_wire(const wire::CreditGrant& item);
+
 /// \brief Converts a message to the types that Thrift encodes.
 [[nodiscard]] wire::Message to_wire(const message& content, instant now, wall_time wall_now);
 
