Turn away less urgent requests only when answers take most of their target latency

Change: the gate gets the lower one of the load level and twice the share of its target latency that a request takes.

--- a/wigeonrill/dispatch.h
+++ b/wigeonrill/dispatch.h
@@ -11,6 +11,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <limits>
 #include <mutex>
 #include <variant>
 
--- a/wigeonrill/src/dispatch/decision_core_admission.cpp
+++ b/wigeonrill/src/dispatch/decision_core_admission.cpp
@@ -1,6 +1,7 @@
 #include "wigeonrill/dispatch.h"
 
 #include <algorithm>
+#include <limits>
 
 // Members of decision_core for requests that have to wait or are refused for lack of room.
 
@@ -20,6 +21,17 @@
 // because the first request may have failed at the only free target, which a later one can use.
 constexpr std::size_t max_failed_placements = 8;
 
+// Returns how much of their target latency the requests of a route take: 1 when it is a half.
+// Infinity when that isn't known. Full slots alone need no refusals as long as answers come in
+// time.
+double latency_level_of(const config::route& route, const admission::expected_work& work) {
+    if (route.target_latency.count() == 0 || work.mean.count() == 0) {
+        return std::numeric_limits<double>::infinity();
+    }
+    return 2.0 * std::chrono::duration<double>(work.mean) /
+           std::chrono::duration<double>(route.target_latency);
+}
+
 } // namespace
 
 admission::urgency decision_core::urgency_of(const request_record& record) {
@@ -36,7 +48,7 @@
 
 void decision_core::update_level(service_state& service, instant now) {
     if (service.waiting.needs_level(now)) {
-        service.waiting.set_level(service.load_level(now), now);
+        service.waiting.set_level(std::min(service.load_level(now), service.latency_level), now);
     }
 }
 
@@ -44,6 +56,7 @@
     auto& service = *record.service;
     const auto priority = priority_of(record);
     service.waiting.on_request(priority, now);
+    service.latency_level = latency_level_of(*record.route, urgency_of(record).work);
     update_level(service, now);
     // The node that passed a request on has decided about it already.
     if (record.info.from_node || !service.waiting.turns_away(priority, now)) {
--- a/wigeonrill/src/dispatch/service_state.h
+++ b/wigeonrill/src/dispatch/service_state.h
@@ -99,6 +99,9 @@
 
     /// Requests that wait for a target. The bound is set by sync().
     admission::waiting_room waiting;
+    /// Share of their target latency that the latest route's requests take, 1 for a half; infinity
+    /// when it isn't known.
+    double latency_level{std::numeric_limits<double>::infinity()};
     /// Limits the retries to a share of the requests.
     admission::retry_budget retries{admission::make_retry_budget()};
 
