--- a/test/dispatch/overload_test.cpp
+++ b/test/dispatch/overload_test.cpp
@@ -67,6 +67,36 @@
     CHECK(ask("/a").kind == step_kind::send);
 }
 
+// Guards against refusals because slots are full although answers come well within their target
+// latency.
+TEST(overload, prompt_answers_turn_nothing_away) {
+    auto snapshot = make_two_priorities(2, 2);
+    snapshot->routes.front().target_latency = seconds(1);
+    node = std::make_unique<test::dispatcher_fixture>(snapshot);
+    const auto answer_in = [&](milliseconds latency) {
+        for (int i = 0; i < 40; ++i) {
+            const auto info = node->request("GET", "/a");
+            static_cast<void>(node->dispatcher->first_step(info));
+            CHECK(node->dispatcher->may_send(info));
+            node->clock.advance(latency);
+            const auto answered = node->attempt(health::answer_kind::ok);
+            CHECK_FALSE(node->dispatcher->on_attempt_ended(info, answered).has_value());
+            node->dispatcher->finish_request(info, true, nullptr);
+        }
+    };
+    const auto is_taken_while_full = [&] {
+        CHECK(ask("/urgent/1").kind == step_kind::send);
+        wait_for_step();
+        tell(3);
+        return ask("/a").kind == step_kind::send;
+    };
+    answer_in(milliseconds(200));
+    CHECK(is_taken_while_full());
+    tell(0);
+    answer_in(milliseconds(900));
+    CHECK_FALSE(is_taken_while_full());
+}
+
 // Guards against refusals because of counts that are missing or no longer true.
 TEST(overload, old_counts_turn_nothing_away) {
     CHECK(ask("/urgent/1").kind == step_kind::send);
