--- a/test/dispatch/fixture.h
+++ b/test/dispatch/fixture.h
@@ -112,6 +112,7 @@
         : snapshot(std::move(configuration)) {
         clock.set_wall(wall_time{} + std::chrono::hours(500'000));
         clock.advance(seconds(100));
+        options.core.gates_priorities = true;
         dispatcher = std::make_unique<dispatch::request_dispatcher>(options, clock, random, sink);
         dispatcher->set_view(make_view(snapshot));
         // Keys without a creation time are accepted only after an uptime above the resend window.
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -50,6 +50,7 @@
 dispatch::core_options make_core_options(const settings& node_settings) {
     dispatch::core_options options;
     options.shed_may_wait = node_settings.shed_may_wait;
+    options.gates_priorities = node_settings.gates_priorities;
     options.own_domain = node_settings.domain;
     options.publish_outstanding = node_settings.count_budget > 0;
     if (node_settings.placement == placement_kind::least_cost) {
--- a/wigeonrill/src/daemon/settings.cpp
+++ b/wigeonrill/src/daemon/settings.cpp
@@ -123,6 +123,7 @@
     it.placement = placement.choice("policy", placement_kind_names,
                                     std::optional<placement_kind>(it.placement));
     it.count_budget = placement.size("count_budget", max_allowed_count_budget, it.count_budget);
+    it.gates_priorities = placement.flag("gate_priorities", it.gates_priorities);
     placement.reject_unread_keys();
 }
 
--- a/wigeonrill/src/daemon/settings.h
+++ b/wigeonrill/src/daemon/settings.h
@@ -55,6 +55,8 @@
     double retries_per_second{0.5}; ///< retry budget that a service gets besides
     double retry_reserve{10.0};     ///< maximum of unused retry budget, and its initial value
     bool shed_may_wait{true};       ///< shed requests wait while the retry budget is used up
+    /// less urgent requests are turned away while the targets of a service are overloaded
+    bool gates_priorities{false};
 
     placement_kind placement{placement_kind::two_choices};
     /// Bytes per second for messages to other nodes with the number of requests that this node has
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -39,6 +39,8 @@
     /// A shed request waits in the queue, instead of being refused, when the retry budget is used
     /// up.
     bool shed_may_wait{true};
+    /// Turn away requests of less urgent priorities while the targets of a service are overloaded.
+    bool gates_priorities{false};
     /// Publish to the nodes of the group how many requests this node has in each target.
     bool publish_outstanding{false};
     domain_name own_domain; ///< failure domain of this node; empty: unknown
--- a/wigeonrill/src/dispatch/decision_core_admission.cpp
+++ b/wigeonrill/src/dispatch/decision_core_admission.cpp
@@ -53,6 +53,9 @@
 }
 
 bool decision_core::turn_away(request_record& record, instant now) {
+    if (!options_.gates_priorities) {
+        return false;
+    }
     auto& service = *record.service;
     const auto priority = priority_of(record);
     service.waiting.on_request(priority, now);
