Remove a second table of routes that nothing reads

control_loop built a route table for each version and published it in node_state; the dispatcher builds the one that it uses. At 30,000 routes that is a second table of them in memory and some milliseconds for each change. No behaviour changes.

--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -96,7 +96,6 @@
 
 void control_loop::activate_configuration() {
     const auto configuration = store_.current();
-    routes_ = std::make_shared<routing::route_table>(configuration);
     // Revisions of two eras can't be compared.
     const auto era = platform::era_of(configuration->version);
     if (std::exchange(era_, era) < era) {
@@ -395,7 +394,6 @@
             plans_changed_ = false;
         }
         next->configuration = configuration;
-        next->routes = routes_;
     }
     next->confirmed = store_.confirmed_at();
     next->rejection = store_.last_rejection();
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -120,7 +120,6 @@
     control_dependencies dependencies_;
     config::configuration_store store_;
     health::monitor monitor_;
-    std::shared_ptr<const routing::route_table> routes_;
     std::function<void()> configuration_listener_;
     std::function<void(instant)> peer_reading_listener_;
     std::function<void(std::size_t)> group_rank_listener_;
--- a/wigeonrill/src/daemon/node_state.h
+++ b/wigeonrill/src/daemon/node_state.h
@@ -20,10 +20,9 @@
 /// \brief State of the node as of one tick of the control thread. Immutable, so that threads can
 ///        share it.
 struct node_state {
-    config::snapshot_ptr configuration;                 ///< null before the first configuration
-    std::shared_ptr<const routing::route_table> routes; ///< null before the first configuration
-    wall_time confirmed{};          ///< when the version in force was last confirmed
-    std::optional<error> rejection; ///< reason of the last rejected configuration
+    config::snapshot_ptr configuration; ///< null before the first configuration
+    wall_time confirmed{};              ///< when the version in force was last confirmed
+    std::optional<error> rejection;     ///< reason of the last rejected configuration
     std::map<std::string, std::size_t> peers_by_state;     ///< number of peers in each member state
     std::shared_ptr<const std::set<std::string>> peer_ips; ///< numeric IP addresses of all peers
     bool superseded{false};                  ///< a newer process runs at this node's peer address
