Match the platform's routes by the characters of the path (ROUTE)

Cause: route_table compares whole segments of a normalized path, as path_prefix of the product's own format is meant. The platform's prefix is text that begins the path as it was sent, and the adapter passed it on as if it meant the same. Ruled out: the order of versions, and the split of a route; the route is the wrong one on a node at rest.

Change: how prefixes match belongs to the source of the configuration (routing::path_match); the platform's binding says literal. Not a key of each route: builds before this one refuse unknown keys, so that in an upgrade old and new nodes would refuse each other's versions. The index and its cost are the same: one hash lookup for each slash of the path.

--- a/programs/wigeonrilld/main.cpp
+++ b/programs/wigeonrilld/main.cpp
@@ -1,4 +1,5 @@
 #include "platform/headers.h"
+#include "platform/records.h"
 #include "platform/store_client.h"
 #include "wigeonrill/daemon.h"
 
@@ -8,6 +9,6 @@
         [](const endpoint& store, const clock_source& clock) {
             return std::make_unique<users_platform::store_client>(store, clock);
         },
-        users_platform::header_names()};
+        users_platform::header_names(), users_platform::path_matching};
     return daemon::run(argc, argv, binding);
 }
--- a/test/fleet/users_site.cpp
+++ b/test/fleet/users_site.cpp
@@ -281,7 +281,9 @@
     impl_->records->remove(key);
 }
 
-void users_site::publish(const std::string& safe_prefix, int version) {
+namespace {
+
+json make_rules(const std::string& safe_prefix, int version) {
     json routes;
     routes["look"] = {
         {"host", "h.example"},     {"prefix", safe_prefix}, {"kind", "safe"},     {"timeout_s", 5},
@@ -289,11 +291,25 @@
     routes["order"] = routes["look"];
     routes["order"]["prefix"] = "/order/";
     routes["order"]["kind"] = "unsafe";
-    write("op/config", json{{"version", version},
-                            {"routes", routes},
-                            {"services", {{"stock", json::object()}}},
-                            {"limits", {{"max_body_bytes", 1'000'000}}}}
-                           .dump());
+    return {{"version", version},
+            {"routes", routes},
+            {"services", {{"stock", json::object()}}},
+            {"limits", {{"max_body_bytes", 1'000'000}}}};
+}
+
+} // namespace
+
+void users_site::publish(const std::string& safe_prefix, int version) {
+    write("op/config", make_rules(safe_prefix, version).dump());
+}
+
+void users_site::publish_route_without_targets(const std::string& prefix, int version) {
+    auto rules = make_rules("/look/", version);
+    rules["routes"]["empty"] = rules["routes"]["look"];
+    rules["routes"]["empty"]["prefix"] = prefix;
+    rules["routes"]["empty"]["service"] = "empty";
+    rules["services"]["empty"] = json::object();
+    write("op/config", rules.dump());
 }
 
 void users_site::compact_history() {
--- a/test/fleet/users_site.h
+++ b/test/fleet/users_site.h
@@ -40,6 +40,9 @@
     /// \param safe_prefix path prefix of the route for safe requests, such as /look/
     /// \param version version number that the operator gives the configuration
     void publish(const std::string& safe_prefix, int version = 7);
+    /// \brief Adds a route for safe requests to a service without targets, so that requests which
+    ///        match it get status 503, to what publish() writes for the prefix /look/.
+    void publish_route_without_targets(const std::string& prefix, int version);
     /// \brief Compacts the history of the store: a watch from an earlier revision gets status 410.
     void compact_history();
     /// \brief Makes every call to the store fail with 503, or ends this outage.
--- a/test/fleet/users_site_test.cpp
+++ b/test/fleet/users_site_test.cpp
@@ -178,6 +178,22 @@
     LONGS_EQUAL(before, site.requests_at(1));
 }
 
+// Guards against an added route that takes requests which its prefix doesn't begin from another
+// one, so that they run at a service to which no version sends them.
+TEST(users_site, added_route_takes_only_requests_that_its_prefix_begins) {
+    site.start_nodes();
+    site.publish_route_without_targets("/look/orders/", 8);
+    CHECK(eventually(
+        [&] { return send(site.port(), make_request("GET", "/look/orders/1")).status == 503; }, 5));
+    for (const char* path : {"/look/orders", "/look//orders/1", "/look/%6Frders/1",
+                             "/look/x/../orders/1", "/look/ordersheet"}) {
+        LONGS_EQUAL(200, send(site.port(), make_request("GET", path)).status);
+    }
+    for (const char* path : {"/look", "//look/1", "/%6Cook/1"}) {
+        LONGS_EQUAL(404, send(site.port(), make_request("GET", path)).status);
+    }
+}
+
 // Guards against invalid or foreign records that are used or that make valid records unusable.
 TEST(users_site, ignores_unreadable_and_foreign_records) {
     site.write("servers/i-8", "{\"address\":5}");
--- a/test/routing/route_table_test.cpp
+++ b/test/routing/route_table_test.cpp
@@ -78,3 +78,31 @@
     CHECK_TRUE(table.find("a", "GET", "/jobs").path_matched);
     CHECK_FALSE(table.find("a", "GET", "/other").path_matched);
 }
+
+// Guards against a literal prefix that takes requests which it doesn't begin from a shorter one.
+TEST(route_table, literal_prefix_matches_only_paths_that_it_begins) {
+    auto snapshot = std::make_shared<config::snapshot>();
+    snapshot->routes = {
+        make_route("shop", "h.example", {}, "/shop/"),
+        make_route("orders", "h.example", {}, "/shop/orders/"),
+        make_route("broken", "h.example", {}, "/shop/open"),
+        make_route("any-host", "", {}, "/"),
+    };
+    const routing::route_table table(snapshot, routing::path_match::literal);
+    const auto route_of = [&table](const char* path) {
+        const auto match = table.find("h.example", "POST", path);
+        return match.route == nullptr ? std::string() : match.route->name.value;
+    };
+    for (const char* path : {"/shop/", "/shop/orders", "/shop/ordersheet/7", "/shop//orders/7",
+                             "/shop/%6Frders/7", "/shop%2Forders/7", "/shop/./orders/7",
+                             "/shop/x/../orders/7", "/shop/open", "/shop/%zz"}) {
+        const bool begins = std::string(path).starts_with("/shop/");
+        STRCMP_EQUAL(begins ? "shop" : "any-host", route_of(path).c_str());
+    }
+    STRCMP_EQUAL("orders", route_of("/shop/orders/").c_str());
+    STRCMP_EQUAL("orders", route_of("/shop/orders//7").c_str());
+    STRCMP_EQUAL("any-host", route_of("/shop").c_str());
+    STRCMP_EQUAL("any-host", route_of("//shop/orders/7").c_str());
+    STRCMP_EQUAL("any-host", route_of("/").c_str());
+    CHECK_FALSE(table.find("h.example", "OPTIONS", "*").path_valid);
+}
--- a/wigeonrill/routing.h
+++ b/wigeonrill/routing.h
@@ -16,6 +16,7 @@
 #include "src/routing/latency_mean.h"
 #include "src/routing/load_hint.h"
 #include "src/routing/node_group.h"
+#include "src/routing/path_match.h"
 #include "src/routing/peer_load.h"
 #include "src/routing/placement_policy.h"
 #include "src/routing/rate_limit_table.h"
--- a/wigeonrill/src/daemon/platform_binding.h
+++ b/wigeonrill/src/daemon/platform_binding.h
@@ -16,6 +16,8 @@
         open_store;
     /// Names of the HTTP header fields that the platform's callers and targets use.
     traffic::header_names headers;
+    /// How the path prefixes of the platform's routes are compared with the paths of requests.
+    routing::path_match path_matching{routing::path_match::segments};
 };
 
 } // namespace wigeonrill::daemon
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -47,8 +47,12 @@
     return options;
 }
 
-dispatch::core_options make_core_options(const settings& node_settings) {
+dispatch::core_options make_core_options(const settings& node_settings,
+                                         const platform_binding& binding) {
     dispatch::core_options options;
+    if (node_settings.store) {
+        options.path_matching = binding.path_matching;
+    }
     options.shed_may_wait = node_settings.shed_may_wait;
     options.gates_priorities = node_settings.gates_priorities;
     options.own_domain = node_settings.domain;
@@ -91,7 +95,7 @@
           peer_random(random_seed()), platform_random(random_seed()),
           process(new_incarnation(clock, peer_random)), events(*log),
           dispatcher({given_settings.traffic, incarnation_number(process),
-                      make_core_options(given_settings)},
+                      make_core_options(given_settings, binding)},
                      clock, dispatch_random, events) {}
 
     settings node_settings;
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -44,6 +44,8 @@
     /// Publish to the nodes of the group how many requests this node has in each target.
     bool publish_outstanding{false};
     domain_name own_domain; ///< failure domain of this node; empty: unknown
+    /// How the path prefixes of routes are compared with the paths of requests.
+    routing::path_match path_matching{routing::path_match::segments};
     /// Policy of each service; by default two random choices.
     policy_factory make_policy{[] { return std::make_unique<routing::two_random_choices>(); }};
     /// Initial retry budget of each service.
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -34,7 +34,8 @@
     // Building a table of 30,000 routes or a directory of 310,000 workspaces takes milliseconds, so
     // build them without the lock.
     if (!table || table->configuration() != view->configuration) {
-        table = std::make_shared<const routing::route_table>(view->configuration);
+        table = std::make_shared<const routing::route_table>(view->configuration,
+                                                             options_.core.path_matching);
     }
     if (!workspaces || !workspaces->is_of(view->configuration->workspaces)) {
         workspaces =
--- a/wigeonrill/src/routing/route_table.cpp
+++ b/wigeonrill/src/routing/route_table.cpp
@@ -31,12 +31,13 @@
 
 } // namespace
 
-route_table::route_table(config::snapshot_ptr configuration)
-    : configuration_(std::move(configuration)) {
+route_table::route_table(config::snapshot_ptr configuration, path_match match)
+    : configuration_(std::move(configuration)), match_(match) {
     WIGEONRILL_ASSERT(configuration_ != nullptr, "a route table needs a snapshot");
     buckets_.reserve(configuration_->routes.size());
     for (const auto& it : configuration_->routes) {
-        if (const auto prefix = normalize_path(it.path_prefix)) {
+        const auto prefix = comparable_path(it.path_prefix);
+        if (prefix && (match_ == path_match::segments || it.path_prefix.ends_with('/'))) {
             buckets_[bucket_key(normalize_host(it.host), *prefix)].push_back(&it);
             longest_prefix_ = std::max(longest_prefix_, prefix->size());
         }
@@ -48,20 +49,38 @@
     }
 }
 
+std::optional<std::string> route_table::comparable_path(std::string_view path) const {
+    if (match_ == path_match::segments) {
+        return normalize_path(path);
+    }
+    if (path.empty() || path.front() != '/') {
+        return std::nullopt;
+    }
+    return std::string(path.substr(0, path.rfind('/') + 1));
+}
+
+std::string_view route_table::next_shorter(std::string_view prefix) const {
+    if (match_ == path_match::segments) {
+        return prefix.substr(0, prefix.rfind('/'));
+    }
+    prefix.remove_suffix(1); // the slash at its end
+    return prefix.substr(0, prefix.rfind('/') + 1);
+}
+
 route_match route_table::find(std::string_view host, std::string_view method,
                               std::string_view path) const {
     route_match match;
-    const auto normalized = normalize_path(path);
-    if (!normalized) {
+    const auto comparable = comparable_path(path);
+    if (!comparable) {
         match.path_valid = false;
         return match;
     }
     const auto lower = normalize_host(host);
     if (!lower.empty()) {
-        find_for_host(lower, method, *normalized, match);
+        find_for_host(lower, method, *comparable, match);
     }
     if (match.route == nullptr) {
-        find_for_host({}, method, *normalized, match);
+        find_for_host({}, method, *comparable, match);
     }
     return match;
 }
@@ -69,7 +88,8 @@
 void route_table::find_for_host(std::string_view host, std::string_view method,
                                 std::string_view path, route_match& match) const {
     const auto key = bucket_key(host, path);
-    const auto shortest = host.size() + 1;
+    // Of the prefixes, segments leave out the slash at the end, so that of the root is empty.
+    const auto shortest = host.size() + (match_ == path_match::literal ? 2 : 1);
     auto prefix = std::string_view(key);
     for (;;) {
         // Skip prefixes that are longer than any route's, so that a path with thousands of segments
@@ -89,7 +109,7 @@
         if (prefix.size() <= shortest) {
             return;
         }
-        prefix = prefix.substr(0, prefix.rfind('/'));
+        prefix = next_shorter(prefix);
     }
 }
 
--- a/wigeonrill/src/routing/route_table.h
+++ b/wigeonrill/src/routing/route_table.h
@@ -17,12 +17,15 @@
 /// \brief Finds the route of a request by host, method and longest path prefix. Immutable.
 ///
 /// Routes for the request's host take precedence over routes for any host. Among them, the route
-/// with the longest prefix of whole segments that allows the method is chosen. A lookup costs one
-/// hash lookup per path segment, independent of the number of routes.
+/// with the longest matching prefix that allows the method is chosen. A lookup costs one hash
+/// lookup per path segment, independent of the number of routes.
 class route_table {
 public:
     /// \param configuration snapshot with the routes; the table shares its ownership
-    explicit route_table(config::snapshot_ptr configuration);
+    /// \param match how path prefixes are compared; with path_match::literal, a prefix that doesn't
+    ///              end with a slash matches nothing
+    explicit route_table(config::snapshot_ptr configuration,
+                         path_match match = path_match::segments);
 
     /// \brief Looks up the route of a request.
     /// \param host Host header without the port; compared case-insensitively
@@ -40,13 +43,19 @@
     };
     using bucket_map = std::unordered_map<std::string, bucket, text_hash, std::equal_to<>>;
 
+    /// \returns the longest text that a prefix which matches the path can be; nothing if no prefix
+    ///          can match
+    [[nodiscard]] std::optional<std::string> comparable_path(std::string_view path) const;
+    /// \returns the next shorter text that a matching prefix can be
+    [[nodiscard]] std::string_view next_shorter(std::string_view prefix) const;
     /// \brief Searches the routes of one host, or of any host if `host` is empty, and sets `match`.
-    /// \param path normalized path
+    /// \param path part of the path that prefixes are compared with, see comparable_path()
     void find_for_host(std::string_view host, std::string_view method, std::string_view path,
                        route_match& match) const;
 
     config::snapshot_ptr configuration_;
-    bucket_map buckets_;            ///< key: host, line feed and normalized path prefix
+    path_match match_;
+    bucket_map buckets_;            ///< key: host, line feed and comparable path prefix
     std::size_t longest_prefix_{0}; ///< length of the longest prefix of any route
 };
 
