Put the operator's rules in force despite odd names and numbers (CONFIG)

Names had to be 1 to 64 letters, digits, '.', '_' or '-' (tenants in platform/, the others in the parser of the shards).

Change: content made from a store's records is read by config::name_rule::foreign, any text up to 255 bytes without control characters; documents of our own format keep their rule. Names that nobody outside sees are replaced if they are longer. Numbers are brought to the bound. A tenant that can't be used at all is left out, with a warning that operators see, and all else is in force. A route that can't be read still makes the record unreadable: without it its requests would go to a service that no version allows. Questions about credit are divided by their bytes, since names may be longer.

--- a/test/fleet/users_site.cpp
+++ b/test/fleet/users_site.cpp
@@ -312,6 +312,15 @@
     write("op/config", rules.dump());
 }
 
+void users_site::publish_tenants(const std::map<std::string, std::vector<std::string>>& keys,
+                                 int version) {
+    auto rules = make_rules("/look/", version);
+    for (const auto& [name, its_keys] : keys) {
+        rules["tenants"][name]["api_keys"] = its_keys;
+    }
+    write("op/config", rules.dump());
+}
+
 void users_site::compact_history() {
     impl_->records->compact();
 }
--- a/test/fleet/users_site.h
+++ b/test/fleet/users_site.h
@@ -3,6 +3,7 @@
 
 #include "test/fleet/fleet.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -43,6 +44,9 @@
     /// \brief Adds a route for safe requests to a service without targets, so that requests which
     ///        match it get status 503, to what publish() writes for the prefix /look/.
     void publish_route_without_targets(const std::string& prefix, int version);
+    /// \brief Adds tenants to what publish() writes for the prefix /look/.
+    /// \param keys API keys of each tenant, by its name
+    void publish_tenants(const std::map<std::string, std::vector<std::string>>& keys, int version);
     /// \brief Compacts the history of the store: a watch from an earlier revision gets status 410.
     void compact_history();
     /// \brief Makes every call to the store fail with 503, or ends this outage.
--- a/test/fleet/users_site_test.cpp
+++ b/test/fleet/users_site_test.cpp
@@ -194,6 +194,31 @@
     }
 }
 
+// Guards against a tenant whose name isn't one of the product's own, so that no node puts that
+// version or a later one in force, and a key that was taken away goes on working.
+TEST(users_site, odd_name_of_a_tenant_does_not_keep_an_old_version_in_force) {
+    const auto send_with_key = [&](const std::string& key) {
+        auto asked = make_request("GET", "/look/1");
+        asked.headers["Authorization"] = "Bearer " + key;
+        return send(site.port(), asked).status;
+    };
+    site.publish_tenants({{"stall-2", {"key-two", "key-old"}}}, 8);
+    site.start_nodes();
+    LONGS_EQUAL(200, send_with_key("key-old"));
+    const std::string odd_name = "Naschmarkt, Stand 12 (\u00e4lter) / A\"1\"";
+    site.publish_tenants({{"stall-2", {"key-two"}},
+                          {odd_name, {"key-new"}},
+                          {"line\nbreak", {"key-broken"}},
+                          {std::string(5'000, 'x'), {"key-long"}}},
+                         9);
+    std::this_thread::sleep_for(change_time_limit);
+    LONGS_EQUAL(401, send_with_key("key-old"));
+    LONGS_EQUAL(401, send_with_key("key-broken"));
+    LONGS_EQUAL(200, send_with_key("key-two"));
+    LONGS_EQUAL(200, send_with_key("key-new"));
+    STRCMP_EQUAL(odd_name.c_str(), site.last_header(0, "X-Wigeonrill-Tenant-Name").c_str());
+}
+
 // Guards against invalid or foreign records that are used or that make valid records unusable.
 TEST(users_site, ignores_unreadable_and_foreign_records) {
     site.write("servers/i-8", "{\"address\":5}");
--- a/wigeonrill/src/config/assembly.cpp
+++ b/wigeonrill/src/config/assembly.cpp
@@ -108,13 +108,14 @@
 
 } // namespace
 
-result<void> read_shard(const shard& from, shard_records& into) {
+result<void> read_shard(const shard& from, name_rule names, shard_records& into) {
     const auto source = "shard " + from.name;
     const auto document = json_document::parse(from.content, source);
     if (!document) {
         return tl::unexpected(document.error());
     }
     parse_context context{source, std::nullopt};
+    context.names = names;
     read_content(from, document->root(), context, into);
     if (context.first_error) {
         return tl::unexpected(*context.first_error);
--- a/wigeonrill/src/config/assembly.h
+++ b/wigeonrill/src/config/assembly.h
@@ -20,7 +20,8 @@
 };
 
 /// \brief Parses the content of a shard and appends its records.
-[[nodiscard]] result<void> read_shard(const shard& from, shard_records& into);
+/// \param names rule for the names in it
+[[nodiscard]] result<void> read_shard(const shard& from, name_rule names, shard_records& into);
 
 /// \brief Sorts each list in the order of the snapshot. Call it after the last read_shard().
 void sort_records(shard_records& records);
--- a/wigeonrill/src/config/checked_object.h
+++ b/wigeonrill/src/config/checked_object.h
@@ -48,7 +48,7 @@
     [[nodiscard]] std::vector<endpoint> addresses(std::string_view key);
     /// \returns a list of strings
     [[nodiscard]] std::vector<std::string> texts(std::string_view key, bool mandatory = true);
-    /// \returns a name: 1 to 64 letters, digits, '.', '_' or '-'
+    /// \returns a name, see parse_context::names
     [[nodiscard]] std::string name(std::string_view key);
     /// \returns the enumerator that has the written name in the table
     template <typename Enum, std::size_t Size>
@@ -85,6 +85,8 @@
     /// \brief Records an error at a key of this object, or at the object itself if the key is
     /// empty.
     void fail(std::string_view key, const std::string& problem, std::string remedy);
+    /// \returns the rule for names in the document
+    [[nodiscard]] name_rule names() const { return context_->names; }
     /// \returns the key path of this object, empty for the root
     [[nodiscard]] const std::string& path() const { return path_; }
 
--- a/wigeonrill/src/config/configuration_store.cpp
+++ b/wigeonrill/src/config/configuration_store.cpp
@@ -141,18 +141,20 @@
 configuration_store::state::build_snapshot(const change_set& changes,
                                            const std::vector<shard>& changed,
                                            const std::vector<std::string>& removed) const {
+    // Only content that was made from the records of a platform's store has a version of its rules.
+    const auto names = changes.rules_version != 0 ? name_rule::foreign : name_rule::own;
     shard_records dropped;
     shard_records added;
     for (const auto& it : changed) {
-        if (auto read = read_shard(it, added); !read) {
+        if (auto read = read_shard(it, names, added); !read) {
             return tl::unexpected(read.error());
         }
         if (const auto stored = shards.find(it.name); stored != shards.end()) {
-            (void)read_shard(stored->second, dropped);
+            (void)read_shard(stored->second, names, dropped);
         }
     }
     for (const auto& name : removed) {
-        (void)read_shard(shards.at(name), dropped);
+        (void)read_shard(shards.at(name), names, dropped);
     }
     sort_records(dropped);
     sort_records(added);
--- a/wigeonrill/src/config/parse_context.h
+++ b/wigeonrill/src/config/parse_context.h
@@ -18,6 +18,7 @@
     std::set<std::string>* known_keys{nullptr};
     /// Documentation page of this kind of document, named in the remedies of errors.
     std::string reference{"docs/reference/configuration.md"};
+    name_rule names{name_rule::own}; ///< rule for names, hosts and path prefixes
 
     /// \brief Records an error, unless one was recorded before.
     /// \param path key path, such as "routes.charge.limits.total"
--- a/wigeonrill/src/config/section_parsers.cpp
+++ b/wigeonrill/src/config/section_parsers.cpp
@@ -12,12 +12,6 @@
 
 constexpr std::uint64_t max_floor_slots = 100'000'000;
 constexpr std::uint64_t max_queue_limit = 1'000'000;
-constexpr double max_requests_per_second = 1e7;
-constexpr std::uint64_t max_body_size = 1ULL << 40U;
-constexpr std::uint64_t max_weight = 1'000'000'000;
-constexpr std::uint64_t max_attempts = 100;
-constexpr std::uint64_t max_priority = 1'000;
-constexpr milliseconds max_duration = 24h;
 
 target parse_target(const std::string& name, checked_object& object) {
     target it;
@@ -74,22 +68,29 @@
            text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZ-") == std::string::npos;
 }
 
-bool is_host(const std::string& text) {
+// Hosts and prefixes of another system are compared as they are; one that no request has harms
+// none.
+bool is_host(const std::string& text, name_rule rule) {
+    if (rule == name_rule::foreign) {
+        return text.empty() || is_foreign_name(text);
+    }
     return text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789.-") == std::string::npos;
 }
 
-bool is_path(const std::string& text) {
+bool is_path(const std::string& text, name_rule rule) {
+    const auto is_allowed = [](char it) {
+        return it > ' ' && it < '\x7f' && it != '?' && it != '#';
+    };
     return !text.empty() && text.front() == '/' &&
-           std::all_of(text.begin(), text.end(),
-                       [](char it) { return it > ' ' && it < '\x7f' && it != '?' && it != '#'; });
+           (rule == name_rule::foreign || std::ranges::all_of(text, is_allowed));
 }
 
 void check_match_rules(checked_object& object, const route& it) {
-    if (!is_host(it.host)) {
+    if (!is_host(it.host, object.names())) {
         object.fail("host", "\"" + it.host + "\" is not a lower-case host name",
                     "write the host in lower case without a port");
     }
-    if (!is_path(it.path_prefix)) {
+    if (!is_path(it.path_prefix, object.names())) {
         object.fail("path_prefix", "\"" + it.path_prefix + "\" is not a path",
                     "begin with '/' and leave out query, fragment and spaces");
     }
@@ -121,7 +122,7 @@
     it.repeat = object.choice("repeat", repeat_policy_names);
     parse_key_policy(object, it);
     it.hedge = object.flag("hedge", it.hedge);
-    it.max_body_bytes = object.size("max_body", max_body_size, it.max_body_bytes);
+    it.max_body_bytes = object.size("max_body", max_body_limit, it.max_body_bytes);
     it.limits = parse_limits(object.object("limits"));
     it.attempts = static_cast<std::uint32_t>(object.number("attempts", 0, max_attempts, 0));
     it.priority = static_cast<std::uint32_t>(object.number("priority", 0, max_priority, 0));
--- a/wigeonrill/src/daemon/settings.cpp
+++ b/wigeonrill/src/daemon/settings.cpp
@@ -135,6 +135,7 @@
 
 result<settings> read_document(const config::json_document& document, const std::string& source) {
     config::parse_context context{source, std::nullopt, nullptr, "docs/reference/settings.md"};
+    context.names = config::name_rule::foreign; // The node's domain may be a name of the platform.
     config::checked_object root(document.root(), "", context);
     settings it;
     read_node(root.object("node", true), it);
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -191,6 +191,10 @@
         return;
     }
     notes_.push_back({false, "Rules read.", record.key, detail, record.revision});
+    for (const auto& it : rules.remarks) {
+        notes_.push_back(
+            {true, "Part of the rules is not used as written.", record.key, it, record.revision});
+    }
     rules_ = rules;
     changed_since_build_ = true;
 }
--- a/wigeonrill/src/platform/record_feed.h
+++ b/wigeonrill/src/platform/record_feed.h
@@ -26,6 +26,8 @@
     std::vector<config::route> routes;
     config::caller_authentication authentication{config::caller_authentication::none};
     config::shared_list<config::workspace> workspaces; ///< sorted by name
+    /// Parts of the record that aren't used, or not as they were written, each with the reason.
+    std::vector<std::string> remarks;
 
     friend bool operator==(const operator_rules&, const operator_rules&) = default;
 };
--- a/wigeonrill/src/quota/credit_client.cpp
+++ b/wigeonrill/src/quota/credit_client.cpp
@@ -292,7 +292,7 @@
             outgoing_ask next{granter, {}};
             next.content.known_nodes = known_nodes_;
             voter_.add_votes(granter, next.content, now);
-            const auto count = std::min(requests.size(), max_requests_per_ask);
+            const auto count = requests.empty() ? 0 : requests_of_one_ask(requests);
             const auto last = requests.begin() + static_cast<std::ptrdiff_t>(count);
             next.content.requests.assign(requests.begin(), last);
             requests.erase(requests.begin(), last);
--- a/wigeonrill/src/quota/credit_messages.h
+++ b/wigeonrill/src/quota/credit_messages.h
@@ -50,8 +50,10 @@
     credit_ask content;
 };
 
-/// \brief Largest number of requests in one message, so that it fits a datagram.
-inline constexpr std::size_t max_requests_per_ask = 10;
+/// \brief Returns the number of requests that one message takes, so that it fits a datagram.
+/// \param all requests for one granter, not empty
+/// \returns how many of the first ones; at least 1
+[[nodiscard]] std::size_t requests_of_one_ask(const std::vector<credit_request>& all);
 
 } // namespace wigeonrill::quota
 
