Divide limits by the largest fleet until all seeds were heard (QUOTA)

Cause: 0.75 s after a process had learned of the last node, it took the nodes that it knew for the fleet, also when it had heard none of them: itself and three seeds, so a quarter of each limit for each process. Two groups on both sides of a cut that start at once have the same fault. test/quota didn't show it, because it told each process the true number of nodes.

Change: fleet_census tells whether a process knows its fleet. Nodes meet by way of the seeds, so two groups that don't know each other can't both have heard all of them. Until a process has, by itself or from peers, it divides by peers.max_nodes (new setting, 100 by default), without an end while it is alone, for 10 minutes in a group. Parts below one request admitted none; part_allowance begins at a random point, so that the nodes admit in sum what their parts are. The fleet of test/quota now knows only what its processes have heard. A new log line tells when the fleet is known, and of how many seeds.

--- a/test/dispatch/workspace_test.cpp
+++ b/test/dispatch/workspace_test.cpp
@@ -47,7 +47,7 @@
     void join_fleet() {
         const node_id self("10.1.0.1:70");
         for (int i = 0; i < 100; ++i) {
-            d.set_credit_nodes(self, {self, node_id("10.1.0.2:70"), node_id("10.1.0.3:70")}, 3);
+            d.set_credit_nodes(self, {self, node_id("10.1.0.2:70"), node_id("10.1.0.3:70")}, {3});
             d.tick();
             node.clock.advance(milliseconds(50));
         }
@@ -147,7 +147,7 @@
 // of a limit and the part is used up.
 TEST(workspace, the_own_part_of_a_limit_is_used_before_the_node_has_joined) {
     const node_id self("10.1.0.1:70");
-    d.set_credit_nodes(self, {self, node_id("10.1.0.2:70")}, 2);
+    d.set_credit_nodes(self, {self, node_id("10.1.0.2:70")}, {2});
     const auto refused = first_step("/stock", "key-2"); // 10 requests/s of 100 assumed nodes
     CHECK(refused.kind == step_kind::refuse);
     LONGS_EQUAL(503, refused.reason.status);
--- a/test/quota/fleet_limit_test.cpp
+++ b/test/quota/fleet_limit_test.cpp
@@ -57,6 +57,44 @@
     }
 }
 
+// Guards against processes that take themselves and the seeds, which nobody has heard, for the
+// whole fleet, so that each of many that can't find each other uses a large part of the limit.
+TEST(fleet_limit, holds_while_restarted_nodes_do_not_find_each_other) {
+    for (const auto disturbances :
+         {test::disturbance_kind::seeds_gone, test::disturbance_kind::one_seed_up,
+          test::disturbance_kind::seeds_return, test::disturbance_kind::two_groups}) {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            for (const double rate : {2.0, 40.0}) {
+                fleet_plan plan;
+                plan.nodes = seed == 1 ? 12 : 93;
+                plan.duration = seconds(20);
+                plan.rate = rate;
+                plan.burst = seed == 1 ? rate / 4 : rate;
+                plan.demand = 8.0 * rate;
+                plan.disturbances = disturbances;
+                check_bound(plan, seed);
+            }
+        }
+    }
+}
+
+// Guards against nodes that admit nothing at all while they use their own parts of a limit, because
+// each part is below one request.
+TEST(fleet_limit, nodes_that_find_nobody_admit_the_sum_of_their_parts) {
+    fleet_plan plan;
+    plan.nodes = 83;
+    plan.max_nodes = 83;
+    plan.duration = seconds(20);
+    plan.rate = plan.burst = 20.0;
+    plan.demand = 16.0;
+    plan.disturbances = test::disturbance_kind::seeds_gone;
+    limited_fleet fleet(plan, 5);
+    const auto result = fleet.run();
+    CHECK_TEXT(
+        result.refused * 3 <= result.requests * 2,
+        StringFromFormat("%d of %d refused", result.refused, result.requests).asCharString());
+}
+
 // Guards against limits that refuse honest callers because their requests reach few nodes or come
 // unevenly.
 TEST(fleet_limit, serves_a_workspace_below_its_limit_on_a_calm_day) {
--- a/test/quota/limited_fleet.h
+++ b/test/quota/limited_fleet.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <queue>
+#include <set>
 
 namespace wigeonrill::test {
 
@@ -15,13 +16,19 @@
 /// What happens to the nodes of a limited_fleet.
 enum class disturbance_kind : std::uint8_t {
     none,
-    kill_third, ///< a third of the nodes ends in the middle, for good
-    all         ///< splits, restarts and freezes at random
+    kill_third,   ///< a third of the nodes ends in the middle, for good
+    all,          ///< splits, restarts and freezes at random
+    seeds_gone,   ///< all nodes end at once, and all but the seeds start again
+    one_seed_up,  ///< the same, but one seed starts, too
+    seeds_return, ///< all nodes end at once; the seeds start some seconds after the others
+    two_groups    ///< all nodes end at once and start in two groups, which meet some seconds later
 };
 
 /// Parameters of a limited_fleet.
 struct fleet_plan {
     std::size_t nodes{93};
+    std::size_t seeds{3}; ///< the first nodes, which all nodes contact
+    std::size_t max_nodes{quota::default_max_nodes};
     double rate{20.0};   ///< limit of the workspace
     double burst{20.0};  ///< of the limit
     double demand{10.0}; ///< requests per second at all nodes together
@@ -39,15 +46,16 @@
     nanoseconds longest_wait{0};   ///< of an admitted request
 };
 
-/// Nodes that share the limit of one workspace over messages with delays. Membership is given: a
-/// node sees a change of another one after 1.5 s.
+/// Nodes that share the limit of one workspace over messages with delays. A process knows the seeds
+/// and the nodes of which it or one that it has met has heard since its start. It sees that another
+/// one has ended, or can't be reached, after 1.5 s.
 class limited_fleet {
 public:
     limited_fleet(const fleet_plan& plan, std::uint64_t seed)
-        : plan_(plan), random_(seed), directory_(make_workspaces(plan)) {
+        : plan_(plan), random_(seed), meeting_random_(seed), directory_(make_workspaces(plan)) {
         for (std::size_t i = 0; i < plan.nodes; ++i) {
             ids_.emplace_back("10.0.0." + std::to_string(i) + ":70");
-            nodes_.push_back(std::make_unique<node>(random_));
+            nodes_.push_back(make_node(i));
         }
         for (std::size_t i = 0; i < plan.nodes; ++i) {
             weights_.push_back(std::pow(static_cast<double>(i + 1), -plan.skew));
@@ -70,11 +78,15 @@
     static constexpr milliseconds step{5};
     static constexpr milliseconds tick_interval{50};
     static constexpr milliseconds detection_time{1'500};
+    static constexpr milliseconds meeting_interval{250};
 
     struct node {
-        explicit node(random_source& random) : client(random) {}
+        node(random_source& random, std::size_t max_nodes) : client(random), census(max_nodes) {}
         quota::credit_client client;
         quota::credit_granter granter;
+        quota::fleet_census census;
+        std::set<std::size_t> heard; ///< nodes of which it has heard, with itself
+        instant next_meeting{instant::min()};
         bool is_up{true};
         instant frozen_until{instant::min()};
         instant next_tick{instant::min()};
@@ -96,6 +108,14 @@
             std::chrono::duration<double>(1'000.0 + s)));
     }
 
+    std::unique_ptr<node> make_node(std::size_t index) {
+        auto made = std::make_unique<node>(random_, plan_.max_nodes);
+        made->heard.insert(index);
+        made->next_meeting = now_ + milliseconds(meeting_random_.next_below(
+                                        static_cast<std::uint64_t>(meeting_interval.count())));
+        return made;
+    }
+
     static config::shared_list<config::workspace> make_workspaces(const fleet_plan& plan) {
         config::workspace limited;
         limited.name = workspace_name("w");
@@ -222,8 +242,12 @@
 
     void update_members(std::size_t i) {
         auto& self = *nodes_[i];
+        if (now_ >= self.next_meeting) {
+            self.next_meeting = now_ + meeting_interval;
+            meet_nodes(i);
+        }
         std::vector<node_id> live;
-        for (std::size_t j = 0; j < nodes_.size(); ++j) {
+        for (const auto j : self.heard) {
             const auto& it = *nodes_[j];
             const bool was_recently = now_ < changed_at_ + detection_time;
             const bool responds = it.is_up && it.side == self.side;
@@ -231,8 +255,36 @@
                 live.push_back(ids_[j]);
             }
         }
-        self.client.set_nodes(ids_[i], live, nodes_.size(), now_);
-        self.granter.set_known_nodes(nodes_.size(), now_);
+        auto known = self.heard;
+        quota::fleet_contacts contacts;
+        for (std::size_t j = 0; j < plan_.seeds; ++j) {
+            known.insert(j);
+            contacts.listed += j != i ? 1 : 0;
+            contacts.listed_heard += j != i && self.heard.contains(j) ? 1 : 0;
+        }
+        contacts.known = known.size() - 1;
+        contacts.heard = self.heard.size() - 1;
+        contacts.live = live.size() - 1;
+        self.census.update(contacts, now_);
+        self.client.set_nodes(ids_[i], live, self.census.size(), now_);
+        self.granter.set_fleet_size(self.census.size(), now_);
+    }
+
+    // The node exchanges what it has heard with a seed and with two others that it knows.
+    void meet_nodes(std::size_t i) {
+        auto& self = *nodes_[i];
+        for (int n = 0; n < 3; ++n) {
+            auto other = static_cast<std::size_t>(meeting_random_.next_below(plan_.seeds));
+            if (n > 0) {
+                const auto drawn = meeting_random_.next_below(self.heard.size());
+                other = *std::next(self.heard.begin(), static_cast<std::ptrdiff_t>(drawn));
+            }
+            auto& it = *nodes_[other];
+            if (it.is_up && it.side == self.side && now_ >= it.frozen_until) {
+                self.heard.insert(it.heard.begin(), it.heard.end());
+                it.heard = self.heard;
+            }
+        }
     }
 
     void disturb() {
@@ -245,6 +297,10 @@
                 weights_[i] = 0.0;
             }
         }
+        if (plan_.disturbances >= disturbance_kind::seeds_gone) {
+            restart_all();
+            return;
+        }
         if (plan_.disturbances != disturbance_kind::all || now_ < next_disturbance_) {
             return;
         }
@@ -260,7 +316,7 @@
         case 1: { // a new process
             const auto i = random_.next_below(nodes_.size());
             const auto side = nodes_[i]->side;
-            nodes_[i] = std::make_unique<node>(random_);
+            nodes_[i] = make_node(i);
             nodes_[i]->side = side;
             break;
         }
@@ -271,8 +327,42 @@
         }
     }
 
+    // Ends all nodes at 10 s and starts them again, the seeds and the second group apart.
+    void restart_all() {
+        const auto restarted = at(10.0);
+        const auto reunited = at(18.0);
+        if (now_ >= restarted && !has_killed_) {
+            has_killed_ = true;
+            changed_at_ = now_;
+            for (std::size_t i = 0; i < nodes_.size(); ++i) {
+                const bool starts = i >= seeds_down() || (i == 0 && has_one_seed());
+                nodes_[i] = make_node(i);
+                nodes_[i]->is_up = starts;
+                nodes_[i]->side = plan_.disturbances == disturbance_kind::two_groups ? i % 2 : 0;
+            }
+        }
+        const bool ends = plan_.disturbances == disturbance_kind::seeds_return ||
+                          plan_.disturbances == disturbance_kind::two_groups;
+        if (now_ >= reunited && ends && !is_reunited_) {
+            is_reunited_ = true;
+            changed_at_ = now_;
+            for (auto& it : nodes_) {
+                it->is_up = true;
+                it->side = 0;
+            }
+        }
+    }
+    [[nodiscard]] bool has_one_seed() const {
+        return plan_.disturbances == disturbance_kind::one_seed_up;
+    }
+    // The number of seeds that don't start with the others.
+    [[nodiscard]] std::size_t seeds_down() const {
+        return plan_.disturbances == disturbance_kind::two_groups ? 0 : plan_.seeds;
+    }
+
     fleet_plan plan_;
     seeded_random_source random_;
+    seeded_random_source meeting_random_; ///< of meet_nodes(), apart from the requests
     config::workspace_directory directory_;
     std::vector<node_id> ids_;
     std::vector<std::unique_ptr<node>> nodes_;
@@ -287,6 +377,7 @@
     instant next_disturbance_{instant::min()};
     bool split_{false};
     bool has_killed_{false};
+    bool is_reunited_{false};
     fleet_result result_;
 };
 
--- a/wigeonrill/quota.h
+++ b/wigeonrill/quota.h
@@ -11,13 +11,15 @@
 
 #include "config.h"
 
+#include "src/quota/fleet_census.h"
+#include "src/quota/part_allowance.h"
 #include "src/quota/seat.h"
 // Needs seat.h.
 #include "src/quota/credit_messages.h"
-// Needs credit_messages.h.
+// Needs credit_messages.h and fleet_census.h.
 #include "src/quota/credit_granter.h"
 #include "src/quota/seat_voter.h"
-// Needs seat_voter.h.
+// Needs seat_voter.h and part_allowance.h.
 #include "src/quota/credit_client.h"
 
 #endif
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -47,7 +47,7 @@
 control_loop::control_loop(control_dependencies dependencies, node_id self, domain_name domain)
     : dependencies_(dependencies),
       monitor_(make_monitor_options(std::move(self), std::move(domain), dependencies.clock)),
-      state_(std::make_shared<node_state>()) {}
+      census_(dependencies.max_nodes), state_(std::make_shared<node_state>()) {}
 
 config::apply_outcome control_loop::apply_changes(const config::change_set& changes,
                                                   std::string_view source) {
--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -14,7 +14,8 @@
     observe::metric_registry& metrics;
     traffic_event_sink& events;
     dispatch::request_dispatcher& dispatcher;
-    peers::gossip_node* gossip{nullptr}; ///< null: the node has no peers
+    peers::gossip_node* gossip{nullptr};             ///< null: the node has no peers
+    std::size_t max_nodes{quota::default_max_nodes}; ///< nodes that the fleet has at most
 };
 
 /// \brief Work of the control thread: processes traffic events and peer messages, updates the
@@ -104,6 +105,8 @@
     void log_pause(const health::answer& answer);
     void process_peer_messages();
     void update_members();
+    void update_fleet_size(const std::vector<peers::member_status>& members,
+                           const std::vector<node_id>& live);
     /// \brief Announces whether this node reaches targets, and tells the dispatcher which nodes do.
     void update_reachability();
     /// \brief Takes over the group of nodes that share readings of the store.
@@ -125,6 +128,7 @@
     std::function<void(std::size_t)> group_rank_listener_;
     platform::read_sharing_group readers_;
     routing::node_group group_;
+    quota::fleet_census census_;
     quota::credit_granter granter_;
     std::uint64_t pauses_{0}; ///< of this process, of which granter_ has been told
     std::shared_ptr<const config::workspace_directory> workspaces_; ///< of the version in force
--- a/wigeonrill/src/daemon/control_loop_members.cpp
+++ b/wigeonrill/src/daemon/control_loop_members.cpp
@@ -22,7 +22,8 @@
     auto ips = std::make_shared<std::set<std::string>>();
     std::vector<node_id> possible_senders;
     peers_by_state_.clear();
-    for (const auto& it : dependencies_.gossip->status()) {
+    const auto members = dependencies_.gossip->status();
+    for (const auto& it : members) {
         if (it.state != peers::member_state::leaving && it.process != peers::incarnation{}) {
             possible_senders.push_back(it.id);
         }
@@ -31,10 +32,34 @@
     }
     peer_ips_ = std::move(ips);
     dependencies_.dispatcher.set_nodes(dependencies_.gossip->id(), possible_senders);
-    // Any node that this one has heard or been told of may grant credit elsewhere.
-    const auto known = dependencies_.gossip->status().size() + 1;
-    granter_.set_known_nodes(known, dependencies_.clock.now());
-    dependencies_.dispatcher.set_credit_nodes(self, ids, known);
+    update_fleet_size(members, ids);
+}
+
+// Any node that this one knows may grant credit elsewhere.
+void control_loop::update_fleet_size(const std::vector<peers::member_status>& members,
+                                     const std::vector<node_id>& live) {
+    const auto now = dependencies_.clock.now();
+    const bool was_complete = census_.size().is_complete;
+    const auto heard = std::ranges::count_if(
+        members, [](const peers::member_status& it) { return it.process != peers::incarnation{}; });
+    const auto seeds = dependencies_.gossip->seeds();
+    quota::fleet_contacts contacts;
+    contacts.known = members.size();
+    contacts.heard = static_cast<std::size_t>(heard);
+    contacts.live = live.size() - std::ranges::count(live, dependencies_.gossip->id());
+    contacts.listed = seeds.known;
+    contacts.listed_heard = seeds.heard;
+    census_.update(contacts, now);
+    const auto size = census_.size();
+    if (size.is_complete && !was_complete) {
+        write_log(log_level::info, log_subsystem::peers,
+                  log_line("The whole fleet is known.")
+                      .with("nodes", static_cast<std::int64_t>(size.known))
+                      .with("seeds", static_cast<std::int64_t>(seeds.known))
+                      .with("seeds_heard", static_cast<std::int64_t>(seeds.heard)));
+    }
+    granter_.set_fleet_size(size, now);
+    dependencies_.dispatcher.set_credit_nodes(dependencies_.gossip->id(), live, size);
 }
 
 void control_loop::set_node_group(routing::node_group next) {
--- a/wigeonrill/src/daemon/running_node.cpp
+++ b/wigeonrill/src/daemon/running_node.cpp
@@ -170,9 +170,10 @@
 
 void running_node::components::make_loop() {
     const auto self = node_id(to_string(node_settings.peer.value_or(node_settings.traffic)));
-    loop = std::make_unique<control_loop>(
-        control_dependencies{clock, *log, metrics, events, dispatcher, gossip.get()}, self,
-        node_settings.domain);
+    loop = std::make_unique<control_loop>(control_dependencies{clock, *log, metrics, events,
+                                                               dispatcher, gossip.get(),
+                                                               node_settings.max_nodes},
+                                          self, node_settings.domain);
     control = std::make_unique<control_thread>(*loop, link.get(), gossip.get(), clock);
     queries = std::make_unique<node_admin_queries>(
         node_identity{to_string(node_settings.traffic), node_settings.domain,
--- a/wigeonrill/src/daemon/settings.cpp
+++ b/wigeonrill/src/daemon/settings.cpp
@@ -10,6 +10,7 @@
 constexpr milliseconds max_duration{86'400'000}; // one day
 constexpr std::uint64_t max_allowed_connections = 65'536;
 constexpr std::uint64_t max_allowed_head_bytes = 1'048'576;
+constexpr std::uint64_t max_allowed_nodes = 100'000;
 constexpr std::uint64_t max_allowed_body_bytes = std::uint64_t{1} << 40U;
 
 void read_node(config::checked_object node, settings& it) {
@@ -65,6 +66,7 @@
     if (peers.has("seeds")) {
         it.seeds = peers.addresses("seeds");
     }
+    it.max_nodes = peers.number("max_nodes", 1, max_allowed_nodes, it.max_nodes);
     it.secret = peers.text("secret", std::string{});
     if (!it.seeds.empty() && !it.peer) {
         peers.fail("seeds", "seeds require a peer address of this node",
--- a/wigeonrill/src/daemon/settings.h
+++ b/wigeonrill/src/daemon/settings.h
@@ -35,7 +35,8 @@
     milliseconds start_delay{30'000};
 
     std::vector<endpoint> seeds; ///< peers to contact before the list of VMs is known
-    std::string secret;          ///< key that authenticates datagrams between nodes; empty: none
+    std::size_t max_nodes{quota::default_max_nodes}; ///< nodes that the fleet has at most
+    std::string secret; ///< key that authenticates datagrams between nodes; empty: none
 
     std::uint32_t max_connections{1024};                   ///< open connections of callers
     std::uint32_t max_head_bytes{16'384};                  ///< size of a request head
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -151,10 +151,10 @@
     /// \brief Sets the nodes that grant credit for the rate limits of workspaces. Without a call,
     ///        this node applies the limits by itself.
     /// \param live nodes that respond, with this one
-    /// \param known number of nodes, with those that don't respond
-    void set_credit_nodes(node_id self, const std::vector<node_id>& live, std::size_t known,
-                          instant now) {
-        credit_.set_nodes(std::move(self), live, known, now);
+    /// \param size number of nodes among which the limits are divided
+    void set_credit_nodes(node_id self, const std::vector<node_id>& live,
+                          const quota::fleet_size& size, instant now) {
+        credit_.set_nodes(std::move(self), live, size, now);
     }
     /// \brief Handles granters of credit that don't answer. Call it as often as tick().
     void tick_credit(clock_reading at);
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -131,9 +131,9 @@
 }
 
 void request_dispatcher::set_credit_nodes(node_id self, const std::vector<node_id>& live,
-                                          std::size_t known) {
+                                          const quota::fleet_size& size) {
     const std::lock_guard guard(mutex_);
-    core_.set_credit_nodes(std::move(self), live, known, clock_.now());
+    core_.set_credit_nodes(std::move(self), live, size, clock_.now());
 }
 
 void request_dispatcher::on_credit_grant(const node_id& from, const quota::credit_grant& grant) {
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -69,7 +69,8 @@
     /// \returns true when it was news to this node
     bool on_peer_rate_limit(const health::rate_limit& notice);
     /// \brief Sets the nodes that grant credit, see decision_core::set_credit_nodes().
-    void set_credit_nodes(node_id self, const std::vector<node_id>& live, std::size_t known);
+    void set_credit_nodes(node_id self, const std::vector<node_id>& live,
+                          const quota::fleet_size& size);
     /// \brief Takes an answer of a granter of credit.
     void on_credit_grant(const node_id& from, const quota::credit_grant& grant);
     /// \brief Takes a crash mark from another node.
--- a/wigeonrill/src/peers/gossip_node.h
+++ b/wigeonrill/src/peers/gossip_node.h
@@ -66,6 +66,12 @@
     std::optional<milliseconds> since_last_message;
 };
 
+/// \brief Other nodes that the settings name as seeds.
+struct seed_status {
+    std::size_t known{0}; ///< their number; 0 if a list of VMs names all nodes
+    std::size_t heard{0}; ///< those of which this node or a peer has heard a process
+};
+
 /// \brief Membership and gossip protocol of one node, without a socket, a thread or a clock.
 ///
 /// Not thread-safe. The owner calls tick() every tick_interval and receive() for each decoded
@@ -176,6 +182,8 @@
     [[nodiscard]] std::vector<endpoint> relays() const;
     /// \returns the status of all peers, sorted by id
     [[nodiscard]] std::vector<member_status> status() const;
+    /// \returns which seeds the nodes that this one knows have met
+    [[nodiscard]] seed_status seeds() const;
     /// \returns the state of a peer; nothing if it is not a member
     [[nodiscard]] std::optional<member_state> state_of(const node_id& peer) const;
     /// \returns the number of peers by configuration version; version 0: not known yet
--- a/wigeonrill/src/peers/gossip_queries.cpp
+++ b/wigeonrill/src/peers/gossip_queries.cpp
@@ -47,6 +47,23 @@
     return out;
 }
 
+seed_status gossip_node::seeds() const {
+    seed_status found;
+    if (!settings_.accepts_unlisted_peers) {
+        return found;
+    }
+    std::set<node_id> counted{self_.id};
+    for (const auto& seed : settings_.seeds) {
+        const node_id id(to_string(seed));
+        if (counted.insert(id).second) {
+            const auto* it = members_.find(id);
+            ++found.known;
+            found.heard += it != nullptr && it->record.process != incarnation{} ? 1 : 0;
+        }
+    }
+    return found;
+}
+
 std::optional<member_state> gossip_node::state_of(const node_id& peer) const {
     const auto* it = members_.find(peer);
     return it == nullptr ? std::nullopt : std::optional(it->state());
--- a/wigeonrill/src/quota/credit_client.cpp
+++ b/wigeonrill/src/quota/credit_client.cpp
@@ -19,11 +19,11 @@
 
 } // namespace
 
-void credit_client::set_nodes(node_id self, const std::vector<node_id>& live, std::size_t known,
-                              instant now) {
+void credit_client::set_nodes(node_id self, const std::vector<node_id>& live,
+                              const fleet_size& size, instant now) {
     self_ = std::move(self);
-    known_nodes_ = static_cast<std::uint32_t>(std::max(known, live.size()));
-    voter_.set_nodes(self_, live, known, now);
+    known_nodes_ = static_cast<std::uint32_t>(std::max(size.known, live.size()));
+    voter_.set_nodes(self_, live, size, now);
 }
 
 credit_result credit_client::request(std::uint64_t request, const config::workspace& limited,
@@ -54,29 +54,20 @@
     return {};
 }
 
-bool credit_client::take_own_part(account& it, const config::workspace& limited,
-                                  instant now) const {
+bool credit_client::take_own_part(account& it, const config::workspace& limited, instant now) {
     // A process that has just started doesn't know what the one before it has used.
     constexpr double initial_share = 0.5;
     const double part = (1.0 + spare_share) / static_cast<double>(voter_.parts());
     const double depth = part * burst_of(limited);
     const auto unlent_since = voter_.lent_until(limited.name);
-    if (!it.part_updated && unlent_since == instant::min()) {
-        it.part_level = initial_share * depth;
-        it.part_updated = now;
-    } else if (!it.part_updated || *it.part_updated < unlent_since) {
-        it.part_level = 0.0; // A granter may have granted the part.
-        it.part_updated = unlent_since;
+    const bool was_lent = unlent_since != instant::min();
+    if (!it.own_part) {
+        const double level = was_lent ? 0.0 : initial_share * depth;
+        it.own_part = part_allowance(level, random_->uniform(), was_lent ? unlent_since : now);
+    } else if (was_lent && it.own_part->filled_until() < unlent_since) {
+        it.own_part->restart(unlent_since); // A granter may have granted the part.
     }
-    const std::chrono::duration<double> elapsed = now - *it.part_updated;
-    it.part_level += elapsed.count() * part * limited.requests_per_second;
-    it.part_level = std::min(it.part_level, depth);
-    it.part_updated = now;
-    if (it.part_level < 1.0) {
-        return false;
-    }
-    it.part_level -= 1.0;
-    return true;
+    return it.own_part->take(part * limited.requests_per_second, depth, now);
 }
 
 bool credit_client::take_credit(account& it, instant now) {
--- a/wigeonrill/src/quota/credit_client.h
+++ b/wigeonrill/src/quota/credit_client.h
@@ -48,8 +48,9 @@
 
     /// \brief Sets the nodes among which the seats are divided.
     /// \param live nodes that respond, with this one
-    /// \param known number of nodes, with those that don't respond
-    void set_nodes(node_id self, const std::vector<node_id>& live, std::size_t known, instant now);
+    /// \param size number of nodes among which limits are divided
+    void set_nodes(node_id self, const std::vector<node_id>& live, const fleet_size& size,
+                   instant now);
     /// \returns false before the first call of set_nodes()
     [[nodiscard]] bool has_granters() const { return voter_.has_granters(); }
 
@@ -104,8 +105,7 @@
         instant refused_until{instant::min()};   ///< new requests are refused before
         instant ask_at{};                        ///< time to ask again for requests that wait
         instant used{};                          ///< last request
-        double part_level{0.0};                  ///< requests that this node may admit by itself
-        std::optional<instant> part_updated;
+        std::optional<part_allowance> own_part;  ///< what this node may admit by itself
     };
 
     void ask_first_seat(const workspace_name& workspace, account& it, instant now);
@@ -119,8 +119,7 @@
     void return_expired_credit(const workspace_name& workspace, account& it, instant now);
     /// \brief Takes a request from the part of the limit that this node has not lent.
     /// \returns false if the part is used up
-    [[nodiscard]] bool take_own_part(account& it, const config::workspace& limited,
-                                     instant now) const;
+    [[nodiscard]] bool take_own_part(account& it, const config::workspace& limited, instant now);
     /// \brief Takes one request's credit.
     /// \returns false if there is none
     [[nodiscard]] static bool take_credit(account& it, instant now);
--- a/wigeonrill/src/quota/credit_granter.cpp
+++ b/wigeonrill/src/quota/credit_granter.cpp
@@ -35,11 +35,11 @@
 
 } // namespace
 
-void credit_granter::set_known_nodes(std::size_t known, instant now) {
+void credit_granter::set_fleet_size(const fleet_size& size, instant now) {
     if (started_ == instant::min()) {
         started_ = now;
     }
-    known_nodes_ = static_cast<double>(std::max<std::size_t>(known, 1));
+    size_ = size;
 }
 
 void credit_granter::on_pause(instant now) {
@@ -57,12 +57,12 @@
         state.counted_at = now;
         std::erase_if(state.votes, [&](const auto& it) { return now >= it.second; });
     }
-    auto nodes = known_nodes_;
+    auto nodes = static_cast<double>(size_.parts());
     if (now < reported_at_ + report_lifetime) {
         nodes = std::max(nodes, reported_nodes_);
     }
     if (nodes > 1.0 && now < started_ + joining_time) {
-        nodes = std::max(nodes, static_cast<double>(assumed_nodes));
+        nodes = std::max(nodes, static_cast<double>(size_.assumed()));
     }
     return std::min(static_cast<double>(state.votes.size()) / nodes, 1.0);
 }
--- a/wigeonrill/src/quota/credit_granter.h
+++ b/wigeonrill/src/quota/credit_granter.h
@@ -11,9 +11,6 @@
 /// refused for the delays of messages.
 inline constexpr double spare_share = 0.1;
 
-/// Nodes that a process assumes in its fleet while it has just started and may know few of them.
-inline constexpr std::size_t assumed_nodes = 100;
-
 /// \returns the requests that may come at once within a limit
 [[nodiscard]] inline double burst_of(const config::workspace& limited) {
     return limited.burst > 0.0 ? limited.burst : limited.requests_per_second;
@@ -29,9 +26,8 @@
     /// Time for which a vote counts after it was received.
     static constexpr milliseconds vote_lifetime{1'400};
 
-    /// \brief Sets the number of nodes that this node knows, with itself and those that don't
-    ///        respond, which may still grant credit elsewhere.
-    void set_known_nodes(std::size_t known, instant now);
+    /// \brief Sets the number of nodes whose votes make up a whole limit.
+    void set_fleet_size(const fleet_size& size, instant now);
     /// \brief Forgets the votes, because this process was paused: nodes may have changed their
     ///        granters, and old messages may still come.
     void on_pause(instant now);
@@ -72,10 +68,10 @@
 
     std::array<seat_state, seat_count> seats_;
     std::map<account_key, account> accounts_;
-    double known_nodes_{1.0};
+    fleet_size size_;
     double reported_nodes_{0.0};                ///< largest number that voters have reported lately
     instant reported_at_{};                     ///< when it was reported
-    instant started_{instant::min()};           ///< first call of set_known_nodes()
+    instant started_{instant::min()};           ///< first call of set_fleet_size()
     instant counts_votes_from_{instant::min()}; ///< votes before are ignored
     instant next_removal_{};
 };
--- a/wigeonrill/src/quota/seat_voter.cpp
+++ b/wigeonrill/src/quota/seat_voter.cpp
@@ -36,8 +36,8 @@
     return has_voted_ || now >= changed_at_ + quiet_time || now >= started_ + joining_time;
 }
 
-void seat_voter::set_nodes(const node_id& self, const std::vector<node_id>& live, std::size_t known,
-                           instant now) {
+void seat_voter::set_nodes(const node_id& self, const std::vector<node_id>& live,
+                           const fleet_size& size, instant now) {
     if (live.empty()) {
         return;
     }
@@ -45,7 +45,8 @@
         started_ = now;
     }
     has_granters_ = true;
-    known_nodes_ = std::max(known, live.size());
+    size_ = size;
+    size_.known = std::max(size.known, live.size());
     std::erase_if(silent_until_, [&](const auto& it) { return now >= it.second; });
     const bool has_changed = live != live_;
     if (has_changed) {
@@ -97,12 +98,12 @@
 }
 
 std::size_t seat_voter::parts() const {
-    return has_voted_ ? known_nodes_ : std::max(known_nodes_, assumed_nodes);
+    return has_voted_ ? size_.parts() : size_.assumed();
 }
 
 void seat_voter::add_votes(const node_id& granter, credit_ask& into, instant now) {
     // A node that reaches no other one uses its part itself.
-    const bool is_alone = live_.size() == 1 && known_nodes_ > 1;
+    const bool is_alone = live_.size() == 1 && size_.parts() > 1;
     has_voted_ = knows_fleet(now);
     for (seat one = 0; one < seat_count; ++one) {
         auto& state = seats_[one];
--- a/wigeonrill/src/quota/seat_voter.h
+++ b/wigeonrill/src/quota/seat_voter.h
@@ -24,8 +24,8 @@
 
     /// \brief Sets the nodes that may hold seats.
     /// \param live nodes that respond, with this one
-    /// \param known number of nodes, with those that don't respond
-    void set_nodes(const node_id& self, const std::vector<node_id>& live, std::size_t known,
+    /// \param size number of nodes among which limits are divided
+    void set_nodes(const node_id& self, const std::vector<node_id>& live, const fleet_size& size,
                    instant now);
     /// \brief Records that a granter sent no answer in time; its seats are avoided for a while.
     void on_silence(const node_id& granter, instant now);
@@ -69,7 +69,7 @@
     std::array<seat_state, seat_count> seats_;
     std::unordered_map<node_id, instant> silent_until_;
 
-    std::size_t known_nodes_{1};
+    fleet_size size_;
     instant started_{};     ///< first call of set_nodes()
     instant changed_at_{};  ///< last change of the nodes
     bool has_voted_{false}; ///< a vote was sent
