--- a/test/dispatch/at_most_once_test.cpp
+++ b/test/dispatch/at_most_once_test.cpp
@@ -63,13 +63,16 @@
     CHECK(step.kind == step_kind::replay);
 }
 
-// Guards against replaying an answer to a request with another body, and against sharing a key
-// between two workspaces.
-TEST(at_most_once, key_with_another_body_or_workspace_is_not_replayed) {
+// Guards against replaying an answer to a request with another body or for another host, and
+// against sharing a key between two workspaces.
+TEST(at_most_once, key_with_another_body_host_or_workspace_is_not_replayed) {
     run_whole("k");
     auto other_body = node.request("POST", "/runs", "k");
     other_body.body_digest = 99;
     check_refused(d.first_step(other_body), "key-reused", outcome::unknown);
+    auto other_host = node.request("POST", "/runs", "k");
+    other_host.host = "other.example";
+    check_refused(d.first_step(other_host), "key-reused", outcome::unknown);
     auto other_workspace = node.request("POST", "/runs", "k");
     other_workspace.workspace = "w2";
     CHECK(d.first_step(other_workspace).kind == step_kind::send);
--- a/test/dispatch/retry_test.cpp
+++ b/test/dispatch/retry_test.cpp
@@ -303,6 +303,33 @@
     CHECK(core.poll(begin("/poison").id, at)->kind == step_kind::send);
 }
 
+// Guards against a request that goes on crashing targets because one with the same path on another
+// host succeeds, and against refusing the latter.
+TEST(crash_retry, success_on_another_host_clears_no_crash_marks) {
+    const auto succeed_elsewhere = [this] {
+        auto twin = node.request("GET", "/list");
+        twin.host = "other.example";
+        twin.arrived = at.now;
+        twin.deadline = at.now + seconds(10);
+        core.begin_request(twin, at);
+        CHECK(core.poll(twin.id, at)->kind == step_kind::send);
+        CHECK_TRUE(core.may_send(twin.id, at));
+        auto answered = node.attempt(answer_kind::ok);
+        answered.ended = at.now;
+        CHECK_FALSE(core.on_attempt_ended(twin.id, answered, at));
+        core.finish_request(twin.id, true, nullptr, at);
+    };
+    const auto poison = begin("/list");
+    crash(poison);
+    succeed_elsewhere();
+    advance(seconds(1));
+    crash(poison);
+    CHECK(core.poll(poison.id, at)->kind == step_kind::refuse);
+    core.finish_request(poison.id, true, nullptr, at);
+    succeed_elsewhere();
+    STRCMP_EQUAL("contained", core.poll(begin("/list").id, at)->reason.type.c_str());
+}
+
 // Guards against crashing a second target before other nodes, to which the caller may have sent the
 // request as well, learn of the first.
 TEST(crash_retry, request_that_crashed_a_target_is_sent_again_after_a_delay) {
--- a/wigeonrill/src/dispatch/refusals.cpp
+++ b/wigeonrill/src/dispatch/refusals.cpp
@@ -79,9 +79,10 @@
         "Send 1 to 255 visible ASCII characters, or an issued key exactly as it was issued."},
     refusal_text{refusal_kind::key_never_issued, 400, "key-never-issued", "The key was not issued",
                  "This node did not issue the key. Ask for a key with POST /.wigeonrill/keys."},
-    refusal_text{refusal_kind::key_reused, 422, "key-reused", "The key belongs to another request",
-                 "The key was used with another method, path, query or body. Send a new key with a "
-                 "new request."},
+    refusal_text{
+        refusal_kind::key_reused, 422, "key-reused", "The key belongs to another request",
+        "The key was used with another method, host, path, query or body. Send a new key with a "
+        "new request."},
     refusal_text{
         refusal_kind::key_in_progress, 409, "key-in-progress", "The first request is still running",
         "Another request with this key did not end before the deadline. Send the same key again."},
--- a/wigeonrill/src/dispatch/request_record.h
+++ b/wigeonrill/src/dispatch/request_record.h
@@ -59,7 +59,7 @@
     return record.workspace != nullptr ? record.workspace->priority.value_or(of_route) : of_route;
 }
 
-/// \brief Computes a hash over a request's method, path, query, workspace, key and body.
+/// \brief Computes a hash over a request's method, host, path, query, workspace, key and body.
 /// \param key idempotency key to include; empty when the key itself is compared separately
 /// \returns a value that is equal for repetitions of the same request
 [[nodiscard]] std::uint64_t request_fingerprint(const traffic::request_info& info,
--- a/wigeonrill/src/traffic/request_target.cpp
+++ b/wigeonrill/src/traffic/request_target.cpp
@@ -66,6 +66,15 @@
     return plain;
 }
 
+// Returns the host in the one form of all its spellings: in lower case, without port and final dot.
+std::string canonical_host(std::string_view host) {
+    auto name = without_port(host);
+    if (name.ends_with('.')) {
+        name.remove_suffix(1);
+    }
+    return lower_case(name);
+}
+
 } // namespace
 
 bool escapes_root(std::string_view encoded) {
@@ -98,7 +107,7 @@
         return refuse("bad-target", "The request target names another host than the Host header.");
     }
     const auto question = std::min(target.find('?'), target.size());
-    request_target result{lower_case(without_port(host)), std::string(target.substr(0, question)),
+    request_target result{canonical_host(host), std::string(target.substr(0, question)),
                           std::string(target.substr(std::min(question + 1, target.size())))};
     if (result.path.empty() && head.target.find("://") != std::string::npos) {
         result.path.push_back('/');
