Take no step from a request that has none in the test of crash retries

request_that_crashes_two_targets_is_refused read the step of a request that had none: the request before it was never ended and held the only free target, so that the last one waited. Reading an empty optional is undefined; optimized builds found 'send' there by chance, a test built without optimization against optimized libraries didn't. The test ends the request before, and each step is checked to exist. What it asks for is the same: the request is sent again once its marks have expired.

--- a/test/dispatch/retry_test.cpp
+++ b/test/dispatch/retry_test.cpp
@@ -275,9 +275,24 @@
         core.begin_request(request, at);
         return request;
     }
+    // Returns the step of a request, which must have one.
+    traffic::step step_of(const traffic::request_info& request) {
+        const auto step = core.poll(request.id, at);
+        CHECK_TRUE(step.has_value());
+        return *step;
+    }
+    // Sends a request to a target, which answers it.
+    void succeed(const traffic::request_info& request) {
+        CHECK(step_of(request).kind == step_kind::send);
+        CHECK_TRUE(core.may_send(request.id, at));
+        auto answered = node.attempt(answer_kind::ok);
+        answered.ended = at.now;
+        CHECK_FALSE(core.on_attempt_ended(request.id, answered, at));
+        core.finish_request(request.id, true, nullptr, at);
+    }
     // Sends a request to a target, which crashes.
     void crash(const traffic::request_info& request) {
-        CHECK(core.poll(request.id, at)->kind == step_kind::send);
+        CHECK(step_of(request).kind == step_kind::send);
         CHECK_TRUE(core.may_send(request.id, at));
         CHECK_TRUE(
             core.on_attempt_ended(request.id, node.attempt(answer_kind::connection_lost), at));
@@ -291,16 +306,16 @@
     crash(poison);
     advance(seconds(1));
     crash(poison);
-    CHECK(core.poll(poison.id, at)->kind == step_kind::refuse);
+    CHECK(step_of(poison).kind == step_kind::refuse);
     core.finish_request(poison.id, true, nullptr, at);
     const auto events = core.take_events();
     LONGS_EQUAL(2, std::ranges::count_if(events, [](const auto& it) {
                     return std::holds_alternative<once::crash_mark>(it);
                 }));
-    STRCMP_EQUAL("contained", core.poll(begin("/poison").id, at)->reason.type.c_str());
-    CHECK(core.poll(begin("/other").id, at)->kind == step_kind::send);
+    STRCMP_EQUAL("contained", step_of(begin("/poison")).reason.type.c_str());
+    succeed(begin("/other"));
     advance(std::chrono::minutes(10));
-    CHECK(core.poll(begin("/poison").id, at)->kind == step_kind::send);
+    CHECK(step_of(begin("/poison")).kind == step_kind::send);
 }
 
 // Guards against a request that goes on crashing targets because one with the same path on another
@@ -312,22 +327,17 @@
         twin.arrived = at.now;
         twin.deadline = at.now + seconds(10);
         core.begin_request(twin, at);
-        CHECK(core.poll(twin.id, at)->kind == step_kind::send);
-        CHECK_TRUE(core.may_send(twin.id, at));
-        auto answered = node.attempt(answer_kind::ok);
-        answered.ended = at.now;
-        CHECK_FALSE(core.on_attempt_ended(twin.id, answered, at));
-        core.finish_request(twin.id, true, nullptr, at);
+        succeed(twin);
     };
     const auto poison = begin("/list");
     crash(poison);
     succeed_elsewhere();
     advance(seconds(1));
     crash(poison);
-    CHECK(core.poll(poison.id, at)->kind == step_kind::refuse);
+    CHECK(step_of(poison).kind == step_kind::refuse);
     core.finish_request(poison.id, true, nullptr, at);
     succeed_elsewhere();
-    STRCMP_EQUAL("contained", core.poll(begin("/list").id, at)->reason.type.c_str());
+    STRCMP_EQUAL("contained", step_of(begin("/list")).reason.type.c_str());
 }
 
 // Guards against crashing a second target before other nodes, to which the caller may have sent the
@@ -339,5 +349,5 @@
     CHECK_FALSE(core.poll(request.id, at).has_value());
     CHECK(core.wake_at(request.id, at.now) <= at.now + milliseconds(1));
     advance(milliseconds(1));
-    CHECK(core.poll(request.id, at)->kind == step_kind::send);
+    CHECK(step_of(request).kind == step_kind::send);
 }
