--- a/wigeonrill/routing.h
+++ b/wigeonrill/routing.h
@@ -20,6 +20,7 @@
 #include "src/routing/peer_load.h"
 #include "src/routing/placement_policy.h"
 #include "src/routing/rate_limit_table.h"
+#include "src/routing/route_host.h"
 #include "src/routing/route_path.h"
 #include "src/routing/route_table.h"
 #include "src/routing/trial_age.h"
--- a/wigeonrill/src/routing/route_table.cpp
+++ b/wigeonrill/src/routing/route_table.cpp
@@ -6,17 +6,6 @@
 
 namespace {
 
-std::string normalize_host(std::string_view host) {
-    if (!host.empty() && host.back() == '.') {
-        host.remove_suffix(1);
-    }
-    std::string lower(host);
-    for (auto& it : lower) {
-        it = it >= 'A' && it <= 'Z' ? static_cast<char>(it - 'A' + 'a') : it;
-    }
-    return lower;
-}
-
 bool allows(const config::route& route, std::string_view method) {
     return route.methods.empty() || std::ranges::find(route.methods, method) != route.methods.end();
 }
--- a/wigeonrill/src/traffic/request_target.cpp
+++ b/wigeonrill/src/traffic/request_target.cpp
@@ -1,3 +1,4 @@
+#include "wigeonrill/routing.h"
 #include "wigeonrill/traffic.h"
 
 #include "wigeonrill/src/traffic/request_target.h"
@@ -14,14 +15,6 @@
     return tl::unexpected<framing_fault>(framing_fault{400, type, std::move(text)});
 }
 
-std::string lower_case(std::string_view text) {
-    std::string lower(text);
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](char it) {
-        return it >= 'A' && it <= 'Z' ? static_cast<char>(it - 'A' + 'a') : it;
-    });
-    return lower;
-}
-
 bool is_authority(std::string_view text) {
     constexpr std::string_view allowed =
         "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~%:[]";
@@ -43,10 +36,11 @@
     if (target.empty() || target.front() == '/' || scheme == std::string_view::npos) {
         return true;
     }
-    const auto name = lower_case(target.substr(0, scheme));
+    const auto name = target.substr(0, scheme);
+    const bool is_http = equal_ignoring_case(name, "http") || equal_ignoring_case(name, "https");
     const auto rest = target.substr(scheme + 3);
     const auto end = std::min(rest.find_first_of("/?"), rest.size());
-    if ((name != "http" && name != "https") || !equal_ignoring_case(rest.substr(0, end), host)) {
+    if (!is_http || !equal_ignoring_case(rest.substr(0, end), host)) {
         return false;
     }
     target = rest.substr(end);
@@ -66,15 +60,6 @@
     return plain;
 }
 
-// Returns the host in the one form of all its spellings: in lower case, without port and final dot.
-std::string canonical_host(std::string_view host) {
-    auto name = without_port(host);
-    if (name.ends_with('.')) {
-        name.remove_suffix(1);
-    }
-    return lower_case(name);
-}
-
 } // namespace
 
 bool escapes_root(std::string_view encoded) {
@@ -107,7 +92,8 @@
         return refuse("bad-target", "The request target names another host than the Host header.");
     }
     const auto question = std::min(target.find('?'), target.size());
-    request_target result{canonical_host(host), std::string(target.substr(0, question)),
+    request_target result{routing::normalize_host(without_port(host)),
+                          std::string(target.substr(0, question)),
                           std::string(target.substr(std::min(question + 1, target.size())))};
     if (result.path.empty() && head.target.find("://") != std::string::npos) {
         result.path.push_back('/');
