Use made-up names in the tests of odd names

Two tests took their odd names from a deployment's domain. What they guard against has nothing to do with a deployment, so a newcomer would look for one. Only the texts of the names change: a space, a comma, quotes and a letter beyond ASCII stay in them.

--- a/test/fleet/users_site_test.cpp
+++ b/test/fleet/users_site_test.cpp
@@ -205,7 +205,7 @@
     site.publish_tenants({{"stall-2", {"key-two", "key-old"}}}, 8);
     site.start_nodes();
     LONGS_EQUAL(200, send_with_key("key-old"));
-    const std::string odd_name = "Naschmarkt, Stand 12 (\u00e4lter) / A\"1\"";
+    const std::string odd_name = "Market, stall 12 (\u00e4lter) / A\"1\"";
     site.publish_tenants({{"stall-2", {"key-two"}},
                           {odd_name, {"key-new"}},
                           {"line\nbreak", {"key-broken"}},
--- a/test/users_platform/odd_records_test.cpp
+++ b/test/users_platform/odd_records_test.cpp
@@ -168,7 +168,7 @@
 // value that isn't to the product's taste.
 TEST(odd_records, odd_tenant_does_not_stop_the_rules) {
     const std::string long_text(100'000, 'x');
-    for (const std::string& name : {std::string("Naschmarkt Stand 12"), std::string("ä ö"),
+    for (const std::string& name : {std::string("Market stall 12"), std::string("ä ö"),
                                     std::string("a/b:c=\\\"d"), std::string(300, 'x'), long_text,
                                     std::string("a\\nb"), std::string(" a"), std::string()}) {
         const auto found = configuration_with(
@@ -204,7 +204,7 @@
 // route or host, or a number beyond those of the product.
 TEST(odd_records, odd_routes_and_services_do_not_stop_the_rules) {
     const std::string long_text(100'000, 'x');
-    for (const std::string& name : {std::string("Beleg Dienst"), std::string("ä"),
+    for (const std::string& name : {std::string("Ledger office"), std::string("ä"),
                                     std::string("a/b.c\\n"), long_text, std::string()}) {
         const auto found = configuration_with(add_member(plain_route, name, odd_route_to(name)),
                                               add_member(R"("s1":{})", name, ""), plain_tenant);
