Move the events of control_loop to a file of their own

Cause: control_loop.cpp had 421 lines: the tick, the configuration and the published state, and besides the handling of traffic events and peers' messages with their log lines.

Change: the latter moved as they were to control_loop_events.cpp, beside those for credit, fetches, members and readings; each of the two has some 220 lines. sequence_now() serves both in place of a free function. No behaviour changes. Measured: the 28 tests of daemon pass; the linter is clean.

--- a/wigeonrill/src/daemon/control_loop.h
+++ b/wigeonrill/src/daemon/control_loop.h
@@ -74,6 +74,8 @@
     [[nodiscard]] node_state_ptr state() const;
 
 private:
+    /// \returns a sequence number above all that earlier processes of this node have used
+    [[nodiscard]] static std::uint64_t sequence_now(const clock_source& clock);
     void process_traffic_events();
     void handle(const health::answer& answer);
     void handle(const dispatch::decision_record& decision);
