Name the seeds of fleet_census and use one longest duration

Cause: fleet_contacts called the seeds 'listed', and its comment named the configuration's nodes too, which control_loop never counts there. settings.cpp and value_rules.h each had a constant for the longest duration.

Change: names and comment, and one constant. No behaviour changes. Measured: the 11 tests of quota and 28 of daemon pass.

--- a/test/quota/limited_fleet.h
+++ b/test/quota/limited_fleet.h
@@ -259,8 +259,8 @@
         quota::fleet_contacts contacts;
         for (std::size_t j = 0; j < plan_.seeds; ++j) {
             known.insert(j);
-            contacts.listed += j != i ? 1 : 0;
-            contacts.listed_heard += j != i && self.heard.contains(j) ? 1 : 0;
+            contacts.seeds += j != i ? 1 : 0;
+            contacts.seeds_heard += j != i && self.heard.contains(j) ? 1 : 0;
         }
         contacts.known = known.size() - 1;
         contacts.heard = self.heard.size() - 1;
--- a/wigeonrill/src/daemon/control_loop_members.cpp
+++ b/wigeonrill/src/daemon/control_loop_members.cpp
@@ -47,8 +47,8 @@
     contacts.known = members.size();
     contacts.heard = static_cast<std::size_t>(heard);
     contacts.live = live.size() - std::ranges::count(live, dependencies_.gossip->id());
-    contacts.listed = seeds.known;
-    contacts.listed_heard = seeds.heard;
+    contacts.seeds = seeds.known;
+    contacts.seeds_heard = seeds.heard;
     census_.update(contacts, now);
     const auto size = census_.size();
     if (size.is_complete && !was_complete) {
--- a/wigeonrill/src/daemon/settings.cpp
+++ b/wigeonrill/src/daemon/settings.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr milliseconds min_duration{1};
-constexpr milliseconds max_duration{86'400'000}; // one day
+using config::max_duration;
 constexpr std::uint64_t max_allowed_connections = 65'536;
 constexpr std::uint64_t max_allowed_head_bytes = 1'048'576;
 constexpr std::uint64_t max_allowed_nodes = 100'000;
--- a/wigeonrill/src/quota/fleet_census.cpp
+++ b/wigeonrill/src/quota/fleet_census.cpp
@@ -10,17 +10,17 @@
 // after the joining time.
 constexpr milliseconds quiet_time{750};
 constexpr seconds joining_time{3};
-// Time after which a listed node that nobody has heard counts as gone, as other nodes are
+// Time after which a seed that nobody has heard counts as gone, as other nodes are
 // forgotten.
-constexpr std::chrono::minutes listed_memory{10};
+constexpr std::chrono::minutes seed_memory{10};
 
 } // namespace
 
 bool fleet_census::has_met_fleet(instant now) const {
-    if (contacts_.heard == 0 && contacts_.listed > 0) {
+    if (contacts_.heard == 0 && contacts_.seeds > 0) {
         return false;
     }
-    return contacts_.listed_heard >= contacts_.listed || now >= *started_ + listed_memory;
+    return contacts_.seeds_heard >= contacts_.seeds || now >= *started_ + seed_memory;
 }
 
 void fleet_census::update(const fleet_contacts& contacts, instant now) {
--- a/wigeonrill/src/quota/fleet_census.h
+++ b/wigeonrill/src/quota/fleet_census.h
@@ -29,14 +29,13 @@
     std::size_t known{0}; ///< other nodes that it knows, heard of or not
     std::size_t heard{0}; ///< those that it or a peer of it has heard
     std::size_t live{0};  ///< those that respond
-    /// Other nodes that the settings name as seeds, or the configuration as nodes.
-    std::size_t listed{0};
-    std::size_t listed_heard{0}; ///< those that it or a peer of it has heard
+    std::size_t seeds{0}; ///< other nodes that the settings name as seeds; 0: all nodes are listed
+    std::size_t seeds_heard{0}; ///< those seeds that it or a peer of it has heard
 };
 
 /// \brief Tells whether a node knows its whole fleet. Not thread-safe.
 ///
-/// Nodes find each other by way of the listed ones. Two groups of nodes that don't know each other
+/// Nodes find each other by way of the seeds. Two groups of nodes that don't know each other
 /// can't both have heard all of these, so a node that has heard them all knows its fleet, as soon
 /// as it learns of no further nodes. One that has heard none, or not all, may be one of many
 /// groups. One that no node answers any more forgets none of them.
