--- a/test/dispatch/at_most_once_test.cpp
+++ b/test/dispatch/at_most_once_test.cpp
@@ -222,3 +222,44 @@
     d.stop();
     check_refused(d.first_step(node.request("POST", "/runs", "k")), "stopping", outcome::unknown);
 }
+
+// Guards against a status that tells the caller to send an order again which a target may have run
+// (review/14, REFUSED).
+TEST(at_most_once, status_that_promises_no_run_needs_a_proof) {
+    for (const int status : {408, 421, 429, 503}) {
+        const auto key = "k" + std::to_string(status);
+        const auto request = node.request("POST", "/runs", key);
+        CHECK(d.first_step(request).kind == step_kind::send);
+        CHECK_TRUE(d.may_send(request));
+        auto attempt = node.attempt(answer_kind::server_error);
+        attempt.status = status;
+        const auto next = d.on_attempt_ended(request, attempt);
+        CHECK_TRUE(next.has_value());
+        check_refused(*next, "unproven-status", outcome::unknown);
+        LONGS_EQUAL(502, next->reason.status);
+        d.finish_request(request, true, nullptr);
+        check_refused(d.first_step(node.request("POST", "/runs", key)), "key-unknown",
+                      outcome::unknown);
+    }
+}
+
+// Guards against changing statuses that promise nothing, and those of requests that may run twice.
+TEST(at_most_once, other_statuses_are_passed_on) {
+    const auto is_passed_on = [&](const char* path, int status) {
+        const auto request = node.request("POST", path, "k" + std::to_string(status));
+        CHECK(d.first_step(request).kind == step_kind::send);
+        CHECK_TRUE(d.may_send(request));
+        auto attempt = node.attempt(answer_kind::server_error);
+        attempt.status = status;
+        attempt.answer_partly_sent = true; // so that it isn't sent again
+        const bool ends = !d.on_attempt_ended(request, attempt).has_value();
+        d.finish_request(request, true, nullptr);
+        return ends;
+    };
+    for (const int status : {400, 404, 409, 500, 502, 504}) {
+        CHECK_TRUE(is_passed_on("/runs", status));
+    }
+    for (const int status : {408, 421, 429, 503}) {
+        CHECK_TRUE(is_passed_on("/stock", status));
+    }
+}
--- a/test/dispatch/key_owner_test.cpp
+++ b/test/dispatch/key_owner_test.cpp
@@ -72,6 +72,21 @@
     }
 }
 
+// Guards against a status that promises that an order didn't run, when an owner of an older build
+// passes it on from a target (review/14, REFUSED).
+TEST(key_owner, promise_of_a_target_through_the_owner_needs_a_proof) {
+    auto& d = *other.dispatcher;
+    const auto request = other.request("POST", "/runs", "k");
+    CHECK(d.first_step(request).kind == step_kind::forward);
+    CHECK_TRUE(d.may_send(request));
+    auto passed_on = other.attempt(answer_kind::server_error);
+    passed_on.status = 503;
+    const auto next = d.on_attempt_ended(request, passed_on);
+    CHECK_TRUE(next.has_value());
+    check_refused(*next, "unproven-status", outcome::unknown);
+    d.finish_request(request, true, nullptr);
+}
+
 // Guards against a key that runs twice because its caller isn't known: only a known node may name
 // the caller that a key without a workspace belongs to.
 TEST(key_owner, key_from_an_unknown_node_is_not_run) {
--- a/test/dispatch/relay_test.cpp
+++ b/test/dispatch/relay_test.cpp
@@ -212,6 +212,20 @@
     CHECK(is_passed_on(409, outcome::unknown));
 }
 
+// Guards against a status that promises that an order didn't run, when a node of an older build
+// passes it on from a target (review/14, REFUSED).
+TEST(relay, promise_of_a_target_through_another_node_needs_a_proof) {
+    cut_off();
+    const auto request = begin("/runs/1");
+    CHECK(is_relayed(poll(request)));
+    auto attempt = node.attempt(answer_kind::server_error);
+    attempt.status = 503;
+    CHECK_TRUE(core.on_attempt_ended(request.id, attempt, at));
+    const auto refused = poll(request);
+    STRCMP_EQUAL("unproven-status", refused.reason.type.c_str());
+    CHECK(refused.reason.result == outcome::unknown);
+}
+
 // Guards against telling the caller that the deadline passed when crash marks arrive before a
 // request is passed on.
 TEST(relay, request_blocked_by_crash_marks_is_not_passed_on) {
--- a/test/fleet/users_site.cpp
+++ b/test/fleet/users_site.cpp
@@ -87,16 +87,17 @@
         for (const auto& [name, value] : answer_headers_) {
             response.set(name, value);
         }
-        if (status_ == 503) {
+        if (status_ == 503 && states_not_run_) {
             response.set("X-Wigeonrill-Not-Executed", "1");
         } else {
             response.set("X-Wigeonrill-Response-Signature", "signed");
         }
         send_text(response, status_, "answer");
     }
-    void set_status(int status) {
+    void set_status(int status, bool states_not_run) {
         const std::lock_guard lock(mutex_);
         status_ = status;
+        states_not_run_ = states_not_run;
     }
     void set_answer_header(const std::string& name, const std::string& value) {
         const std::lock_guard lock(mutex_);
@@ -136,6 +137,7 @@
 
     std::mutex mutex_;
     int status_{200};
+    bool states_not_run_{true};
     std::map<std::string, std::string> answer_headers_;
     int requests_{0};
     std::map<std::string, std::string> last_headers_;
@@ -358,8 +360,8 @@
     impl_->records->restore_copy();
 }
 
-void users_site::set_status(int target, int status) {
-    impl_->targets.at(static_cast<std::size_t>(target))->set_status(status);
+void users_site::set_status(int target, int status, bool states_not_run) {
+    impl_->targets.at(static_cast<std::size_t>(target))->set_status(status, states_not_run);
 }
 
 void users_site::set_answer_header(int target, const std::string& name, const std::string& value) {
--- a/test/fleet/users_site.h
+++ b/test/fleet/users_site.h
@@ -63,8 +63,8 @@
     void restore_store_copy();
 
     /// \brief Sets the status that a target answers with. With 503 the answer also states that the
-    ///        request was not executed.
-    void set_status(int target, int status);
+    ///        request was not executed, unless `states_not_run` is false.
+    void set_status(int target, int status, bool states_not_run = true);
     /// \brief Sets a header field of a target's answers.
     /// \param value empty: the answers don't have the field
     void set_answer_header(int target, const std::string& name, const std::string& value);
--- a/test/fleet/users_site_test.cpp
+++ b/test/fleet/users_site_test.cpp
@@ -308,6 +308,22 @@
     STRCMP_EQUAL("signed", failed.headers.at("X-Wigeonrill-Response-Signature").c_str());
 }
 
+// Guards against passing on a status of a target that promises that the order was not executed,
+// when the target has executed it (review/14, REFUSED).
+TEST(users_site, order_status_without_a_proof_promises_nothing) {
+    site.start_nodes();
+    for (const int status : {408, 429, 503}) {
+        site.set_status(0, status, false);
+        const auto before = site.requests_at(0);
+        const auto failed = send(site.port(), make_request("POST", "/order/1"));
+        LONGS_EQUAL(502, failed.status);
+        CHECK(failed.headers.count("X-Wigeonrill-Response-Signature") == 0);
+        STRCMP_EQUAL("unknown", failed.headers.at("Wigeonrill-Outcome").c_str());
+        LONGS_EQUAL(before + 1, site.requests_at(0));
+        LONGS_EQUAL(status, send_lookup().status);
+    }
+}
+
 // Rate limit that a target names, and the users' bound for it: from settling_time on, at most 1.5
 // times the limit and 5 requests more in any window.
 TEST_GROUP(rate_limited_site) {
--- a/test/traffic/named_headers_test.cpp
+++ b/test/traffic/named_headers_test.cpp
@@ -91,6 +91,43 @@
     }
 }
 
+// Guards against believing that a request didn't run without a statement of the target, against not
+// believing a statement because of its spelling or status, and against counting a status that
+// promises it as a good answer.
+TEST(named_headers, only_a_stated_refusal_was_not_run) {
+    struct example {
+        int status;
+        std::string field;
+        answer_kind expected;
+    };
+    std::vector<example> examples;
+    for (const int status : {408, 429, 500, 503, 504}) {
+        for (const char* value : {"1", "true", "yes"}) {
+            examples.push_back(
+                {status, "Not-Run: " + std::string(value) + "\r\n", answer_kind::shed});
+        }
+        for (const char* field : {"", "Not-Run: 0\r\n", "Not-Run: False\r\n", "Not-Run:\r\n"}) {
+            examples.push_back({status, field, answer_kind::server_error});
+        }
+    }
+    examples.push_back({400, "Not-Run: 1\r\n", answer_kind::ok});
+    examples.push_back({404, "", answer_kind::ok});
+    auto options = custom_header_options();
+    options.names.not_run = "Not-Run";
+    options.names.retry_after_means_not_run = false;
+    proxy_fixture it(
+        [&examples](const std::string& /*request*/, int number) {
+            const auto& one = examples.at(static_cast<std::size_t>(number) - 1);
+            return answer(one.status, "Request-Name: r1\r\n" + one.field, "no");
+        },
+        options);
+    for (const auto& one : examples) {
+        static_cast<void>(it.send_request(get_with_custom_headers));
+        CHECK_TEXT(it.decisions.attempts.back().kind == one.expected,
+                   (std::to_string(one.status) + " " + one.field).c_str());
+    }
+}
+
 // Guards against a limit that is misread: a text, a negative or an endless number, or the limit of
 // another target that now has the address, must not count, and of two limits the lower one does.
 TEST(named_headers, read_the_rate_limit_of_a_target) {
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -337,6 +337,13 @@
     /// \returns false when the error answer is to be passed on
     [[nodiscard]] bool retry_server_error(request_record& record,
                                           const traffic::attempt_result& attempt, clock_reading at);
+    /// \returns whether an answer has a status that tells callers that the request did not run,
+    ///          without a statement that it didn't, and the request must not run again
+    [[nodiscard]] static bool has_unproven_status(const request_record& record,
+                                                  const traffic::attempt_result& attempt);
+    /// \brief Refuses a request in place of passing on such an answer.
+    void refuse_unproven_status(request_record& record, const traffic::attempt_result& attempt,
+                                instant now);
     /// \brief Releases a request's target after a failed attempt, and lowers the target's limit
     ///        after a shed or a refused connection.
     void release_target(request_record& record, const traffic::attempt_result& attempt,
--- a/wigeonrill/src/dispatch/decision_core_attempts.cpp
+++ b/wigeonrill/src/dispatch/decision_core_attempts.cpp
@@ -113,6 +113,12 @@
             retry_server_error(record, attempt, at)) {
             return true;
         }
+        if (has_unproven_status(record, attempt)) {
+            release_target(record, attempt, at.now);
+            refuse_unproven_status(record, attempt, at.now);
+            serve_queue(*record.service, at.now);
+            return true;
+        }
         record.answer_started = true;
         return false;
     }
@@ -122,6 +128,20 @@
     return true;
 }
 
+// Callers send the request again after such a status, so it would run twice.
+bool decision_core::has_unproven_status(const request_record& record,
+                                        const traffic::attempt_result& attempt) {
+    return at_most_once(record) && traffic::implies_not_run(attempt.status) &&
+           attempt.node_refusal != traffic::outcome::not_run;
+}
+
+void decision_core::refuse_unproven_status(request_record& record,
+                                           const traffic::attempt_result& attempt, instant now) {
+    ++record.inconclusive_attempts;
+    record.reason = "answered " + std::to_string(attempt.status) + " without a proof";
+    refuse(record, refusal_kind::unproven_status, traffic::outcome::unknown, now);
+}
+
 void decision_core::report_attempt(const request_record& record,
                                    const traffic::attempt_result& attempt, wall_time wall) {
     auto& target = *record.assigned_target;
--- a/wigeonrill/src/dispatch/decision_core_keys.cpp
+++ b/wigeonrill/src/dispatch/decision_core_keys.cpp
@@ -74,6 +74,10 @@
     if (is_shed(attempt.kind)) {
         return false;
     }
+    if (is_answer(attempt.kind) && has_unproven_status(record, attempt)) {
+        refuse_unproven_status(record, attempt, now);
+        return true;
+    }
     if (is_answer(attempt.kind)) {
         // A refusal of the owner about the key states the outcome; it is passed on.
         if (!attempt.node_refusal || !denies_access(attempt.status)) {
--- a/wigeonrill/src/dispatch/decision_core_relays.cpp
+++ b/wigeonrill/src/dispatch/decision_core_relays.cpp
@@ -115,6 +115,11 @@
 bool decision_core::handle_relay_result(request_record& record,
                                         const traffic::attempt_result& attempt, clock_reading at) {
     const bool answered = is_answer(attempt.kind) || is_shed(attempt.kind);
+    if (answered && has_unproven_status(record, attempt)) {
+        record.relaying = false;
+        refuse_unproven_status(record, attempt, at.now);
+        return true;
+    }
     if (answered && !is_disagreement(attempt)) {
         return false;
     }
--- a/wigeonrill/src/dispatch/refusals.cpp
+++ b/wigeonrill/src/dispatch/refusals.cpp
@@ -76,6 +76,11 @@
     refusal_text{refusal_kind::bad_answer, 502, "bad-answer", "The target's answer was not valid",
                  "The target's answer broke HTTP framing and was not passed on. Check whether the "
                  "request took effect before you send it under a new key."},
+    refusal_text{refusal_kind::unproven_status, 502, "unproven-status",
+                 "The target's status was not passed on",
+                 "The target answered with a status that means that the request did not run, but "
+                 "didn't state that. Check whether the request took effect before you send it "
+                 "under a new key."},
     refusal_text{refusal_kind::contained, 503, "contained", "The request is held back",
                  "Targets died while they ran this request, so it is refused for 10 minutes."},
     refusal_text{refusal_kind::key_required, 428, "key-required", "An idempotency key is required",
--- a/wigeonrill/src/dispatch/refusals.h
+++ b/wigeonrill/src/dispatch/refusals.h
@@ -30,6 +30,7 @@
     unreachable,           ///< the connection to the target could not be made
     target_lost,           ///< the connection ended with the request in flight
     target_silent,         ///< the target sent no answer within the time limit
+    unproven_status,       ///< the answer's status says without a proof that it did not run
     bad_answer,            ///< the answer was malformed or incomplete
     contained,             ///< the same request recently crashed targets
     key_required,          ///< the route requires an idempotency key
--- a/wigeonrill/src/traffic/answer_statements.cpp
+++ b/wigeonrill/src/traffic/answer_statements.cpp
@@ -69,11 +69,17 @@
     return stated;
 }
 
-/// Returns true when the answer states that the target did not run the request.
+/// Returns true when the answer has a field with a value that isn't a negation.
+bool states(const message_head& head, const std::string& name) {
+    const auto value = head.value(name);
+    return !value.empty() && value != "0" && !equal_ignoring_case(value, "false");
+}
+
+/// Returns true when the answer states that the target did not run the request, and another target
+/// may run it.
 bool reports_not_run(const message_head& head, const header_names& names, bool misdirected) {
-    const bool refused =
-        head.status == 503 || head.status == 429 || head.status == 421 || head.status == 408;
-    const bool stated = head.value(names.not_run) == "1" || misdirected;
+    const bool refused = head.status >= 500 || implies_not_run(head.status);
+    const bool stated = states(head, names.not_run) || misdirected;
     return refused && (stated || (names.retry_after_means_not_run && head.status == 503 &&
                                   head.count("Retry-After") > 0));
 }
@@ -130,7 +136,10 @@
     if (kind == step_kind::send && reports_not_run(head, names, result.misdirected)) {
         result.kind = answer_kind::shed;
     } else {
-        result.kind = head.status >= 500 ? answer_kind::server_error : answer_kind::ok;
+        // Without that statement, a status that implies it is a failure of the target.
+        const bool failed =
+            head.status >= 500 || (kind == step_kind::send && implies_not_run(head.status));
+        result.kind = failed ? answer_kind::server_error : answer_kind::ok;
     }
 }
 
--- a/wigeonrill/src/traffic/header_names.h
+++ b/wigeonrill/src/traffic/header_names.h
@@ -25,7 +25,8 @@
     /// Requests per second, a decimal number, that a target takes from all nodes together for as
     /// long as its answers say so.
     std::string rate_limit{"Target-Rate-Limit"};
-    /// The value 1 in an answer states that the target did not run the request.
+    /// In an answer with a status of 500 or more, 408, 421 or 429: states that the target did not
+    /// run the request, unless the value is 0 or false.
     std::string not_run{"Target-Shed"};
     /// The value 1 in an answer states that the target is draining.
     std::string draining{"Target-Draining"};
