--- a/test/users_platform/odd_records_test.cpp
+++ b/test/users_platform/odd_records_test.cpp
@@ -17,12 +17,15 @@
     std::string slots = "6";
     std::string started = "1700000000000";
     std::string heartbeat = "4";
+    std::string software = R"("v1")";
+    std::string cold_time = "0.5";
 };
 
 std::string target_record(const target_fields& it) {
     return R"({"address":)" + it.address + R"(,"born":)" + it.started +
-           R"(,"info":{"service":"s1","version":"v1","zone":)" + it.domain + R"(,"capacity":)" +
-           it.slots + R"(},"status":{"state":"ready","sequence":)" + it.heartbeat + "}}";
+           R"(,"info":{"service":"s1","version":)" + it.software + R"(,"zone":)" + it.domain +
+           R"(,"capacity":)" + it.slots + R"(},"status":{"state":"ready","sequence":)" +
+           it.heartbeat + R"(,"cold_left_s":)" + it.cold_time + "}}";
 }
 
 const std::string rules = R"({"version":7,"routes":{"r-1":{"host":"h.example","prefix":"/a/",)"
@@ -137,6 +140,35 @@
     }
 }
 
+// Guards against a record of another system that hides a target: it lacks a field, or has one of
+// another type, and names the target's address with a later start (review/15, FLOOR).
+TEST(odd_records, record_with_a_missing_field_hides_no_target) {
+    const auto foreign = [](const std::string& text, const std::string& from) {
+        const auto place = text.find(from);
+        CHECK_TEXT(place != std::string::npos, from.c_str());
+        return text.substr(0, place) + text.substr(place + from.size());
+    };
+    target_fields later;
+    later.address = R"("10.0.0.9:8080")";
+    later.started = "1800000000000";
+    const auto whole = target_record(later);
+    for (const char* part : {R"("address":"10.0.0.9:8080",)", R"("service":"s1",)",
+                             R"("version":"v1",)", R"("zone":"z1",)", R"(,"capacity":6)",
+                             R"("state":"ready",)", R"("sequence":4,)", R"(,"cold_left_s":0.5)"}) {
+        check_is_ignored(foreign(whole, part));
+    }
+    for (const char* value : {"null", "7", "true", "{}", "[]"}) {
+        auto it = later;
+        it.software = value;
+        check_is_ignored(target_record(it));
+    }
+    for (const char* value : {"null", R"("0")", "true", "{}", "-1"}) {
+        auto it = later;
+        it.cold_time = value;
+        check_is_ignored(target_record(it));
+    }
+}
+
 // Guards against nodes that refuse the whole configuration because one record names an address that
 // is none.
 TEST(odd_records, record_with_a_wrong_address_is_ignored) {
--- a/test/users_platform/records_test.cpp
+++ b/test/users_platform/records_test.cpp
@@ -31,8 +31,9 @@
 
 std::string record_with(const std::string& address, const std::string& slots,
                         const std::string& state) {
-    return R"({"address":")" + address + R"(","info":{"service":"s1","zone":"z","capacity":)" +
-           slots + R"(},"status":{"state":")" + state + R"(","sequence":1}})";
+    return R"({"address":")" + address +
+           R"(","info":{"service":"s1","version":"v1","zone":"z","capacity":)" + slots +
+           R"(},"status":{"state":")" + state + R"(","sequence":1,"cold_left_s":0}})";
 }
 
 const platform::feed_record& only_record(const result<users_platform::store_page>& decoded) {
--- a/wigeonrill/src/platform/inventory.cpp
+++ b/wigeonrill/src/platform/inventory.cpp
@@ -130,6 +130,10 @@
            });
 }
 
+bool inventory::names_target(const target_registration& record) const {
+    return !rules_ || std::ranges::find(rules_->services, record.service) != rules_->services.end();
+}
+
 void inventory::add_note(const char* what, const known_target& about, const std::string& key,
                          std::uint64_t revision) {
     notes_.push_back(
@@ -137,10 +141,17 @@
          about.content.service.value + " at " + to_string(about.content.target.address), revision});
 }
 
+const char* inventory::describe(const target_registration& record, const char* otherwise) const {
+    if (!names_target(record)) {
+        return "Record names no service of the operator; not used.";
+    }
+    return record.leaving ? "Target is leaving." : otherwise;
+}
+
 void inventory::add_withdrawn_target(const target_registration& target, target_change change,
                                      std::uint64_t revision) {
     const bool is_ordered = change != target_change::gone || target.created != 0;
-    if (target.started_ms != 0 && is_ordered) {
+    if (target.started_ms != 0 && is_ordered && names_target(target)) {
         const auto order =
             std::min(era_, max_era) * versions_per_era + std::min(revision, versions_per_era - 1);
         withdrawn_.push_back(
@@ -225,11 +236,12 @@
         return;
     }
     if (it == targets_.end()) {
-        removed_.erase(key);
+        if (names_target(content)) {
+            removed_.erase(key);
+        }
         const auto added =
             targets_.emplace(key, known_target{content, revision, std::nullopt, false}).first;
-        add_note(content.leaving ? "Target is leaving." : "Target is new.", added->second, key,
-                 revision);
+        add_note(describe(content, "Target is new."), added->second, key, revision);
         changed_since_build_ = true;
         if (content.leaving) {
             add_withdrawn_target(content, target_change::leaving, revision);
@@ -237,19 +249,21 @@
         return;
     }
     auto& known = it->second;
-    if (is_older(content, known.content)) {
+    // What another writer has left under the key says nothing about the age of the target's
+    // records.
+    if (names_target(known.content) && is_older(content, known.content)) {
         notes_.push_back({true, "Record is not used.", key,
                           "it was last written by an older process of the target", revision});
         return;
     }
     if (known.is_unconfirmed || !same_configuration(content, known.content)) {
-        add_note(content.leaving ? "Target is leaving." : "Target has changed.",
+        add_note(describe(content, "Target has changed."),
                  known_target{content, revision, std::nullopt, false}, key, revision);
         changed_since_build_ = true;
     }
     if (content.leaving && !known.content.leaving) {
         add_withdrawn_target(content, target_change::leaving, revision);
-    } else if (known.content.leaving && !content.leaving &&
+    } else if (known.content.leaving && !content.leaving && names_target(known.content) &&
                content.started_ms == known.content.started_ms) {
         add_withdrawn_target(content, target_change::ready_again, revision);
     }
@@ -273,15 +287,22 @@
     if (!target.leaving && std::holds_alternative<deleted_record>(record.content)) {
         add_withdrawn_target(target, target_change::gone, record.revision);
     }
-    record_removal(record.key, it->second, now);
+    if (names_target(target)) {
+        record_removal(record.key, it->second, now);
+    }
     targets_.erase(it);
     changed_since_build_ = true;
 }
 
 // If several registrations have the same address, only the process that started last can be alive.
-std::vector<const inventory::known_target*> inventory::usable_targets() const {
+// Records that name no target have no say in that.
+std::vector<const inventory::known_target*>
+inventory::usable_targets(const std::map<service_name, config::service>& services) const {
     std::map<endpoint, const known_target*> by_address;
     for (const auto& [key, it] : targets_) {
+        if (!services.contains(it.content.service)) {
+            continue;
+        }
         auto& holder = by_address[it.content.target.address];
         const bool newer =
             holder == nullptr || std::tie(it.content.started_ms, it.revision) >
@@ -308,13 +329,11 @@
         services[name].name = name;
         services[name].weight = options_.weight;
     }
-    for (const auto* it : usable_targets()) {
-        const auto found = services.find(it->content.service);
-        if (found != services.end()) {
-            found->second.targets.push_back(it->content.target);
-            found->second.targets.back().cold_start = options_.cold_start;
-            found->second.targets.back().registered = {it->content.started_ms, it->content.created};
-        }
+    for (const auto* it : usable_targets(services)) {
+        auto& targets = services.at(it->content.service).targets;
+        targets.push_back(it->content.target);
+        targets.back().cold_start = options_.cold_start;
+        targets.back().registered = {it->content.started_ms, it->content.created};
     }
     for (auto& [name, it] : services) {
         std::ranges::sort(it.targets, {}, &config::target::id);
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -160,9 +160,20 @@
     /// \returns whether the store is in an outage, or return_time after one has not passed yet
     [[nodiscard]] bool in_return_window(instant now) const;
     [[nodiscard]] bool is_in_force(const target_registration& target) const;
+    /// \returns whether a record names a target: its service is one of the operator's. Any other
+    /// was
+    ///          written by another system, and says nothing about the targets with its address or
+    ///          key.
+    [[nodiscard]] bool names_target(const target_registration& record) const;
+    /// \returns the first words of a log message about a record
+    /// \param otherwise the message if the record names a target that isn't leaving
+    [[nodiscard]] const char* describe(const target_registration& record,
+                                       const char* otherwise) const;
     /// \returns the targets for the configuration: one for each address, none that is leaving or
     ///          unconfirmed
-    [[nodiscard]] std::vector<const known_target*> usable_targets() const;
+    /// \param services the operator's services
+    [[nodiscard]] std::vector<const known_target*>
+    usable_targets(const std::map<service_name, config::service>& services) const;
     [[nodiscard]] config::snapshot build() const;
 
     inventory_options options_;
