--- a/wigeonrill/src/traffic/caller_stream.cpp
+++ b/wigeonrill/src/traffic/caller_stream.cpp
@@ -99,9 +99,10 @@
 }
 
 std::optional<framing_fault> caller_stream::read_body_piece(caller_request& request, char* out,
-                                                            std::size_t capacity, std::size_t& n) {
+                                                            std::size_t capacity, std::size_t& n,
+                                                            instant until) {
     send_continue(request);
-    const auto deadline = body_read_deadline(request);
+    const auto deadline = std::min(body_read_deadline(request), until);
     const auto status = reader_.read_body(out, capacity, n, deadline);
     request.body_streamed = true;
     if (auto fault = to_framing_fault(status)) {
@@ -119,7 +120,7 @@
 void caller_stream::send_continue(caller_request& request) {
     if (request.expects_continue) {
         request.expects_continue = false;
-        send("HTTP/1.1 100 Continue\r\n\r\n", context_->options.body_idle);
+        send("HTTP/1.1 100 Continue\r\n\r\n", {context_->options.body_idle, request.info.deadline});
     }
 }
 
@@ -140,9 +141,9 @@
     return closed_by_peer(fd_);
 }
 
-bool caller_stream::send(std::string_view bytes, milliseconds idle) {
+bool caller_stream::send(std::string_view bytes, const send_limits& limits) {
     std::size_t sent = 0;
-    return send_all(fd_, bytes, idle, *context_->clock, sent) == io_status::ok;
+    return send_all(fd_, bytes, limits, *context_->clock, sent) == io_status::ok;
 }
 
 bool caller_stream::send_refusal(const refusal& reason, const caller_request* request,
@@ -164,7 +165,7 @@
     head.add_via(context_->options.via);
     add_connection_field(head, request, keep_alive);
     return send(serialize_answer(head) + (is_head_request ? "" : body),
-                context_->options.body_idle);
+                {context_->options.body_idle});
 }
 
 bool caller_stream::send_stored(const stored_answer& answer, const caller_request& request,
@@ -183,17 +184,17 @@
     add_connection_field(head, &request, keep_alive);
     const bool with_body = !bodyless && request.info.method != "HEAD";
     return send(serialize_answer(head) + (with_body ? answer.body : ""),
-                context_->options.body_idle);
+                {context_->options.body_idle});
 }
 
-bool caller_stream::send_interim(const message_head& head) {
+bool caller_stream::send_interim(const message_head& head, instant until) {
     message_head interim = head;
     interim.remove_hop_by_hop();
     // An interim answer has no body (RFC 9110 section 15.2), and only nodes may state an outcome.
     for (const char* field : {"Content-Length", "Transfer-Encoding", "Wigeonrill-Outcome"}) {
         interim.remove(field);
     }
-    return send(serialize_answer(interim), context_->options.body_idle);
+    return send(serialize_answer(interim), {context_->options.body_idle, until});
 }
 
 void caller_stream::abort() {
--- a/wigeonrill/src/traffic/caller_stream.h
+++ b/wigeonrill/src/traffic/caller_stream.h
@@ -28,17 +28,18 @@
     /// \param out where to write the bytes
     /// \param capacity size of out
     /// \param n receives the number of bytes; 0 when the body is complete
+    /// \param until end of the time for it, beside body_read_deadline()
     /// \returns the reason to refuse the request, if there is one
-    [[nodiscard]] std::optional<framing_fault>
-    read_body_piece(caller_request& request, char* out, std::size_t capacity, std::size_t& n);
+    [[nodiscard]] std::optional<framing_fault> read_body_piece(caller_request& request, char* out,
+                                                               std::size_t capacity, std::size_t& n,
+                                                               instant until);
 
     /// \returns the time by which the next bytes of the body must arrive
     [[nodiscard]] instant body_read_deadline(const caller_request& request) const;
 
     /// \brief Sends bytes of an answer.
-    /// \param idle longest time without progress
-    /// \returns false when the caller closed the connection or made no progress for that time
-    bool send(std::string_view bytes, milliseconds idle);
+    /// \returns false when the caller closed the connection or a limit was reached
+    bool send(std::string_view bytes, const send_limits& limits);
     /// \brief Sends a refusal as problem details.
     /// \param request the refused request, or null if it was refused while its head was read
     /// \param keep_alive false to announce that the connection will be closed
@@ -48,7 +49,9 @@
     /// \returns false when not everything could be sent
     bool send_stored(const stored_answer& answer, const caller_request& request, bool keep_alive);
     /// \brief Sends an interim answer (status 1xx).
-    bool send_interim(const message_head& head);
+    /// \param until end of the time for it
+    /// \returns false when not everything could be sent; then nothing else may be sent
+    [[nodiscard]] bool send_interim(const message_head& head, instant until);
     /// \brief Makes closing the socket reset the connection, so that the caller notices that its
     /// answer is incomplete.
     void abort();
--- a/wigeonrill/src/traffic/exchange.cpp
+++ b/wigeonrill/src/traffic/exchange.cpp
@@ -200,7 +200,7 @@
         }
         // Another request can use the connection while this answer is being sent.
         attempt.release();
-        answer_completed_ = caller_->send(head + *attempt.buffered_body(), idle);
+        answer_completed_ = caller_->send(head + *attempt.buffered_body(), {idle});
     } else {
         answer_completed_ = send_answer_body(attempt, plan, head);
         attempt.release();
@@ -230,7 +230,7 @@
         } else {
             pending += "0\r\n\r\n";
         }
-        if (!caller_->send(pending, plan.route.limits.body_idle)) {
+        if (!caller_->send(pending, {plan.route.limits.body_idle})) {
             stored_.reset();
             caller_->abort();
             return false;
--- a/wigeonrill/src/traffic/http_get_client.cpp
+++ b/wigeonrill/src/traffic/http_get_client.cpp
@@ -148,8 +148,9 @@
     }
     const std::string text = "GET " + target + " HTTP/1.1\r\nHost: " + name + "\r\n\r\n";
     std::size_t sent = 0;
-    const auto left = std::chrono::ceil<milliseconds>(deadline.next() - clock->now());
-    const auto sending = detail::send_watching(connection->fd(), text, left, *clock, sent,
+    const auto until = deadline.next();
+    const auto left = std::chrono::ceil<milliseconds>(until - clock->now());
+    const auto sending = detail::send_watching(connection->fd(), text, {left, until}, *clock, sent,
                                                interruption.close_signal());
     if (sending != io_status::ok) {
         return sending == io_status::timed_out ? timed_out(name)
--- a/wigeonrill/src/traffic/socket_wait.cpp
+++ b/wigeonrill/src/traffic/socket_wait.cpp
@@ -43,27 +43,33 @@
     return fds[0].revents == 0 && clock.now() >= deadline ? io_status::timed_out : io_status::ok;
 }
 
-/// Sends all bytes and calls `wait` with a deadline whenever the output is blocked. The deadline is
-/// `idle` after the last progress.
+/// Sends all bytes and calls `wait` with a deadline whenever the output is blocked.
 template <typename Wait>
-io_status send_until(int fd, std::string_view bytes, milliseconds idle, const clock_source& clock,
-                     std::size_t& sent, Wait wait) {
+io_status send_until(int fd, std::string_view bytes, const send_limits& limits,
+                     const clock_source& clock, std::size_t& sent, Wait wait) {
     sent = 0;
-    auto deadline = clock.now() + idle;
+    auto now = clock.now();
+    auto idle_until = now + limits.idle;
     while (sent < bytes.size()) {
+        if (now >= limits.until) {
+            return io_status::timed_out;
+        }
         const auto n =
             ::send(fd, bytes.data() + sent, bytes.size() - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
         if (n > 0) {
             sent += static_cast<std::size_t>(n);
-            deadline = clock.now() + idle;
+            now = clock.now();
+            idle_until = now + limits.idle;
             continue;
         }
         if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
             return io_status::failed;
         }
-        if (const auto result = wait(deadline); result != io_status::ok) {
+        const auto result = wait(std::min(idle_until, limits.until));
+        if (result != io_status::ok) {
             return result;
         }
+        now = clock.now();
     }
     return io_status::ok;
 }
@@ -126,15 +132,15 @@
     }
 }
 
-io_status send_all(int fd, std::string_view bytes, milliseconds idle, const clock_source& clock,
-                   std::size_t& sent) {
-    return send_until(fd, bytes, idle, clock, sent,
+io_status send_all(int fd, std::string_view bytes, const send_limits& limits,
+                   const clock_source& clock, std::size_t& sent) {
+    return send_until(fd, bytes, limits, clock, sent,
                       [&](instant deadline) { return wait_writable(fd, deadline, clock); });
 }
 
-io_status send_watching(int fd, std::string_view bytes, milliseconds idle,
+io_status send_watching(int fd, std::string_view bytes, const send_limits& limits,
                         const clock_source& clock, std::size_t& sent, int watched) {
-    return send_until(fd, bytes, idle, clock, sent, [&](instant deadline) {
+    return send_until(fd, bytes, limits, clock, sent, [&](instant deadline) {
         return wait_writable_watching(fd, deadline, clock, watched);
     });
 }
--- a/wigeonrill/src/traffic/socket_wait.h
+++ b/wigeonrill/src/traffic/socket_wait.h
@@ -34,15 +34,20 @@
 /// \param n receives the number of bytes, at least 1 when the result is ok
 [[nodiscard]] io_status receive_some(int fd, char* out, std::size_t capacity, std::size_t& n);
 
+/// \brief How long sending may take.
+struct send_limits {
+    milliseconds idle;             ///< longest time without progress
+    instant until{instant::max()}; ///< end of the time, whatever the progress
+};
+
 /// \brief Sends all bytes.
-/// \param idle longest time without progress
 /// \param sent receives the number of bytes written
-[[nodiscard]] io_status send_all(int fd, std::string_view bytes, milliseconds idle,
+[[nodiscard]] io_status send_all(int fd, std::string_view bytes, const send_limits& limits,
                                  const clock_source& clock, std::size_t& sent);
 
 /// \brief Sends all bytes, but stops if the socket has input or the watched socket is closed by its
 /// other side while the output is blocked.
-[[nodiscard]] io_status send_watching(int fd, std::string_view bytes, milliseconds idle,
+[[nodiscard]] io_status send_watching(int fd, std::string_view bytes, const send_limits& limits,
                                       const clock_source& clock, std::size_t& sent, int watched);
 
 /// \returns true when the connection is open, without input and without an error
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -83,14 +83,29 @@
     return make_forwarded_head(*request_, *plan_, context_->options, left);
 }
 
+instant target_attempt::next_look(instant until) {
+    deadline_ = std::min(deadline_, context_->answer_by.load());
+    return std::min({until, deadline_, context_->clock->now() + drain_check_period});
+}
+
+// A target may answer and close the connection before it has read the whole request, so a failed
+// send is followed by reading the answer.
 bool target_attempt::send_bytes(std::string_view bytes) {
-    std::size_t sent = 0;
-    const auto sending = send_watching(connection_->fd(), bytes, plan_->route.limits.body_idle,
-                                       *context_->clock, sent, caller_->fd());
-    result_.request_bytes_sent = result_.request_bytes_sent || sent > 0;
-    // A target may answer and close the connection before it has read the whole request, so a
-    // failed send is followed by reading the answer.
-    return sending == io_status::ok;
+    const auto idle = plan_->route.limits.body_idle;
+    auto idle_until = context_->clock->now() + idle;
+    for (;;) {
+        std::size_t sent = 0;
+        const send_limits limits{idle, next_look(idle_until)};
+        const auto sending =
+            send_watching(connection_->fd(), bytes, limits, *context_->clock, sent, caller_->fd());
+        result_.request_bytes_sent = result_.request_bytes_sent || sent > 0;
+        bytes.remove_prefix(sent);
+        const auto now = context_->clock->now();
+        idle_until = sent > 0 ? now + idle : idle_until;
+        if (sending != io_status::timed_out || now >= std::min(deadline_, idle_until)) {
+            return sending == io_status::ok;
+        }
+    }
 }
 
 bool target_attempt::send_request() {
@@ -118,14 +133,35 @@
     return send_bytes(text.append(body));
 }
 
-bool target_attempt::target_answers_before_more_body() const {
+target_attempt::body_event target_attempt::wait_for_more_body() {
     const int target = connection_->fd();
-    if (caller_->reader().has_unread_bytes()) {
-        return !is_open_without_input(target);
+    const auto idle_until = caller_->body_read_deadline(*request_);
+    for (;;) {
+        const auto until = next_look(idle_until);
+        if (context_->clock->now() >= deadline_) {
+            return body_event::deadline;
+        }
+        if (caller_->reader().has_unread_bytes()) {
+            return is_open_without_input(target) ? body_event::more : body_event::answer;
+        }
+        const auto status = wait_readable_unless(caller_->fd(), target, until, *context_->clock);
+        if (status == io_status::interrupted) {
+            return body_event::answer;
+        }
+        // Reading from a caller that has sent nothing for too long tells that fault.
+        if (status != io_status::timed_out || context_->clock->now() >= idle_until) {
+            return body_event::more;
+        }
     }
-    const auto deadline = caller_->body_read_deadline(*request_);
-    return wait_readable_unless(caller_->fd(), target, deadline, *context_->clock) ==
-           io_status::interrupted;
+}
+
+bool target_attempt::read_caller_body(char* out, std::size_t capacity, std::size_t& n) {
+    caller_fault_ = caller_->read_body_piece(*request_, out, capacity, n, deadline_);
+    const bool late = caller_fault_ && context_->clock->now() >= deadline_;
+    if (late) {
+        caller_fault_.reset(); // The time for the request is over, not only that for its body.
+    }
+    return late || caller_fault_ ? fail(answer_kind::cancelled) : true;
 }
 
 bool target_attempt::stream_body() {
@@ -133,16 +169,20 @@
     std::string framed; // declared outside the loop to reuse its memory
     std::uint64_t total = request_->buffered_body.size();
     while (!request_->body_complete) {
-        if (target_answers_before_more_body()) {
+        const auto event = wait_for_more_body();
+        if (event == body_event::answer) {
             return true;
         }
+        if (event == body_event::deadline) {
+            return fail(answer_kind::cancelled);
+        }
         std::size_t n = 0;
-        caller_fault_ = caller_->read_body_piece(*request_, piece.data(), piece.size(), n);
+        if (!read_caller_body(piece.data(), piece.size(), n)) {
+            return false;
+        }
         total += n;
-        if (!caller_fault_ && total > plan_->route.max_body_bytes) {
+        if (total > plan_->route.max_body_bytes) {
             caller_fault_ = framing_fault{413, "body-too-large", "The body exceeds the limit."};
-        }
-        if (caller_fault_) {
             return fail(answer_kind::cancelled);
         }
         const std::string_view body(piece.data(), n);
@@ -221,12 +261,9 @@
     }
     const auto first_byte = answer_expected_since_ + plan_->route.limits.first_byte;
     for (;;) {
-        // The server may have begun to drain since this attempt began.
-        deadline_ = std::min(deadline_, context_->answer_by.load());
         auto now = context_->clock->now();
-        const auto next = now < first_byte ? std::min(first_byte, now + drain_check_period)
-                                           : now + silence_check_period;
-        const auto reading = wait_first_byte(std::min(deadline_, next));
+        const auto next = now < first_byte ? first_byte : now + silence_check_period;
+        const auto reading = wait_first_byte(next_look(next));
         now = context_->clock->now();
         // If no other target can take the request, the silent one may still answer in time.
         if (reading != status::timed_out || now >= deadline_ ||
@@ -302,7 +339,11 @@
         }
         // This node sends 100 itself. HTTP/1.0 has no interim answers.
         if (head_.status != 100 && request_->head.minor_version > 0) {
-            caller_->send_interim(head_);
+            if (!caller_->send_interim(head_, deadline_)) {
+                // A part of it may have been sent, so no answer can follow it.
+                caller_disconnected_ = true;
+                return fail(answer_kind::cancelled);
+            }
         }
     }
 }
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -60,9 +60,21 @@
     /// \brief Sends a request whose whole body is in memory.
     /// \returns as send_bytes()
     [[nodiscard]] bool send_buffered_request();
+    /// \returns the time until which to wait before looking again whether the attempt must end: the
+    ///          server may begin to drain meanwhile, which lowers deadline_
+    /// \param until latest time to return
+    [[nodiscard]] instant next_look(instant until);
+    /// What ends the wait for more of a streamed body.
+    enum class body_event : std::uint8_t {
+        more,    ///< the caller has sent some, or nothing for too long
+        answer,  ///< the target answered or closed its connection
+        deadline ///< the time for the request is over
+    };
     /// \brief Waits for more of a streamed body.
-    /// \returns true when the target answered or closed its connection meanwhile
-    [[nodiscard]] bool target_answers_before_more_body() const;
+    [[nodiscard]] body_event wait_for_more_body();
+    /// \brief Reads the next part of a streamed body. Its arguments are those of
+    ///        caller_stream::read_body_piece().
+    [[nodiscard]] bool read_caller_body(char* out, std::size_t capacity, std::size_t& n);
     /// \brief Sends bytes to the target.
     /// \returns false when not all were sent; the answer should then be read
     [[nodiscard]] bool send_bytes(std::string_view bytes);
