--- a/test/traffic/upload_test.cpp
+++ b/test/traffic/upload_test.cpp
@@ -294,14 +294,17 @@
     STRCMP_CONTAINS("Wigeonrill-Outcome: unknown\r\n", answer.c_str());
 }
 
-// Guards against a caller that waits for a 100 answer before it sends its body.
+// Guards against a caller that waits for a 100 answer before it sends its body, and gets it only
+// when the wait for the body has ended (review/12, CONFIG).
 TEST(upload, is_invited_when_the_caller_asks) {
     proxy_fixture it(answer_ok);
     it.decisions.default_step = it.send_step(repeat_policy::at_most_once);
     auto caller = it.connect();
     caller.send(upload_head(
         "Expect: 100-continue\r\nContent-Length: " + std::to_string(plan_bytes) + "\r\n"));
+    const auto begin = it.clock.now();
     STRCMP_CONTAINS("HTTP/1.1 100 ", caller.receive_answer(false).c_str());
+    CHECK(it.clock.now() - begin < seconds(2));
     caller.send(plan);
     STRCMP_CONTAINS("\r\n\r\nok", caller.receive_answer().c_str());
     CHECK(body_in(it.target.requests().at(0)) == plan);
--- a/wigeonrill/src/traffic/caller_stream.cpp
+++ b/wigeonrill/src/traffic/caller_stream.cpp
@@ -54,7 +54,7 @@
     auto& body = request.buffered_body;
     std::size_t room = room_for_body(request);
     if (!request.body_complete && room > 0) {
-        send_continue(request);
+        invite_body(request);
         body.reserve(std::min<std::uint64_t>(request.length.value_or(0), room));
     }
     std::array<char, 4096> piece{};
@@ -101,7 +101,6 @@
 std::optional<framing_fault> caller_stream::read_body_piece(caller_request& request, char* out,
                                                             std::size_t capacity, std::size_t& n,
                                                             instant until) {
-    send_continue(request);
     const auto deadline = std::min(body_read_deadline(request), until);
     const auto status = reader_.read_body(out, capacity, n, deadline);
     request.body_streamed = true;
@@ -117,7 +116,7 @@
     return std::min(context_->clock->now() + context_->options.body_idle, request.info.deadline);
 }
 
-void caller_stream::send_continue(caller_request& request) {
+void caller_stream::invite_body(caller_request& request) {
     if (request.expects_continue) {
         request.expects_continue = false;
         send("HTTP/1.1 100 Continue\r\n\r\n", {context_->options.body_idle, request.info.deadline});
--- a/wigeonrill/src/traffic/caller_stream.h
+++ b/wigeonrill/src/traffic/caller_stream.h
@@ -24,6 +24,9 @@
     /// no memory is not read.
     /// \returns the reason to refuse the request, if there is one
     [[nodiscard]] std::optional<framing_fault> buffer_body(caller_request& request);
+    /// \brief Sends a 100 answer once if the caller waits for it. To be called before the first wait
+    ///        for a body.
+    void invite_body(caller_request& request);
     /// \brief Reads the next part of a streamed body.
     /// \param out where to write the bytes
     /// \param capacity size of out
@@ -67,8 +70,6 @@
     [[nodiscard]] std::size_t room_for_body(caller_request& request);
     /// \returns how many more bytes of a body of unknown length may be read into memory
     [[nodiscard]] std::size_t more_room_for_body(caller_request& request);
-    /// \brief Sends a 100 answer once if the caller waits for it.
-    void send_continue(caller_request& request);
 
     int fd_;
     server_context* context_;
--- a/wigeonrill/src/traffic/target_attempt.cpp
+++ b/wigeonrill/src/traffic/target_attempt.cpp
@@ -169,6 +169,7 @@
     std::array<char, transfer_buffer_bytes> piece{};
     std::string framed; // declared outside the loop to reuse its memory
     std::uint64_t total = request_->buffered_body.size();
+    caller_->invite_body(*request_);
     while (!request_->body_complete) {
         const auto event = wait_for_more_body();
         if (event == body_event::answer) {
