--- a/test/fleet/users_site_test.cpp
+++ b/test/fleet/users_site_test.cpp
@@ -266,8 +266,10 @@
     const auto end = std::chrono::steady_clock::now() + 6s;
     std::atomic<int> refused{0};
     std::atomic<int> denied{0};
+    constexpr std::size_t caller_count = 16;
     std::vector<std::thread> callers;
-    for (int i = 0; i < 16; ++i) {
+    callers.reserve(caller_count);
+    for (std::size_t i = 0; i < caller_count; ++i) {
         callers.emplace_back([&] {
             while (std::chrono::steady_clock::now() < end) {
                 ++(send_with_key(0, "key-two") == 401 ? denied : refused);
--- a/wigeonrill/src/daemon/node_state.h
+++ b/wigeonrill/src/daemon/node_state.h
@@ -20,8 +20,8 @@
 /// \brief Numeric IP addresses of the other nodes.
 struct peer_addresses {
     std::set<std::string> all;
-    /// Of nodes that have said that they don't check API keys: they check those of their callers
-    /// and don't pass them on.
+    /// Of nodes that were heard and don't announce that they check API keys: their builds check
+    /// those of their own callers only, and don't pass them on.
     std::set<std::string> vouching;
 };
 
