Don't let the refusal overtake the body in a test of uploads

The stand-in refused after the head alone, although the test is about a target that has read a part of the body. If the refusal comes before the node has read any of it, nothing is lost and the node rightly sends the upload to the second target, which then waits for the rest that the caller doesn't send. Shown by a trial: with a pause of 50 ms before the first wait for the body the old test fails in the same way, and the new one holds.

The stand-in now refuses after the first byte of the body. The checks are the same.

--- a/test/traffic/upload_test.cpp
+++ b/test/traffic/upload_test.cpp
@@ -176,6 +176,10 @@
     auto serving = serve_one(it, [](Poco::Net::StreamSocket& socket) {
         std::string buffered;
         static_cast<void>(read_message(socket, buffered, false));
+        std::array<char, 1> part{};
+        if (buffered.empty()) { // The refusal must not overtake the first part of the body.
+            static_cast<void>(socket.receiveBytes(part.data(), part.size()));
+        }
         const auto refusal = make_answer(503, "Target-Shed: 1\r\n", "");
         socket.sendBytes(refusal.data(), static_cast<int>(refusal.size()));
         static_cast<void>(receive_rest(socket));
