--- a/wigeonrill/dispatch.h
+++ b/wigeonrill/dispatch.h
@@ -22,6 +22,7 @@
 #include "traffic.h"
 
 #include "src/dispatch/clock_reading.h"
+#include "src/dispatch/core_options.h"
 #include "src/dispatch/decision_record.h"
 #include "src/dispatch/outstanding_request.h"
 #include "src/dispatch/refusals.h"
--- a/wigeonrill/health.h
+++ b/wigeonrill/health.h
@@ -16,6 +16,7 @@
 #include "src/health/observation.h"
 #include "src/health/operating_point.h"
 #include "src/health/rate_limit.h"
+#include "src/health/relay_node.h"
 #include "src/health/verdict.h"
 // Needs answer.h.
 #include "src/health/likelihood.h"
--- a/wigeonrill/src/daemon/control_loop.cpp
+++ b/wigeonrill/src/daemon/control_loop.cpp
@@ -167,11 +167,7 @@
     const auto ticks_per_update =
         cut_off_ ? ticks_per_relay_update_while_cut_off : ticks_per_member_update;
     if (cut_off_ != was_cut_off || ticks_ % ticks_per_update == 0) {
-        std::vector<dispatch::relay_node> relays;
-        for (auto& it : dependencies_.gossip->relays()) {
-            relays.push_back({std::move(it.address), it.checks_keys});
-        }
-        dependencies_.dispatcher.set_relays(std::move(relays));
+        dependencies_.dispatcher.set_relays(dependencies_.gossip->relays());
     }
 }
 
--- a/wigeonrill/src/dispatch/decision_core.h
+++ b/wigeonrill/src/dispatch/decision_core.h
@@ -15,49 +15,6 @@
 ///        node.
 inline constexpr seconds return_elsewhere{1};
 
-/// \brief Times of a planned stop.
-struct planned_stop {
-    instant take_until; ///< new requests are taken up to here
-    instant finish_by;  ///< requests that were taken must have ended by then
-
-    /// Time that an answer needs to reach its caller before the node ends.
-    static constexpr milliseconds final_answer_time{100};
-};
-
-/// \brief Connection to a target that is tried to learn whether this node reaches targets.
-struct connection_check {
-    service_name service;
-    target_id target;
-    endpoint address;
-};
-
-/// \brief Other node that reaches targets.
-struct relay_node {
-    endpoint address;
-    bool checks_keys{false}; ///< it checks the API key of a passed on request, and takes its credit
-};
-
-/// \brief Options of a decision_core.
-struct core_options {
-    /// \brief Creates the placement policy of one service.
-    using policy_factory = std::function<std::unique_ptr<routing::placement_policy>()>;
-
-    /// A shed request waits in the queue, instead of being refused, when the retry budget is used
-    /// up.
-    bool shed_may_wait{true};
-    /// Turn away requests of less urgent priorities while the targets of a service are overloaded.
-    bool gates_priorities{false};
-    /// Publish to the nodes of the group how many requests this node has in each target.
-    bool publish_outstanding{false};
-    domain_name own_domain; ///< failure domain of this node; empty: unknown
-    /// How the path prefixes of routes are compared with the paths of requests.
-    routing::path_match path_matching{routing::path_match::segments};
-    /// Policy of each service; by default two random choices.
-    policy_factory make_policy{[] { return std::make_unique<routing::two_random_choices>(); }};
-    /// Initial retry budget of each service.
-    admission::retry_budget retries{admission::make_retry_budget()};
-};
-
 /// \brief Chooses the service of a request in proportion to the weights of its route's split.
 /// \param draw random number, uniform in [0, 1)
 /// \returns the chosen service, or the route's service when the route has no split
@@ -136,7 +93,7 @@
 
     /// \brief Sets the other nodes that reach targets. While this node reaches none, it passes the
     ///        requests of its callers to them.
-    void set_relays(std::vector<relay_node> relays) { relays_ = std::move(relays); }
+    void set_relays(std::vector<health::relay_node> relays) { relays_ = std::move(relays); }
     /// \returns whether this node reaches no target
     [[nodiscard]] bool is_cut_off() const { return reachability_.is_cut_off(); }
     /// \returns the connections that should be tried now; none while targets are reached
@@ -357,8 +314,7 @@
     void handle_failure(request_record& record, const traffic::attempt_result& attempt,
                         bool crashed, clock_reading at);
     /// \brief Decides after an attempt at the key's owner: without an answer the request is
-    /// forwarded
-    ///        again or refused.
+    ///        forwarded again or refused.
     /// \returns false when the answer is to be passed on
     [[nodiscard]] bool handle_forward_result(request_record& record,
                                              const traffic::attempt_result& attempt, instant now);
@@ -408,9 +364,9 @@
     health::target_reachability reachability_;
     health::silence_evidence silences_;
     instant next_connection_checks_{instant::min()};
-    std::vector<relay_node> relays_;       ///< other nodes that reach targets
-    std::vector<event> events_;            ///< not yet taken by take_events()
-    std::vector<std::uint64_t> ready_ids_; ///< not yet taken by take_ready()
+    std::vector<health::relay_node> relays_; ///< other nodes that reach targets
+    std::vector<event> events_;              ///< not yet taken by take_events()
+    std::vector<std::uint64_t> ready_ids_;   ///< not yet taken by take_ready()
 };
 
 } // namespace wigeonrill::dispatch
--- a/wigeonrill/src/dispatch/decision_core_relays.cpp
+++ b/wigeonrill/src/dispatch/decision_core_relays.cpp
@@ -87,7 +87,7 @@
         record.tried_relays.size() >= max_relays) {
         return false;
     }
-    std::vector<const relay_node*> untried;
+    std::vector<const health::relay_node*> untried;
     for (const auto& it : relays_) {
         if (std::ranges::find(record.tried_relays, it.address) == record.tried_relays.end()) {
             untried.push_back(&it);
@@ -120,12 +120,12 @@
         refuse_unproven_status(record, attempt, at.now);
         return true;
     }
-    if (answered && !is_disagreement(attempt)) {
+    const bool disagrees = is_disagreement(attempt);
+    if (answered && !disagrees) {
         return false;
     }
     record.relaying = false;
     record.tried_relays.push_back(record.relay);
-    const bool disagrees = is_disagreement(attempt);
     const bool not_run = disagrees || !attempt.request_bytes_sent;
     record.inconclusive_attempts += not_run ? 0 : 1;
     const bool blocked = not_run && containment_.is_blocked(record.fingerprint, at.wall);
--- a/wigeonrill/src/dispatch/decision_core_workspaces.cpp
+++ b/wigeonrill/src/dispatch/decision_core_workspaces.cpp
@@ -11,14 +11,14 @@
 // Returns whether the sender claims that it has checked the API key. It may be a node of an older
 // build that this one has not heard yet, so the claim isn't false for certain.
 bool claims_checked_key(const traffic::request_info& info, const config::route& route) {
-    const bool is_unknown_node = info.sender == request_sender::unknown_node;
-    return is_unknown_node && !info.api_key && (route.needs_api_key || !info.workspace.empty());
+    return info.sender == request_sender::unknown_node && !info.api_key &&
+           (route.needs_api_key || !info.workspace.empty());
 }
 
 // Returns whether the idempotency key belongs to a caller that only the sender knows.
 bool has_key_of_unknown_caller(const traffic::request_info& info) {
-    const bool is_unknown_node = info.sender == request_sender::unknown_node;
-    return is_unknown_node && info.workspace.empty() && !info.idempotency_key.empty();
+    return info.sender == request_sender::unknown_node && info.workspace.empty() &&
+           !info.idempotency_key.empty();
 }
 
 } // namespace
--- a/wigeonrill/src/dispatch/request_dispatcher.cpp
+++ b/wigeonrill/src/dispatch/request_dispatcher.cpp
@@ -90,7 +90,7 @@
     unlock_and_notify_sink(lock);
 }
 
-void request_dispatcher::set_relays(std::vector<relay_node> relays) {
+void request_dispatcher::set_relays(std::vector<health::relay_node> relays) {
     const std::lock_guard guard(mutex_);
     core_.set_relays(std::move(relays));
 }
--- a/wigeonrill/src/dispatch/request_dispatcher.h
+++ b/wigeonrill/src/dispatch/request_dispatcher.h
@@ -51,7 +51,7 @@
     void set_config_confirmed_at(wall_time when);
     /// \brief Sets the other nodes that reach targets. While this node reaches none, it passes the
     ///        requests of its callers to them.
-    void set_relays(std::vector<relay_node> relays);
+    void set_relays(std::vector<health::relay_node> relays);
     /// \returns whether this node reaches no target
     [[nodiscard]] bool is_cut_off() const;
     /// \returns the connections that should be tried now; none while targets are reached
--- a/wigeonrill/src/peers/gossip_node.h
+++ b/wigeonrill/src/peers/gossip_node.h
@@ -55,12 +55,6 @@
     friend bool operator==(const live_node&, const live_node&) = default;
 };
 
-/// \brief Node that reaches targets, to which a node that doesn't passes requests on.
-struct relay_node {
-    endpoint address;        ///< at which it serves callers
-    bool checks_keys{false}; ///< as in its record
-};
-
 /// \brief Status of one peer.
 struct member_status {
     node_id id;
@@ -186,7 +180,7 @@
     ///          in both directions
     [[nodiscard]] std::vector<live_node> live_nodes() const;
     /// \returns the other nodes that reach targets
-    [[nodiscard]] std::vector<relay_node> relays() const;
+    [[nodiscard]] std::vector<health::relay_node> relays() const;
     /// \returns the status of all peers, sorted by id
     [[nodiscard]] std::vector<member_status> status() const;
     /// \returns which seeds the nodes that this one knows have met
--- a/wigeonrill/src/peers/gossip_queries.cpp
+++ b/wigeonrill/src/peers/gossip_queries.cpp
@@ -4,8 +4,8 @@
 
 namespace wigeonrill::peers {
 
-std::vector<relay_node> gossip_node::relays() const {
-    std::vector<relay_node> found;
+std::vector<health::relay_node> gossip_node::relays() const {
+    std::vector<health::relay_node> found;
     for (const auto& it : members_.all()) {
         const auto peer = parse_endpoint(it.record.id.value);
         const bool usable = it.state() == member_state::alive && !it.record.cut_off;
--- a/wigeonrill/src/platform/inventory.h
+++ b/wigeonrill/src/platform/inventory.h
@@ -161,9 +161,8 @@
     [[nodiscard]] bool in_return_window(instant now) const;
     [[nodiscard]] bool is_in_force(const target_registration& target) const;
     /// \returns whether a record names a target: its service is one of the operator's. Any other
-    /// was
-    ///          written by another system, and says nothing about the targets with its address or
-    ///          key.
+    ///          was written by another system, and says nothing about the targets with its address
+    ///          or key.
     [[nodiscard]] bool names_target(const target_registration& record) const;
     /// \returns the first words of a log message about a record
     /// \param otherwise the message if the record names a target that isn't leaving
--- a/wigeonrill/src/traffic/caller_stream.h
+++ b/wigeonrill/src/traffic/caller_stream.h
@@ -25,8 +25,7 @@
     /// \returns the reason to refuse the request, if there is one
     [[nodiscard]] std::optional<framing_fault> buffer_body(caller_request& request);
     /// \brief Sends a 100 answer once if the caller waits for it. To be called before the first
-    /// wait
-    ///        for a body.
+    ///        wait for a body.
     void invite_body(caller_request& request);
     /// \brief Reads the next part of a streamed body.
     /// \param out where to write the bytes
--- a/wigeonrill/src/traffic/dispatcher.h
+++ b/wigeonrill/src/traffic/dispatcher.h
@@ -39,8 +39,7 @@
     const caller_watch* watch{nullptr};
 
     /// \returns whether the request is marked as passed on by a node. The mark may be made up, so
-    /// it
-    ///          may only take something from the request.
+    ///          it may only take something from the request.
     [[nodiscard]] bool is_passed_on() const { return sender != request_sender::caller; }
 };
 
--- a/wigeonrill/src/traffic/target_attempt.h
+++ b/wigeonrill/src/traffic/target_attempt.h
@@ -38,9 +38,8 @@
     [[nodiscard]] bool read_body_piece(char* out, std::size_t capacity, std::size_t& n);
     /// \returns until when the target has time for a body that is streamed
     [[nodiscard]] instant answer_until() const { return answer_until_; }
-    /// \brief Takes a time in which the caller didn't take the answer out of the time that the
-    /// target
-    ///        has for its body.
+    /// \brief Gives the target more time for its body, for a time in which the caller didn't take
+    ///        the answer.
     void exclude_wait_for_caller(instant::duration time) { answer_until_ += time; }
     /// \brief Returns the connection to the pool if it can carry another request, else closes it.
     void release();
@@ -109,8 +108,7 @@
     /// \returns true when no bytes follow the answer on the connection
     [[nodiscard]] bool is_complete() const;
     /// \brief Decides about a refusal whether it belongs to this request, and whether the
-    /// connection
-    ///        can carry another one.
+    ///        connection can carry another one.
     [[nodiscard]] bool is_own_refusal();
     /// \brief Reads and discards the rest of an answer to another request.
     /// \returns false when no further answer can follow on the connection
@@ -123,8 +121,7 @@
     ///        is malformed. Always returns false.
     [[nodiscard]] bool fail_unfinished(status reading);
     /// \brief Records that the rest of a streamed body didn't come in time. A pause that would
-    /// count
-    ///        as silence before an answer does so within one. Always returns false.
+    ///        count as silence before an answer does so within one. Always returns false.
     [[nodiscard]] bool fail_unfinished_body(instant waiting_since);
     /// \brief After the connection was lost with the request in flight, finds out whether the
     ///        target accepts another one.
